--- /dev/null
+++ b/packages/store/src/platform-store.ts
@@ -0,0 +1,94 @@
+/** One stored key with the store's own revisions. */
+export interface StoredValue {
+  readonly key: string;
+  readonly value: string;
+  /** Store revision of the last write of this key. */
+  readonly modRevision: number;
+}
+
+export interface RangeResult {
+  readonly values: readonly StoredValue[];
+  /** Store revision at which the range was read. */
+  readonly storeRevision: number;
+}
+
+/** Condition of a transaction; `modRevision` 0 means that the key does not exist. */
+export interface Compare {
+  readonly key: string;
+  readonly modRevision: number;
+}
+
+export type WriteOperation =
+  | {
+      readonly kind: 'put';
+      readonly key: string;
+      readonly value: string;
+      readonly leaseId?: string;
+    }
+  | { readonly kind: 'delete'; readonly key: string };
+
+export interface TransactionResult {
+  readonly succeeded: boolean;
+  readonly storeRevision: number;
+}
+
+export interface WatchEvent {
+  readonly kind: 'put' | 'delete';
+  readonly key: string;
+  readonly value: string;
+  readonly modRevision: number;
+}
+
+export interface WatchListener {
+  onEvents(events: readonly WatchEvent[], storeRevision: number): void;
+  /** The watch ended and must be started anew; `compacted` asks for a fresh range first. */
+  onEnd(reason: 'lost' | 'compacted'): void;
+}
+
+export interface Watch {
+  stop(): void;
+}
+
+/**
+ * How a call to the store failed.
+ * - `refused`: the call did certainly not take effect.
+ * - `undecided`: the answer was lost; the call may have taken effect.
+ */
+export interface StoreFailure {
+  readonly ok: false;
+  readonly kind: 'refused' | 'undecided';
+  readonly detail: string;
+}
+
+export type StoreResult<Value> = { readonly ok: true; readonly value: Value } | StoreFailure;
+
+/** The platform's key-value service. All outcomes are values; no method rejects. */
+export interface PlatformStore {
+  /** Reads one key, or all keys with a prefix in key order. */
+  range(
+    query: { readonly key: string; readonly prefix?: boolean; readonly limit?: number },
+    timeoutMs: number,
+  ): Promise<StoreResult<RangeResult>>;
+  /** Applies the writes in one step if every comparison holds. */
+  transact(
+    compares: readonly Compare[],
+    writes: readonly WriteOperation[],
+    timeoutMs: number,
+  ): Promise<StoreResult<TransactionResult>>;
+  grantLease(
+    ttlSeconds: number,
+    timeoutMs: number,
+  ): Promise<StoreResult<{ readonly leaseId: string }>>;
+  /** Renews a lease; `remainingSeconds` 0 means that it has lapsed. */
+  renewLease(
+    leaseId: string,
+    timeoutMs: number,
+  ): Promise<StoreResult<{ readonly remainingSeconds: number }>>;
+  revokeLease(leaseId: string, timeoutMs: number): Promise<StoreResult<null>>;
+  /** Watches a key or prefix from a store revision on. */
+  watch(
+    query: { readonly key: string; readonly prefix?: boolean; readonly fromRevision: number },
+    listener: WatchListener,
+  ): Watch;
+  close(): Promise<void>;
+}
--- /dev/null
+++ b/prettier.config.mjs
@@ -0,0 +1,1 @@
+export default { singleQuote: true, trailingComma: 'all', printWidth: 100 };
--- /dev/null
+++ b/scripts/generate.mjs
@@ -0,0 +1,42 @@
+import { execFileSync } from 'node:child_process';
+import { mkdtempSync, readFileSync, readdirSync, rmSync, existsSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import path from 'node:path';
+
+// Each generator writes one committed file or folder; --check regenerates elsewhere and compares.
+const generators = [];
+
+const check = process.argv.includes('--check');
+
+function filesBelow(folder) {
+  return readdirSync(folder, { recursive: true, withFileTypes: true })
+    .filter((entry) => entry.isFile())
+    .map((entry) => path.relative(folder, path.join(entry.parentPath, entry.name)))
+    .sort();
+}
+
+function differences(committed, fresh) {
+  if (!existsSync(committed)) return [committed];
+  const names = new Set([...filesBelow(committed), ...filesBelow(fresh)]);
+  return [...names].filter((name) => {
+    const left = path.join(committed, name);
+    const right = path.join(fresh, name);
+    if (!existsSync(left) || !existsSync(right)) return true;
+    return readFileSync(left, 'utf8') !== readFileSync(right, 'utf8');
+  });
+}
+
+let stale = 0;
+for (const { name, output, command } of generators) {
+  const target = check ? mkdtempSync(path.join(tmpdir(), 'daisyferry-generate-')) : output;
+  const [program, ...args] = command(target);
+  execFileSync(program, args, { stdio: 'inherit' });
+  if (check) {
+    for (const file of differences(output, target)) {
+      console.error(`generated code is stale: ${name}: ${file}`);
+      stale += 1;
+    }
+    rmSync(target, { recursive: true });
+  }
+}
+process.exit(stale === 0 ? 0 : 1);
--- /dev/null
+++ b/vitest.config.ts
@@ -0,0 +1,9 @@
+import { defineConfig } from 'vitest/config';
+
+export default defineConfig({
+  test: {
+    include: ['packages/*/tests/**/*.test.ts'],
+    testTimeout: 30_000,
+    maxWorkers: 4,
+  },
+});
