Add the membership: gossip engine, task, seeds, policy delivery, start of a newcomer

Cause: the daemons need to know each other and the greatest policy revision without a coordinator. Change: a pure SWIM engine with suspicion, refutation and table digests; the task that owns its socket; leased seed slots; policy pulls over JSON-RPC; the start of a replaced daemon. Conclusion: the contracts can be wired; bounds at 18,000 members are not measured yet.

--- /dev/null
+++ b/packages/membership/src/byte-budget.ts
@@ -0,0 +1,29 @@
+const MS_PER_SECOND = 1_000;
+
+/** Token bucket over the bytes that a daemon sends for control. */
+export class ByteBudget {
+  private availableBytes: number;
+
+  private updatedAtMs: number | undefined;
+
+  constructor(
+    private readonly bytesPerSecond: number,
+    private readonly burstBytes: number,
+  ) {
+    this.availableBytes = burstBytes;
+  }
+
+  /** Bytes that may be sent now; negative after mandatory answers overdrew the bucket. */
+  available(nowMs: number): number {
+    const elapsedMs = Math.max(0, nowMs - (this.updatedAtMs ?? nowMs));
+    const earned = (elapsedMs * this.bytesPerSecond) / MS_PER_SECOND;
+    this.availableBytes = Math.min(this.burstBytes, this.availableBytes + earned);
+    this.updatedAtMs = nowMs;
+    return this.availableBytes;
+  }
+
+  /** Takes bytes out, also when fewer are available. */
+  spend(bytes: number, nowMs: number): void {
+    this.availableBytes = Math.max(-this.burstBytes, this.available(nowMs) - bytes);
+  }
+}
--- /dev/null
+++ b/packages/membership/src/gossip-message.ts
@@ -0,0 +1,77 @@
+import type { MemberRow } from './member-row';
+
+/** Version of the gossip protocol; messages of any other version are dropped. */
+export const GOSSIP_PROTOCOL_VERSION = 1;
+
+/** Longest datagram, signature included; fits an Ethernet frame with room for tunnels. */
+export const MAX_DATAGRAM_BYTES = 1_200;
+
+/** Bytes that IP and UDP headers add to each datagram. */
+export const DATAGRAM_OVERHEAD_BYTES = 28;
+
+/**
+ * Methods of the JSON-RPC 2.0 notifications between daemons.
+ * - `ping` asks the receiver for an `ack` with the same sequence number.
+ * - `relay` asks the receiver to ping the member `target` and to pass its `ack` on.
+ * - `push` carries updates only.
+ */
+export const GossipMethod = {
+  ping: 'ping',
+  ack: 'ack',
+  relay: 'relay',
+  push: 'push',
+} as const;
+
+export type GossipMethodName = (typeof GossipMethod)[keyof typeof GossipMethod];
+
+/** A reference to a known record and its number of refutations. */
+export type RefCount = readonly [ref: string, refutations: number];
+
+/** Digest of the part of the table whose references begin with the given bits. */
+export interface BucketDigest {
+  readonly bits: number;
+  readonly index: number;
+  /** Sum, modulo 2^32, of the first 32 bits of each reference in the bucket. */
+  readonly digest: number;
+}
+
+/** All references of one bucket, for the repair of two tables that differ. */
+export interface BucketListing {
+  readonly bits: number;
+  readonly index: number;
+  readonly complete: boolean;
+  readonly entries: readonly RefCount[];
+}
+
+/** One datagram. */
+export interface GossipMessage {
+  readonly method: GossipMethodName;
+  readonly cluster: string;
+  /** Reference of the sender's own record. */
+  readonly from: string;
+  /** Greatest policy revision that the sender applies. */
+  readonly revision: number;
+  /** Pairs a ping with its ack; 0 in a push. */
+  readonly sequence: number;
+  /** Reference of the member that is probed; empty in a push. */
+  readonly target: string;
+  readonly alive: readonly RefCount[];
+  readonly suspect: readonly RefCount[];
+  readonly dead: readonly RefCount[];
+  readonly records: readonly MemberRow[];
+  /** References whose records the sender asks for. */
+  readonly needs: readonly string[];
+  readonly digest?: BucketDigest;
+  readonly listing?: BucketListing;
+}
+
+/** Why a datagram was dropped. */
+export const DropReason = {
+  oversized: 'oversized',
+  unsigned: 'unsigned',
+  malformed: 'malformed',
+  otherCluster: 'other-cluster',
+  otherVersion: 'other-version',
+} as const;
+
+export type DropReasonName = (typeof DropReason)[keyof typeof DropReason];
--- /dev/null
+++ b/packages/membership/src/gossip-reply.ts
@@ -0,0 +1,54 @@
+import type { Member } from '@daisyferry/model/member';
+import { Reachability } from '@daisyferry/model/member';
+import type { GossipAddress } from './gossip-effect';
+import type { RefCount } from './gossip-message';
+import type { MemberRecord } from './member-record';
+import type { MessageWriter } from './message-writer';
+
+/** The references that one bucket of the table holds. */
+export interface BucketEntries {
+  readonly bits: number;
+  readonly index: number;
+  readonly entries: readonly RefCount[];
+}
+
+/** What a message to one peer has to carry besides the queued updates. */
+export interface Reply {
+  /** References whose records are asked for. */
+  readonly needs: string[];
+  /** Records that the peer lacks. */
+  readonly records: MemberRecord[];
+  /** Members whose state the peer should learn. */
+  readonly states: MemberRecord[];
+  /** Buckets whose content the peer should compare; at most the first one is sent. */
+  readonly listings: BucketEntries[];
+}
+
+export function emptyReply(): Reply {
+  return { needs: [], records: [], states: [], listings: [] };
+}
+
+export function isEmptyReply({ needs, records, states, listings }: Reply): boolean {
+  return needs.length + records.length + states.length + listings.length === 0;
+}
+
+/** Gossip address of a member. */
+export function addressOf(member: Member): GossipAddress {
+  return { address: member.address, port: member.gossipPort };
+}
+
+/** Tells a doubted member first that it is doubted, so that it can contradict at once. */
+export function doubtOf(record: MemberRecord): Reply {
+  const reply = emptyReply();
+  if (record.reachability !== Reachability.alive) reply.states.push(record);
+  return reply;
+}
+
+/** Writes as much of a reply as fits, the shortest parts first. */
+export function writeReply(writer: MessageWriter, reply: Reply): void {
+  for (const record of reply.states) writer.addUpdate({ record, whole: false });
+  for (const ref of reply.needs) writer.addNeed(ref);
+  for (const record of reply.records) writer.addUpdate({ record, whole: true });
+  const [listing] = reply.listings;
+  if (listing !== undefined) writer.setListing(listing);
+}
--- /dev/null
+++ b/packages/membership/src/membership-task.ts
@@ -0,0 +1,203 @@
+import type { Socket } from 'node:dgram';
+import { createSocket } from 'node:dgram';
+import { isIPv6 } from 'node:net';
+import type { Member, MemberDirectory, MemberView } from '@daisyferry/model/member';
+import type { Scheduler, Timer } from '@daisyferry/model/scheduler';
+import { GossipEngine } from './gossip-engine';
+import type { GossipAddress, GossipEffect } from './gossip-effect';
+import type { DropReasonName } from './gossip-message';
+import { DATAGRAM_OVERHEAD_BYTES, DropReason } from './gossip-message';
+import type { GossipOptions } from './gossip-options';
+import type { MemberFact } from './member-row';
+import type { MemberTable } from './member-table';
+import type { MemberChange } from './self-record';
+
+/** Receives what the membership finds out. */
+export interface MembershipListener {
+  onMemberChanged(view: MemberView): void;
+  /** A member applies a greater policy revision than was announced here. */
+  onPolicyRumor(revision: number, from: Member): void;
+  /** Another live process carries this daemon's name; this one has been replaced. */
+  onSuperseded(by: Member): void;
+}
+
+/** Datagrams and bytes since the start; bytes include IP and UDP headers. */
+export interface MembershipCounters {
+  bytesIn: number;
+  bytesOut: number;
+  datagramsIn: number;
+  datagramsOut: number;
+  sendErrors: number;
+  readonly dropped: Record<DropReasonName, number>;
+}
+
+export interface MembershipTaskOptions {
+  /** Local address and port of the socket; port 0 takes a free one. */
+  readonly bind: GossipAddress;
+  readonly scheduler: Scheduler;
+  readonly listener: MembershipListener;
+  readonly gossip: GossipOptions;
+}
+
+function noDrops(): Record<DropReasonName, number> {
+  return {
+    [DropReason.oversized]: 0,
+    [DropReason.unsigned]: 0,
+    [DropReason.malformed]: 0,
+    [DropReason.otherCluster]: 0,
+    [DropReason.otherVersion]: 0,
+  };
+}
+
+/** Owns the gossip socket and its timer, and runs the engine on them. */
+export class MembershipTask {
+  readonly counters: MembershipCounters = {
+    bytesIn: 0,
+    bytesOut: 0,
+    datagramsIn: 0,
+    datagramsOut: 0,
+    sendErrors: 0,
+    dropped: noDrops(),
+  };
+
+  private readonly socket: Socket;
+
+  private readonly engine: GossipEngine;
+
+  private timer: Timer | undefined;
+
+  private isRunning = false;
+
+  constructor(private readonly options: MembershipTaskOptions) {
+    const { bind, gossip, scheduler } = options;
+    this.socket = createSocket(isIPv6(bind.address) ? 'udp6' : 'udp4');
+    this.engine = new GossipEngine(gossip, scheduler.nowMs());
+  }
+
+  get directory(): MemberDirectory {
+    return this.engine.directory;
+  }
+
+  get table(): MemberTable {
+    return this.engine.table;
+  }
+
+  get selfMember(): Member {
+    return this.engine.selfMember;
+  }
+
+  /** Binds the socket and starts the gossip; resolves to the bound port. */
+  async start(): Promise<number> {
+    const { bind } = this.options;
+    await new Promise<void>((resolve, reject) => {
+      this.socket.once('error', reject);
+      this.socket.bind(bind.port, bind.address, () => {
+        this.socket.off('error', reject);
+        resolve();
+      });
+    });
+    this.socket.on('error', () => {
+      this.counters.sendErrors += 1;
+    });
+    this.socket.on('message', (payload, { address, port }) =>
+      this.receive(payload, { address, port }),
+    );
+    this.isRunning = true;
+    const { port } = this.socket.address();
+    if (port !== this.selfMember.gossipPort) this.publish({ gossipPort: port });
+    this.wake();
+    return port;
+  }
+
+  /** Tells peers that this daemon leaves, and closes the socket once that is sent. */
+  async stop(): Promise<void> {
+    if (!this.isRunning) return;
+    this.isRunning = false;
+    this.timer?.cancel();
+    const farewells = this.engine.leave(this.now());
+    await Promise.all(farewells.map(async (effect) => this.sendLast(effect)));
+    await new Promise<void>((resolve) => {
+      this.socket.close(() => resolve());
+    });
+  }
+
+  join(seeds: readonly GossipAddress[]): void {
+    this.run(this.engine.join(seeds, this.now()));
+  }
+
+  publish(change: MemberChange): void {
+    this.run(this.engine.publish(change, this.now()));
+  }
+
+  announcePolicyRevision(revision: number): void {
+    this.run(this.engine.announcePolicyRevision(revision, this.now()));
+  }
+
+  learn(facts: readonly MemberFact[]): void {
+    this.run(this.engine.learn(facts, this.now()));
+  }
+
+  reportUnreachable(name: string): void {
+    this.run(this.engine.reportUnreachable(name, this.now()));
+  }
+
+  private now(): number {
+    return this.options.scheduler.nowMs();
+  }
+
+  private receive(payload: Buffer, from: GossipAddress): void {
+    this.counters.datagramsIn += 1;
+    this.counters.bytesIn += payload.length + DATAGRAM_OVERHEAD_BYTES;
+    this.run(this.engine.handle(payload, from, this.now()));
+  }
+
+  private wake(): void {
+    this.run(this.engine.tick(this.now()));
+  }
+
+  private run(effects: readonly GossipEffect[]): void {
+    if (!this.isRunning) return;
+    for (const effect of effects) this.perform(effect);
+    this.timer?.cancel();
+    const delayMs = Math.max(0, this.engine.nextWakeAtMs() - this.now());
+    this.timer = this.options.scheduler.after(delayMs, () => this.wake());
+  }
+
+  private perform(effect: GossipEffect): void {
+    const { listener } = this.options;
+    switch (effect.kind) {
+      case 'send':
+        this.send(effect.payload, effect);
+        break;
+      case 'memberChanged':
+        listener.onMemberChanged(effect.view);
+        break;
+      case 'policyRumor':
+        listener.onPolicyRumor(effect.revision, effect.from);
+        break;
+      case 'superseded':
+        listener.onSuperseded(effect.by);
+        break;
+      case 'dropped':
+        this.counters.dropped[effect.reason] += 1;
+        break;
+      default:
+    }
+  }
+
+  private send(payload: Buffer, to: GossipAddress, done: () => void = () => undefined): void {
+    this.counters.datagramsOut += 1;
+    this.counters.bytesOut += payload.length + DATAGRAM_OVERHEAD_BYTES;
+    this.socket.send(payload, to.port, to.address, (error) => {
+      if (error) this.counters.sendErrors += 1;
+      done();
+    });
+  }
+
+  private async sendLast(effect: GossipEffect): Promise<void> {
+    if (effect.kind !== 'send') return;
+    await new Promise<void>((resolve) => {
+      this.send(effect.payload, effect, resolve);
+    });
+  }
+}
--- /dev/null
+++ b/packages/membership/src/message-writer.ts
@@ -0,0 +1,124 @@
+import { Reachability } from '@daisyferry/model/member';
+import { encodeGossip, SIGNATURE_BYTES } from './gossip-codec';
+import type { BucketDigest, BucketListing, GossipMessage, RefCount } from './gossip-message';
+import { GossipMethod, MAX_DATAGRAM_BYTES } from './gossip-message';
+import type { MemberRecord } from './member-record';
+import type { MemberRow } from './member-row';
+import { toMemberRow } from './member-row';
+import type { PendingUpdate } from './update-queue';
+
+/** Bytes of a reference in JSON with its quotes and separator. */
+const REF_BYTES = 11;
+
+/** Bytes of the fixed fields of a listing. */
+const LISTING_HEAD_BYTES = 14;
+
+function refCountBytes([, refutations]: RefCount): number {
+  return REF_BYTES + String(refutations).length + 1;
+}
+
+export type MessageHead = Pick<
+  GossipMessage,
+  'method' | 'cluster' | 'from' | 'revision' | 'sequence' | 'target'
+>;
+
+interface Draft {
+  alive: RefCount[];
+  suspect: RefCount[];
+  dead: RefCount[];
+  records: MemberRow[];
+  needs: string[];
+  digest?: BucketDigest;
+  listing?: BucketListing;
+}
+
+/** Fills one datagram up to a byte limit. */
+export class MessageWriter {
+  private readonly draft: Draft = { alive: [], suspect: [], dead: [], records: [], needs: [] };
+
+  private readonly names = new Set<string>();
+
+  private usedBytes: number;
+
+  private readonly limitBytes: number;
+
+  constructor(
+    private readonly head: MessageHead,
+    limitBytes: number,
+    private readonly key: Buffer | undefined,
+  ) {
+    this.limitBytes = Math.min(limitBytes, MAX_DATAGRAM_BYTES);
+    const signatureBytes = key === undefined ? 0 : SIGNATURE_BYTES;
+    this.usedBytes = encodeGossip({ ...head, ...this.draft }).length + signatureBytes;
+  }
+
+  get isEmpty(): boolean {
+    const { alive, suspect, dead, records, needs, listing } = this.draft;
+    const rows = alive.length + suspect.length + dead.length + records.length + needs.length;
+    return rows === 0 && listing === undefined;
+  }
+
+  /** Adds the state of a member; false when it does not fit. */
+  addUpdate({ record, whole }: PendingUpdate): boolean {
+    const { name } = record.member.id;
+    if (this.names.has(name)) return true;
+    const added =
+      whole && record.reachability !== Reachability.dead
+        ? this.addRecord(record)
+        : this.addState(record);
+    if (added) this.names.add(name);
+    return added;
+  }
+
+  /** Asks for a record; false when it does not fit. */
+  addNeed(ref: string): boolean {
+    if (!this.reserve(REF_BYTES)) return false;
+    this.draft.needs.push(ref);
+    return true;
+  }
+
+  /** Adds the digest of one bucket; digests are small and always fit. */
+  setDigest(digest: BucketDigest): void {
+    if (this.reserve(JSON.stringify(Object.values(digest)).length)) this.draft.digest = digest;
+  }
+
+  /** Adds as much of a listing as fits. */
+  setListing({ bits, index, entries }: Omit<BucketListing, 'complete'>): void {
+    if (!this.reserve(LISTING_HEAD_BYTES)) return;
+    const kept: RefCount[] = [];
+    for (const entry of entries) {
+      if (!this.reserve(refCountBytes(entry))) break;
+      kept.push(entry);
+    }
+    this.draft.listing = { bits, index, complete: kept.length === entries.length, entries: kept };
+  }
+
+  finish(): Buffer {
+    return encodeGossip({ ...this.head, ...this.draft }, this.key);
+  }
+
+  private addRecord(record: MemberRecord): boolean {
+    const row = toMemberRow(record);
+    if (!this.reserve(JSON.stringify(row).length + 1)) return false;
+    this.draft.records.push(row);
+    return true;
+  }
+
+  private addState(record: MemberRecord): boolean {
+    const state: RefCount = [record.ref, record.refutations];
+    if (!this.reserve(refCountBytes(state))) return false;
+    this.draft[record.reachability].push(state);
+    return true;
+  }
+
+  private reserve(bytes: number): boolean {
+    if (this.usedBytes + bytes > this.limitBytes) return false;
+    this.usedBytes += bytes;
+    return true;
+  }
+}
+
+/** Head of a message that carries updates only. */
+export function pushHead(cluster: string, from: string, revision: number): MessageHead {
+  return { method: GossipMethod.push, cluster, from, revision, sequence: 0, target: '' };
+}
--- /dev/null
+++ b/packages/membership/src/probe-order.ts
@@ -0,0 +1,107 @@
+import { Reachability } from '@daisyferry/model/member';
+import type { RandomSource } from '@daisyferry/model/scheduler';
+import type { MemberRecord } from './member-record';
+import type { MemberTable } from './member-table';
+
+/** One of so many probes goes to another data centre. */
+const FAR_EVERY = 4;
+
+const MAX_PICK_ATTEMPTS = 24;
+
+function shuffled<Item>(items: Iterable<Item>, random: RandomSource): Item[] {
+  const result: Item[] = [];
+  for (const item of items) {
+    const at = Math.floor(random() * (result.length + 1));
+    const moved = result[at];
+    if (moved === undefined) {
+      result.push(item);
+    } else {
+      result[at] = item;
+      result.push(moved);
+    }
+  }
+  return result;
+}
+
+/**
+ * Picks members to probe and to send to. Probes go round robin over a shuffled list, so that each
+ * member is probed within a bounded number of rounds; mostly over the own data centre, where each
+ * member has its own data centre's daemons watching it, and at times over all others.
+ */
+export class ProbeOrder {
+  private near: string[] = [];
+
+  private far: string[] = [];
+
+  private round = 0;
+
+  constructor(
+    private readonly table: MemberTable,
+    private readonly self: { readonly name: string; readonly dataCentre: string },
+    private readonly random: RandomSource,
+  ) {}
+
+  /** The next member to probe, or undefined while no other member is known. */
+  next(): MemberRecord | undefined {
+    this.round += 1;
+    const farTurn = this.round % FAR_EVERY === 0;
+    return this.nextFrom(farTurn) ?? this.nextFrom(!farTurn);
+  }
+
+  /** Up to `count` random members that are alive and pass the filter, without repeats. */
+  pick(count: number, accept: (record: MemberRecord) => boolean): MemberRecord[] {
+    const chosen = new Set<MemberRecord>();
+    const names = [this.near, this.far];
+    for (let attempt = 0; attempt < MAX_PICK_ATTEMPTS && chosen.size < count; attempt += 1) {
+      const list = names[attempt % names.length] ?? [];
+      const name = list[Math.floor(this.random() * list.length)];
+      const record = name === undefined ? undefined : this.table.recordNamed(name);
+      if (record?.reachability === Reachability.alive && accept(record)) chosen.add(record);
+    }
+    return [...chosen];
+  }
+
+  /** Takes a member that became known into the order, at a random place. */
+  add(record: MemberRecord): void {
+    const { name } = record.member.id;
+    if (name === this.self.name) return;
+    const list = record.member.dataCentre === this.self.dataCentre ? this.near : this.far;
+    const at = Math.floor(this.random() * (list.length + 1));
+    const moved = list[at];
+    if (moved === undefined) {
+      list.push(name);
+      return;
+    }
+    list[at] = name;
+    list.push(moved);
+  }
+
+  private position = { near: 0, far: 0 };
+
+  private nextFrom(isFar: boolean): MemberRecord | undefined {
+    const key = isFar ? 'far' : 'near';
+    for (let pass = 0; pass < 2; pass += 1) {
+      const list = this[key];
+      while (this.position[key] < list.length) {
+        const record = this.table.recordNamed(list[this.position[key]] ?? '');
+        this.position[key] += 1;
+        if (record !== undefined && record.reachability !== Reachability.dead) return record;
+      }
+      this.rebuild(isFar);
+    }
+    return undefined;
+  }
+
+  private rebuild(isFar: boolean): void {
+    const names: string[] = [];
+    for (const { member, reachability } of this.table.all()) {
+      const isOther = member.id.name !== this.self.name && reachability !== Reachability.dead;
+      if (isOther && (member.dataCentre !== this.self.dataCentre) === isFar) {
+        names.push(member.id.name);
+      }
+    }
+    const key = isFar ? 'far' : 'near';
+    this[key] = shuffled(names, this.random);
+    this.position[key] = 0;
+  }
+}
--- /dev/null
+++ b/packages/membership/src/rpc-methods.ts
@@ -0,0 +1,70 @@
+import type { PolicyReplica } from '@daisyferry/model/policy-table';
+import type { JSONRPCServer } from 'json-rpc-2.0';
+import { JSONRPCErrorCode, JSONRPCErrorException } from 'json-rpc-2.0';
+import type { z } from 'zod';
+import { ByteBudget } from './byte-budget';
+import { toMemberRow } from './member-row';
+import type { MemberTable } from './member-table';
+import { PeerMethod, RPC_BUSY_CODE } from './peer-rpc';
+import type { RevisionSurvey } from './revision-survey';
+import type { MembersSnapshot, StatusRevision } from './rpc-schemas';
+import {
+  membersSnapshotParamsSchema,
+  policyDeltaParamsSchema,
+  statusRevisionsParamsSchema,
+} from './rpc-schemas';
+
+/** Bytes that a daemon serves to other daemons; past that it refuses as busy. */
+const SERVED_BYTES_PER_SECOND = 3_000;
+const SERVED_BURST_BYTES = 4_000_000;
+
+export interface RpcMethodOptions {
+  readonly replica: PolicyReplica;
+  readonly table: MemberTable;
+  readonly survey: RevisionSurvey;
+  readonly nowMs: () => number;
+}
+
+function parsed<Schema extends z.ZodType>(schema: Schema, params: unknown): z.output<Schema> {
+  const result = schema.safeParse(params ?? {});
+  if (result.success) return result.data;
+  throw new JSONRPCErrorException('invalid params', JSONRPCErrorCode.InvalidParams);
+}
+
+function snapshot(table: MemberTable, bits: number, index: number): MembersSnapshot {
+  const records = table.digest
+    .refsOf(bits, index)
+    .map((ref) => table.recordByRef(ref))
+    .filter((record) => record !== undefined);
+  return { total: table.liveCount, rows: records.map(toMemberRow) };
+}
+
+/** Registers the JSON-RPC methods by which daemons read each other's state. */
+export function registerPeerMethods(server: JSONRPCServer, options: RpcMethodOptions): void {
+  const { replica, table, survey, nowMs } = options;
+  const budget = new ByteBudget(SERVED_BYTES_PER_SECOND, SERVED_BURST_BYTES);
+
+  const served = <Answer>(answer: () => Answer): Answer => {
+    if (budget.available(nowMs()) <= 0) throw new JSONRPCErrorException('busy', RPC_BUSY_CODE);
+    const value = answer();
+    budget.spend(Buffer.byteLength(JSON.stringify(value)), nowMs());
+    return value;
+  };
+
+  server.addMethod(PeerMethod.policyDelta, (params: unknown) => {
+    const { fromRevision } = parsed(policyDeltaParamsSchema, params);
+    return served(() => replica.deltaSince(fromRevision));
+  });
+  server.addMethod(PeerMethod.membersSnapshot, (params: unknown) => {
+    const { bits, index } = parsed(membersSnapshotParamsSchema, params);
+    return served(() => snapshot(table, bits, index % 2 ** bits));
+  });
+  server.addMethod(PeerMethod.statusRevision, (): StatusRevision => ({
+    revision: replica.revision,
+    ready: replica.ready,
+  }));
+  server.addMethod(PeerMethod.statusRevisions, (params: unknown) => {
+    const { revision, members } = parsed(statusRevisionsParamsSchema, params);
+    return members === undefined ? survey.all(revision) : survey.some(revision, members);
+  });
+}
--- /dev/null
+++ b/packages/membership/tests/fake-network.ts
@@ -0,0 +1,205 @@
+import type { Member } from '@daisyferry/model/member';
+import { Reachability, TargetState } from '@daisyferry/model/member';
+import type { RandomSource } from '@daisyferry/model/scheduler';
+import { GossipEngine } from '../src/gossip-engine';
+import type { GossipAddress, GossipEffect } from '../src/gossip-effect';
+import { DATAGRAM_OVERHEAD_BYTES } from '../src/gossip-message';
+import type { GossipTuning } from '../src/gossip-options';
+
+export const START_MS = 1_800_000_000_000;
+const GOSSIP_PORT = 7_000;
+const MODULUS = 2 ** 32;
+
+/** Small deterministic generator; good enough to spread test events. */
+export function seededRandom(seed: number): RandomSource {
+  let state = seed % MODULUS;
+  return () => {
+    state = (Math.imul(state, 1_664_525) + 1_013_904_223) % MODULUS;
+    if (state < 0) state += MODULUS;
+    return state / MODULUS;
+  };
+}
+
+export function testMember(number: number, change: Partial<Member> = {}): Member {
+  return {
+    id: { name: `vault-${number}`, incarnation: number.toString(16).padStart(16, '0') },
+    service: 'vault',
+    dataCentre: `dc-${number % 3}`,
+    region: 'ncr',
+    address: `10.0.${Math.floor(number / 250)}.${(number % 250) + 1}`,
+    peerPort: 8_000,
+    gossipPort: GOSSIP_PORT,
+    slots: 170,
+    connections: 1_100,
+    targetState: TargetState.serving,
+    version: 1,
+    ...change,
+  };
+}
+
+export interface NetworkFaults {
+  readonly lossRatio: number;
+  readonly duplicateRatio: number;
+  readonly maxDelayMs: number;
+}
+
+const NO_FAULTS: NetworkFaults = { lossRatio: 0, duplicateRatio: 0, maxDelayMs: 5 };
+
+interface Node {
+  readonly engine: GossipEngine;
+  readonly address: string;
+  pausedUntilMs: number;
+  isUp: boolean;
+  bytesSent: number;
+  bytesReceived: number;
+  readonly effects: GossipEffect[];
+}
+
+interface Flight {
+  readonly atMs: number;
+  readonly from: string;
+  readonly to: string;
+  readonly payload: Buffer;
+}
+
+/** A few engines on one virtual clock, joined by a network that can lose, delay and part. */
+export class FakeNetwork {
+  nowMs = START_MS;
+
+  faults: NetworkFaults = NO_FAULTS;
+
+  /** Names the side of a node; datagrams between different sides are lost. */
+  sideOf: (address: string) => number = () => 0;
+
+  readonly nodes = new Map<string, Node>();
+
+  private flights: Flight[] = [];
+
+  constructor(
+    private readonly random: RandomSource,
+    private readonly tuning: Partial<GossipTuning> = {},
+  ) {}
+
+  add(self: Member, seeds: readonly GossipAddress[]): GossipEngine {
+    const { random, tuning } = this;
+    const engine = new GossipEngine({ self, cluster: 'test', random, tuning }, this.nowMs);
+    const node: Node = {
+      engine,
+      address: self.address,
+      pausedUntilMs: 0,
+      isUp: true,
+      bytesSent: 0,
+      bytesReceived: 0,
+      effects: [],
+    };
+    this.nodes.set(self.address, node);
+    this.perform(node, engine.join(seeds, this.nowMs));
+    return engine;
+  }
+
+  node(member: Pick<Member, 'address'>): Node {
+    const node = this.nodes.get(member.address);
+    if (node === undefined) throw new Error(`no node at ${member.address}`);
+    return node;
+  }
+
+  perform(node: Node, effects: readonly GossipEffect[]): void {
+    for (const effect of effects) {
+      if (effect.kind === 'send') this.send(node, effect.address, effect.payload);
+      else node.effects.push(effect);
+    }
+  }
+
+  /** Runs until the time is over or the condition holds; returns whether it held. */
+  runFor(durationMs: number, isDone: () => boolean = () => false): boolean {
+    const endMs = this.nowMs + durationMs;
+    for (;;) {
+      if (isDone()) return true;
+      const nextMs = this.nextEventMs();
+      if (nextMs > endMs) {
+        this.nowMs = endMs;
+        return isDone();
+      }
+      this.nowMs = Math.max(this.nowMs, nextMs);
+      this.deliver();
+      this.tickAll();
+    }
+  }
+
+  live(): Node[] {
+    return [...this.nodes.values()].filter((node) => node.isUp);
+  }
+
+  /** True when each live node sees exactly the given members as alive. */
+  allSeeAlive(members: readonly Member[]): boolean {
+    const wanted = new Set(members.map((member) => member.id.incarnation));
+    return this.live().every(({ engine }) => {
+      const alive = [...engine.table.all()].filter(
+        ({ reachability }) => reachability === Reachability.alive,
+      );
+      return (
+        alive.length === wanted.size &&
+        alive.every(({ member }) => wanted.has(member.id.incarnation))
+      );
+    });
+  }
+
+  private send(node: Node, to: string, payload: Buffer): void {
+    const { lossRatio, duplicateRatio, maxDelayMs } = this.faults;
+    const sender = node;
+    sender.bytesSent += payload.length + DATAGRAM_OVERHEAD_BYTES;
+    const copies = this.random() < duplicateRatio ? 2 : 1;
+    for (let copy = 0; copy < copies; copy += 1) {
+      if (this.random() >= lossRatio) {
+        const atMs = this.nowMs + 0.1 + this.random() * maxDelayMs;
+        this.flights.push({ atMs, from: node.address, to, payload });
+      }
+    }
+  }
+
+  private nextEventMs(): number {
+    let nextMs = Number.POSITIVE_INFINITY;
+    for (const node of this.live()) {
+      nextMs = Math.min(nextMs, Math.max(node.engine.nextWakeAtMs(), node.pausedUntilMs));
+    }
+    for (const { atMs, to } of this.flights) {
+      nextMs = Math.min(nextMs, Math.max(atMs, this.nodes.get(to)?.pausedUntilMs ?? 0));
+    }
+    return nextMs;
+  }
+
+  private deliver(): void {
+    const isDue = ({ atMs, to }: Flight): boolean =>
+      Math.max(atMs, this.nodes.get(to)?.pausedUntilMs ?? 0) <= this.nowMs;
+    const due = this.flights.filter(isDue);
+    this.flights = this.flights.filter((flight) => !isDue(flight));
+    for (const { from, to, payload } of due.sort((left, right) => left.atMs - right.atMs)) {
+      const node = this.nodes.get(to);
+      if (node?.isUp === true && this.sideOf(from) === this.sideOf(to)) {
+        node.bytesReceived += payload.length + DATAGRAM_OVERHEAD_BYTES;
+        const source = { address: from, port: GOSSIP_PORT };
+        this.perform(node, node.engine.handle(payload, source, this.nowMs));
+      }
+    }
+  }
+
+  private tickAll(): void {
+    for (const node of this.live()) {
+      const isDue = node.pausedUntilMs <= this.nowMs && node.engine.nextWakeAtMs() <= this.nowMs;
+      if (isDue) this.perform(node, node.engine.tick(this.nowMs));
+    }
+  }
+}
+
+/** A network of engines that have all joined through the first one. */
+export function joinedNetwork(
+  count: number,
+  seed: number,
+  tuning: Partial<GossipTuning> = {},
+): { readonly network: FakeNetwork; readonly members: readonly Member[] } {
+  const network = new FakeNetwork(seededRandom(seed), tuning);
+  const members = Array.from({ length: count }, (_, number) => testMember(number));
+  const seeds = members.slice(0, 1).map(({ address }) => ({ address, port: GOSSIP_PORT }));
+  for (const member of members) network.add(member, seeds);
+  return { network, members };
+}
--- /dev/null
+++ b/packages/membership/tests/gossip-engine.test.ts
@@ -0,0 +1,38 @@
+import { Reachability, TargetState } from '@daisyferry/model/member';
+import { describe, expect, it } from 'vitest';
+import { joinedNetwork, testMember } from './fake-network';
+
+const SECOND_MS = 1_000;
+
+describe('gossip engine', () => {
+  it('joins through one seed until all know all', () => {
+    const { network, members } = joinedNetwork(20, 1);
+    expect(network.runFor(30 * SECOND_MS, () => network.allSeeAlive(members))).toBe(true);
+  });
+
+  it('notices a killed member everywhere', () => {
+    const { network, members } = joinedNetwork(20, 2);
+    network.runFor(30 * SECOND_MS, () => network.allSeeAlive(members));
+    network.node(testMember(7)).isUp = false;
+    const rest = members.filter((member) => member.id.name !== 'vault-7');
+    expect(network.runFor(6 * SECOND_MS, () => network.allSeeAlive(rest))).toBe(true);
+    const [node] = network.live();
+    network.runFor(10 * SECOND_MS);
+    expect(node?.engine.table.memberNamed('vault-7')?.reachability).toBe(Reachability.dead);
+  });
+
+  it('spreads a change of the own record within a second', () => {
+    const { network, members } = joinedNetwork(20, 3);
+    network.runFor(30 * SECOND_MS, () => network.allSeeAlive(members));
+    const node = network.node(testMember(3));
+    network.perform(node, node.engine.publish({ targetState: TargetState.leaving }, network.nowMs));
+    const isKnown = (): boolean =>
+      network
+        .live()
+        .every(
+          ({ engine }) =>
+            engine.directory.memberNamed('vault-3')?.member.targetState === TargetState.leaving,
+        );
+    expect(network.runFor(SECOND_MS, isKnown)).toBe(true);
+  });
+});
