--- /dev/null
+++ b/packages/execution/src/call-chart.ts
@@ -0,0 +1,29 @@
+import callChart from '@daisyferry/charts/call.chart.json';
+import { Chart } from '@daisyferry/charts/chart';
+
+/** States of `call.chart.json` that the records give a meaning of their own. */
+export const CallState = {
+  claimed: 'claimed',
+  running: 'running',
+  refused: 'refused',
+  answered: 'answered',
+  answerDropped: 'answerDropped',
+  unknown: 'unknown',
+} as const;
+
+/** Events of `call.chart.json`. */
+export const CallEvent = {
+  handOver: 'HAND_OVER',
+  refuse: 'REFUSE',
+  answer: 'ANSWER',
+  lose: 'LOSE',
+  targetShed: 'TARGET_SHED',
+  dropAnswer: 'DROP_ANSWER',
+} as const;
+
+export type CallEventName = (typeof CallEvent)[keyof typeof CallEvent];
+
+/** The chart of one call, as it stands in its file. */
+export function loadCallChart(): Chart {
+  return new Chart(callChart);
+}
--- /dev/null
+++ b/packages/execution/src/ticket-codec.ts
@@ -0,0 +1,73 @@
+import { createHmac, timingSafeEqual } from 'node:crypto';
+import type { Ticket } from './ticket';
+
+const VERSION = '1';
+const SEPARATOR = '.';
+const MAC_BYTES = 16;
+const EXPIRY_RADIX = 36;
+const MAX_TEXT_CHARACTERS = 200;
+const NAME_PATTERN = /^[a-z][a-z0-9-]{0,62}$/;
+const INCARNATION_PATTERN = /^[0-9a-f]{16}$/;
+const EXPIRY_PATTERN = /^[0-9a-z]{1,10}$/;
+const NONCE_PATTERN = /^[A-Za-z0-9_-]{22,32}$/;
+const SIGNED_PARTS = 6;
+const UNSIGNED_PARTS = 5;
+
+export type DecodedTicket =
+  { readonly ok: true; readonly ticket: Ticket } | { readonly ok: false; readonly problem: string };
+
+function problem(text: string): DecodedTicket {
+  return { ok: false, problem: text };
+}
+
+/**
+ * Text form of tickets for the `daisyferry-ticket` header:
+ * `1.<home name>.<incarnation>.<expiry in base 36>.<nonce>[.<signature>]`.
+ *
+ * With a cluster key the text ends in an HMAC-SHA-256 over what precedes it, cut to 128 bits, and
+ * a text without a valid one is refused. Without a key nothing is signed.
+ */
+export class TicketCodec {
+  constructor(private readonly key: Buffer | undefined) {}
+
+  encode(ticket: Ticket): string {
+    const { home, expiresAtMs, nonce } = ticket;
+    const expiry = Math.trunc(expiresAtMs).toString(EXPIRY_RADIX);
+    const content = [VERSION, home.name, home.incarnation, expiry, nonce].join(SEPARATOR);
+    if (this.key === undefined) return content;
+    return `${content}${SEPARATOR}${this.signature(this.key, content).toString('base64url')}`;
+  }
+
+  /** Reads a ticket; any text may be passed. The problem names what is wrong, for logs. */
+  decode(text: string): DecodedTicket {
+    if (text.length > MAX_TEXT_CHARACTERS) return problem('too long');
+    const parts = text.split(SEPARATOR);
+    const [version, name, incarnation, expiry, nonce, mac] = parts;
+    if (version !== VERSION) return problem('unknown version');
+    const expectedParts = this.key === undefined ? UNSIGNED_PARTS : SIGNED_PARTS;
+    if (parts.length !== expectedParts) return problem('wrong number of parts');
+    if (name === undefined || !NAME_PATTERN.test(name)) return problem('bad home name');
+    if (incarnation === undefined || !INCARNATION_PATTERN.test(incarnation)) {
+      return problem('bad incarnation');
+    }
+    if (expiry === undefined || !EXPIRY_PATTERN.test(expiry)) return problem('bad expiry');
+    if (nonce === undefined || !NONCE_PATTERN.test(nonce)) return problem('bad nonce');
+    if (!this.verified(text, mac)) return problem('bad signature');
+    const expiresAtMs = Number.parseInt(expiry, EXPIRY_RADIX);
+    return { ok: true, ticket: { home: { name, incarnation }, expiresAtMs, nonce } };
+  }
+
+  private verified(text: string, mac: string | undefined): boolean {
+    if (this.key === undefined) return true;
+    if (mac === undefined) return false;
+    const expected = this.signature(this.key, text.slice(0, text.lastIndexOf(SEPARATOR)));
+    const found = Buffer.from(mac, 'base64url');
+    // Base64url has several texts for one value; only the canonical one names the ticket.
+    if (found.toString('base64url') !== mac) return false;
+    return found.length === MAC_BYTES && timingSafeEqual(found, expected);
+  }
+
+  private signature(key: Buffer, content: string): Buffer {
+    return createHmac('sha256', key).update(content).digest().subarray(0, MAC_BYTES);
+  }
+}
--- /dev/null
+++ b/packages/routing/src/candidates.ts
@@ -0,0 +1,67 @@
+import { Reachability, TargetState, type Member, type MemberView } from '@daisyferry/model/member';
+import { hashText } from './hash-text';
+import { permutedSubset } from './subset';
+
+/** A target that may be chosen. */
+export interface Candidate {
+  readonly member: Member;
+  readonly suspect: boolean;
+}
+
+/** The targets of one service as one daemon sees them, nearest group first. */
+export interface CandidateGroups {
+  /** Own data centre, own region, elsewhere; each a bounded subset. */
+  readonly groups: readonly (readonly Candidate[])[];
+  /** Every target that takes work, for when the subsets hold none that can be reached. */
+  readonly all: readonly Candidate[];
+}
+
+/** Where a daemon stands: decides its subsets. */
+export interface Place {
+  readonly name: string;
+  readonly dataCentre: string;
+  readonly region: string;
+  readonly subsetSize: number;
+}
+
+function takesWork({ member, reachability }: MemberView): boolean {
+  if (reachability === Reachability.dead) return false;
+  return member.targetState === TargetState.warming || member.targetState === TargetState.serving;
+}
+
+/** Position of the daemon among those of its own service, or a hash of its name. */
+function callerIndexOf(name: string, peers: readonly MemberView[]): number {
+  const position = peers.findIndex(({ member }) => member.id.name === name);
+  return position === -1 ? hashText(name) : position;
+}
+
+function subsetOf(members: readonly Candidate[], callerIndex: number, size: number): Candidate[] {
+  return permutedSubset(callerIndex, members.length, size).flatMap((index) => {
+    const candidate = members[index];
+    return candidate === undefined ? [] : [candidate];
+  });
+}
+
+/**
+ * Groups the members of a service by distance and bounds each group to a subset.
+ * @param peers Members of the daemon's own service, in the directory's order.
+ */
+export function groupCandidates(
+  views: readonly MemberView[],
+  peers: readonly MemberView[],
+  place: Place,
+): CandidateGroups {
+  const all = views.filter(takesWork).map(({ member, reachability }) => ({
+    member,
+    suspect: reachability === Reachability.suspect,
+  }));
+  const callerIndex = callerIndexOf(place.name, peers);
+  const groups: Candidate[][] = [[], [], []];
+  for (const candidate of all) {
+    const { dataCentre, region } = candidate.member;
+    const far = region === place.region ? 1 : 2;
+    groups[dataCentre === place.dataCentre ? 0 : far]?.push(candidate);
+  }
+  const subsets = groups.map((group) => subsetOf(group, callerIndex, place.subsetSize));
+  return { groups: subsets.filter((group) => group.length > 0), all };
+}
