Name the service in each policy record

Cause: a withdrawal carries no document, so a delta with one did not say which service it was for. Change: PolicyRecord.service. Measured: nothing. Conclusion: records are complete on their own.

--- a/packages/model/src/policy.ts
+++ b/packages/model/src/policy.ts
@@ -72,6 +72,8 @@
 export interface PolicyRecord {
   /** Position in the one total order of accepted changes, from 1. */
   readonly revision: number;
+  /** Service that the change is for; a withdrawal has no document to name it. */
+  readonly service: string;
   /** Identifier that the operator's call carried; settles lost answers. */
   readonly operationId: string;
   readonly author: string;
