Divide the gossip engine into its parts and follow the service field of policy records

Cause: one file held probing, intake and sending; policy records now name their service. Change: outbox, message intake, probe cycle and namesake check are modules of their own; records that come in bulk are not passed on as news.

--- a/packages/membership/src/member-updates.ts
+++ b/packages/membership/src/member-updates.ts
@@ -35,13 +35,14 @@
     private readonly onChange: ChangeListener,
   ) {}
 
-  applyRecord(fact: MemberFact, nowMs: number): RecordVerdict {
+  /** Applies a whole record; `passOn` is false for what came in bulk and is no news to others. */
+  applyRecord(fact: MemberFact, nowMs: number, passOn = true): RecordVerdict {
     if (fact.member.id.name === this.self.member.id.name) return this.applyOwnName(fact, nowMs);
     const held = this.table.recordNamed(fact.member.id.name);
-    if (held === undefined) return this.admit(fact, nowMs);
+    if (held === undefined) return this.admit(fact, nowMs, passOn);
     const order = compareMembers(fact.member, held.member);
     if (order < 0) return { kind: 'outdated', held };
-    if (order > 0) return this.replace(fact, nowMs);
+    if (order > 0) return this.replace(fact, nowMs, passOn);
     this.applyState([held.ref, fact.refutations], fact.reachability, nowMs);
     return { kind: 'known' };
   }
@@ -140,17 +141,17 @@
     if (isVisible) this.onChange(record, false);
   }
 
-  private admit(fact: MemberFact, nowMs: number): RecordVerdict {
+  private admit(fact: MemberFact, nowMs: number, passOn: boolean): RecordVerdict {
     if (fact.reachability === Reachability.dead) return { kind: 'known' };
     if (this.table.size >= this.tuning.maxMembers) return { kind: 'known' };
-    return this.replace(fact, nowMs);
+    return this.replace(fact, nowMs, passOn);
   }
 
-  private replace(fact: MemberFact, nowMs: number): RecordVerdict {
+  private replace(fact: MemberFact, nowMs: number, passOn: boolean): RecordVerdict {
     const held = this.table.recordNamed(fact.member.id.name);
     const isNew = held === undefined || held.reachability === Reachability.dead;
     const record = this.table.put(fact.member, fact.refutations, fact.reachability, nowMs);
-    this.queue.add(record, 'changed', true);
+    if (passOn) this.queue.add(record, 'changed', true);
     this.onChange(record, isNew);
     return { kind: 'applied' };
   }
--- /dev/null
+++ b/packages/membership/src/message-intake.ts
@@ -0,0 +1,143 @@
+import { Reachability } from '@daisyferry/model/member';
+import type { GossipAddress } from './gossip-effect';
+import type { GossipMessage } from './gossip-message';
+import { GossipMethod } from './gossip-message';
+import type { Reply } from './gossip-reply';
+import { emptyReply, isEmptyReply } from './gossip-reply';
+import type { MemberFact } from './member-row';
+import { fromMemberRow } from './member-row';
+import type { MemberTable } from './member-table';
+import type { MemberUpdates } from './member-updates';
+import type { NamesakeCheck } from './namesake-check';
+import type { Outbox } from './outbox';
+import type { ProbeCycle } from './probe-cycle';
+import type { SelfRecord } from './self-record';
+import type { TableRepair } from './table-repair';
+
+/** Parts of the engine that messages act on. */
+export interface IntakeParts {
+  readonly self: SelfRecord;
+  readonly table: MemberTable;
+  readonly updates: MemberUpdates;
+  readonly repair: TableRepair;
+  readonly probes: ProbeCycle;
+  readonly namesake: NamesakeCheck;
+  readonly outbox: Outbox;
+}
+
+const STATES = [Reachability.alive, Reachability.suspect, Reachability.dead] as const;
+
+/** Applies one message to the parts of the engine and answers it. */
+export class MessageIntake {
+  constructor(private readonly parts: IntakeParts) {}
+
+  receive(message: GossipMessage, from: GossipAddress, nowMs: number): void {
+    const reply = emptyReply();
+    for (const row of message.records) this.applyFact(fromMemberRow(row), reply, nowMs);
+    this.applyStates(message, reply, nowMs);
+    this.greet(message, reply);
+    this.answerNeeds(message, reply);
+    this.compare(message, reply, nowMs);
+    this.noticeRevision(message);
+    this.answer(message, from, reply, nowMs);
+  }
+
+  /** Applies a record that came in bulk, without passing it on. */
+  learn(fact: MemberFact, nowMs: number): void {
+    const verdict = this.parts.updates.applyRecord(fact, nowMs, false);
+    if (verdict.kind === 'namesake') this.parts.namesake.meet(fact.member, nowMs);
+  }
+
+  /** Applies a record; the holder of an older one is told the greater one in the reply. */
+  private applyFact(fact: MemberFact, reply: Reply, nowMs: number): void {
+    const verdict = this.parts.updates.applyRecord(fact, nowMs);
+    if (verdict.kind === 'outdated') reply.records.push(verdict.held);
+    if (verdict.kind === 'namesake') this.parts.namesake.meet(fact.member, nowMs);
+  }
+
+  private applyStates(message: GossipMessage, reply: Reply, nowMs: number): void {
+    for (const state of STATES) {
+      for (const entry of message[state]) {
+        const isKnown = this.parts.updates.applyState(entry, state, nowMs);
+        if (!isKnown && state === Reachability.alive) reply.needs.push(entry[0]);
+      }
+    }
+  }
+
+  /** Asks an unknown sender for its record, and tells a doubted one that it is doubted. */
+  private greet({ from }: GossipMessage, reply: Reply): void {
+    const sender = this.parts.table.recordByRef(from);
+    if (sender === undefined) reply.needs.push(from);
+    else if (sender.reachability !== Reachability.alive) reply.states.push(sender);
+  }
+
+  private answerNeeds({ needs }: GossipMessage, reply: Reply): void {
+    const { self, table } = this.parts;
+    for (const ref of needs) {
+      const record = self.owns(ref) ? self.record : table.recordByRef(ref);
+      if (record !== undefined) reply.records.push(record);
+    }
+  }
+
+  private compare({ digest, listing }: GossipMessage, reply: Reply, nowMs: number): void {
+    const { repair, table, updates } = this.parts;
+    const entries = digest && repair.listFor(digest, nowMs);
+    if (digest && entries) reply.listings.push({ ...digest, entries });
+    if (listing === undefined) return;
+    const plan = repair.plan(listing);
+    reply.needs.push(...plan.needs);
+    reply.states.push(...plan.dead);
+    reply.records.push(...plan.unlisted);
+    for (const [ref, refutations] of plan.contradicted) {
+      const record = table.recordByRef(ref);
+      if (record !== undefined) updates.reconsider(record, refutations, nowMs);
+    }
+  }
+
+  private noticeRevision({ from, revision }: GossipMessage): void {
+    const { table, outbox } = this.parts;
+    const sender = table.recordByRef(from);
+    if (revision <= outbox.revision || sender === undefined) return;
+    outbox.emit({ kind: 'policyRumor', revision, from: sender.member });
+  }
+
+  private answer(message: GossipMessage, from: GossipAddress, reply: Reply, nowMs: number): void {
+    const { sequence, target } = message;
+    switch (message.method) {
+      case GossipMethod.ping:
+        this.answerPing(message, from, reply, nowMs);
+        return;
+      case GossipMethod.ack:
+        this.parts.namesake.acknowledged(sequence);
+        this.parts.probes.acknowledged(sequence, target, nowMs);
+        break;
+      case GossipMethod.relay:
+        this.parts.probes.relay(from, sequence, target, nowMs);
+        break;
+      case GossipMethod.push:
+        break;
+      default:
+    }
+    this.pushReply(from, reply, nowMs);
+  }
+
+  /** Acks a ping that is meant for this run; another run's prober learns this run's record. */
+  private answerPing(
+    { sequence, target }: GossipMessage,
+    from: GossipAddress,
+    reply: Reply,
+    nowMs: number,
+  ): void {
+    const { self, outbox } = this.parts;
+    if (!self.owns(target)) reply.records.push(self.record);
+    if (target !== '' && !self.owns(target)) {
+      this.pushReply(from, reply, nowMs);
+      return;
+    }
+    outbox.send(GossipMethod.ack, from, nowMs, { sequence, target, reply });
+  }
+
+  private pushReply(to: GossipAddress, reply: Reply, nowMs: number): void {
+    if (!isEmptyReply(reply)) this.parts.outbox.push(to, nowMs, { reply });
+  }
+}
--- /dev/null
+++ b/packages/membership/src/outbox.ts
@@ -0,0 +1,91 @@
+import { ByteBudget } from './byte-budget';
+import type { GossipAddress, GossipEffect } from './gossip-effect';
+import type { GossipMethodName } from './gossip-message';
+import { DATAGRAM_OVERHEAD_BYTES, GossipMethod, MAX_DATAGRAM_BYTES } from './gossip-message';
+import type { GossipOptions, GossipTuning } from './gossip-options';
+import type { Reply } from './gossip-reply';
+import { writeReply } from './gossip-reply';
+import type { MemberTable } from './member-table';
+import { MessageWriter } from './message-writer';
+import type { SelfRecord } from './self-record';
+import type { TableRepair } from './table-repair';
+import type { UpdateQueue } from './update-queue';
+
+const TRANSMISSIONS_PER_DECADE = 3;
+
+/** Room in the byte budget below which nothing is sent that can wait. */
+const MIN_PUSH_BYTES = 400;
+
+/** What a datagram carries besides the queued updates. */
+export interface SendContent {
+  readonly sequence?: number;
+  readonly target?: string;
+  readonly reply?: Reply;
+}
+
+/** Writes datagrams under the byte budget and collects the effects of one step. */
+export class Outbox {
+  /** Greatest policy revision that this daemon applies. */
+  revision = 0;
+
+  private readonly budget: ByteBudget;
+
+  private effects: GossipEffect[] = [];
+
+  constructor(
+    private readonly options: GossipOptions,
+    tuning: GossipTuning,
+    private readonly self: SelfRecord,
+    private readonly table: MemberTable,
+    private readonly queue: UpdateQueue,
+    private readonly repair: TableRepair,
+  ) {
+    this.budget = new ByteBudget(tuning.bytesPerSecond, tuning.burstBytes);
+  }
+
+  emit(effect: GossipEffect): void {
+    this.effects.push(effect);
+  }
+
+  takeEffects(): readonly GossipEffect[] {
+    const { effects } = this;
+    this.effects = [];
+    return effects;
+  }
+
+  /** True while the budget has room for a datagram that could also be left out. */
+  hasRoom(nowMs: number): boolean {
+    return this.budget.available(nowMs) >= MIN_PUSH_BYTES;
+  }
+
+  /** Sends a push unless the budget is used up. */
+  push(to: GossipAddress, nowMs: number, content: SendContent = {}): void {
+    if (this.hasRoom(nowMs)) this.send(GossipMethod.push, to, nowMs, content);
+  }
+
+  /** Sends a datagram; over the budget it carries nothing but its head. */
+  send(
+    method: GossipMethodName,
+    to: GossipAddress,
+    nowMs: number,
+    { sequence = 0, target = '', reply }: SendContent,
+  ): void {
+    const { cluster, key } = this.options;
+    const from = this.self.record.ref;
+    const head = { method, cluster, from, revision: this.revision, sequence, target };
+    const roomBytes = Math.min(MAX_DATAGRAM_BYTES, this.budget.available(nowMs));
+    const writer = new MessageWriter(head, roomBytes, key);
+    if (method === GossipMethod.ping) writer.setDigest(this.repair.digest());
+    if (reply !== undefined) writeReply(writer, reply);
+    if (method !== GossipMethod.relay) {
+      this.queue.take(this.maxTransmissions(), (update) => writer.addUpdate(update));
+    }
+    const payload = writer.finish();
+    this.budget.spend(payload.length + DATAGRAM_OVERHEAD_BYTES, nowMs);
+    this.emit({ kind: 'send', address: to.address, port: to.port, payload });
+  }
+
+  private maxTransmissions(): number {
+    return TRANSMISSIONS_PER_DECADE * Math.ceil(Math.log10(this.table.liveCount + 1));
+  }
+}
--- a/packages/membership/src/probe-order.ts
+++ b/packages/membership/src/probe-order.ts
@@ -1,3 +1,4 @@
+import type { Member } from '@daisyferry/model/member';
 import { Reachability } from '@daisyferry/model/member';
 import type { RandomSource } from '@daisyferry/model/scheduler';
 import type { MemberRecord } from './member-record';
@@ -35,9 +36,11 @@
 
   private round = 0;
 
+  private readonly position = { near: 0, far: 0 };
+
   constructor(
     private readonly table: MemberTable,
-    private readonly self: { readonly name: string; readonly dataCentre: string },
+    private readonly self: Pick<Member, 'id' | 'dataCentre'>,
     private readonly random: RandomSource,
   ) {}
 
@@ -64,7 +67,7 @@
   /** Takes a member that became known into the order, at a random place. */
   add(record: MemberRecord): void {
     const { name } = record.member.id;
-    if (name === this.self.name) return;
+    if (name === this.self.id.name) return;
     const list = record.member.dataCentre === this.self.dataCentre ? this.near : this.far;
     const at = Math.floor(this.random() * (list.length + 1));
     const moved = list[at];
@@ -76,8 +79,6 @@
     list.push(moved);
   }
 
-  private position = { near: 0, far: 0 };
-
   private nextFrom(isFar: boolean): MemberRecord | undefined {
     const key = isFar ? 'far' : 'near';
     for (let pass = 0; pass < 2; pass += 1) {
@@ -95,7 +96,7 @@
   private rebuild(isFar: boolean): void {
     const names: string[] = [];
     for (const { member, reachability } of this.table.all()) {
-      const isOther = member.id.name !== this.self.name && reachability !== Reachability.dead;
+      const isOther = member.id.name !== this.self.id.name && reachability !== Reachability.dead;
       if (isOther && (member.dataCentre !== this.self.dataCentre) === isFar) {
         names.push(member.id.name);
       }
--- a/packages/membership/src/rpc-schemas.ts
+++ b/packages/membership/src/rpc-schemas.ts
@@ -10,6 +10,7 @@
 
 const policyRecordSchema = z.strictObject({
   revision,
+  service: z.string(),
   operationId: z.string(),
   author: z.string(),
   acceptedAt: z.string(),
