Measure one daemon in a fleet of 18,000 members

Cause: the cost of control at the two-year size was not known. Change: a second process plays all other members over the gossip protocol and JSON-RPC; the daemon process loads the table and the policies and is measured at the real rate of churn.

--- a/packages/membership/src/gossip-effect.ts
+++ b/packages/membership/src/gossip-effect.ts
@@ -16,4 +16,6 @@
   | { readonly kind: 'policyRumor'; readonly revision: number; readonly from: Member }
   /** Another live process carries this daemon's name with a greater record. */
   | { readonly kind: 'superseded'; readonly by: Member }
+  /** A peer knows many times the members known here: the whole table has to be fetched. */
+  | { readonly kind: 'tableBehind' }
   | { readonly kind: 'dropped'; readonly reason: DropReasonName };
--- /dev/null
+++ b/packages/membership/src/measure/fleet-process.ts
@@ -0,0 +1,121 @@
+import type { Socket } from 'node:dgram';
+import { createSocket } from 'node:dgram';
+import { once } from 'node:events';
+import { Reachability } from '@daisyferry/model/member';
+import type { RandomSource } from '@daisyferry/model/scheduler';
+import { JSONRPCServer } from 'json-rpc-2.0';
+import { DEFAULT_GOSSIP_TUNING } from '../gossip-options';
+import type { MemberRecord } from '../member-record';
+import { toMemberRow } from '../member-row';
+import { MemberTable } from '../member-table';
+import { PeerMethod } from '../peer-rpc';
+import { membersSnapshotParamsSchema, policyDeltaParamsSchema } from '../rpc-schemas';
+import { ByteCount } from './byte-count';
+import type { FleetUpdate } from './fleet-churn';
+import { FleetChurn } from './fleet-churn';
+import { FleetSpeaker } from './fleet-speaker';
+import { HttpPeerRpc, servePeerRpc } from './http-peer-rpc';
+import { atRate, measureClock, measureRandom } from './measure-clock';
+import type { FleetPorts, ScalePlan } from './scale-plan';
+import { SCALE_CLUSTER, SCALE_SUBJECT, scaleMember } from './scale-plan';
+import { ScalePolicies } from './scale-policies';
+
+const ANY_ADDRESS = '0.0.0.0';
+const MS_PER_SECOND = 1_000;
+const SECONDS_PER_DAY = 86_400;
+const STEP_INTERVAL_MS = 3_000;
+const PULL_TIMEOUT_MS = 3_000;
+
+function fillTable(table: MemberTable, plan: ScalePlan, ports: FleetPorts): void {
+  const nowMs = measureClock.nowMs();
+  for (let number = 0; number < plan.members - 1; number += 1) {
+    table.put(scaleMember(number, 0, ports), 0, Reachability.alive, nowMs);
+  }
+}
+
+function fleetMethods(table: MemberTable, policies: ScalePolicies): JSONRPCServer {
+  const server = new JSONRPCServer();
+  server.addMethod(PeerMethod.statusRevision, () => ({ revision: policies.revision, ready: true }));
+  server.addMethod(PeerMethod.policyDelta, (params: unknown) =>
+    policies.deltaSince(policyDeltaParamsSchema.parse(params).fromRevision),
+  );
+  server.addMethod(PeerMethod.membersSnapshot, (params: unknown) => {
+    const { bits, index } = membersSnapshotParamsSchema.parse(params);
+    const records = table.digest.refsOf(bits, index).map((ref) => table.recordByRef(ref));
+    const rows = records.filter((record) => record !== undefined).map(toMemberRow);
+    return { total: table.liveCount, rows };
+  });
+  return server;
+}
+
+function replayChurn(
+  plan: ScalePlan,
+  churn: FleetChurn,
+  random: RandomSource,
+  spread: (update: FleetUpdate) => void,
+): void {
+  const play = (steps: readonly ((nowMs: number) => FleetUpdate)[]): void => {
+    steps.forEach((step, at) => {
+      setTimeout(() => spread(step(measureClock.nowMs())), at * STEP_INTERVAL_MS);
+    });
+  };
+  atRate(plan.replacementsPerDay / SECONDS_PER_DAY, random, () => play(churn.replacement()));
+  atRate(plan.failuresPerDay / SECONDS_PER_DAY, random, () => play(churn.failure()));
+}
+
+/** Pulls from the measured daemon as often as one daemon of the fleet is asked on average. */
+class SubjectPuller {
+  private readonly rpc = new HttpPeerRpc(new ByteCount());
+
+  private pulledRevision = 0;
+
+  constructor(private readonly table: MemberTable) {}
+
+  pull(revision: number): void {
+    const fromRevision = this.pulledRevision;
+    if (revision <= fromRevision) return;
+    this.pulledRevision = revision;
+    const subject: MemberRecord | undefined = this.table.recordNamed(SCALE_SUBJECT);
+    if (fromRevision === 0 || subject === undefined) return;
+    const params = { fromRevision };
+    this.rpc
+      .call(subject.member, PeerMethod.policyDelta, params, PULL_TIMEOUT_MS)
+      .catch(() => undefined);
+  }
+}
+
+async function bindSocket(): Promise<Socket> {
+  const socket = createSocket('udp4');
+  socket.bind(0, ANY_ADDRESS);
+  await once(socket, 'listening');
+  return socket;
+}
+
+/** Plays all members but one, until the process is ended. */
+export async function runFleet(plan: ScalePlan): Promise<FleetPorts> {
+  const random = measureRandom(plan.seed);
+  const table = new MemberTable();
+  const policies = new ScalePolicies(plan.policies);
+  const socket = await bindSocket();
+  const methods = fleetMethods(table, policies);
+  const { port } = await servePeerRpc(methods, ANY_ADDRESS, new ByteCount());
+  const ports = { gossipPort: socket.address().port, peerPort: port };
+  fillTable(table, plan, ports);
+  const puller = new SubjectPuller(table);
+  const speaker = new FleetSpeaker({
+    cluster: SCALE_CLUSTER,
+    table,
+    socket,
+    random,
+    revision: () => policies.revision,
+    onSubjectRevision: (revision) => puller.pull(revision),
+  });
+  const churn = new FleetChurn(table, plan.members - 1, ports, random);
+  replayChurn(plan, churn, random, (update) => speaker.spread(update));
+  atRate(MS_PER_SECOND / DEFAULT_GOSSIP_TUNING.probePeriodMs, random, () => speaker.ping());
+  atRate(plan.policyChangesPerDay / SECONDS_PER_DAY, random, () => {
+    policies.change(Math.floor(random() * plan.policies));
+    speaker.rumor();
+  });
+  return ports;
+}
--- /dev/null
+++ b/packages/membership/src/measure/fleet-speaker.ts
@@ -0,0 +1,145 @@
+import type { Socket } from 'node:dgram';
+import { Reachability } from '@daisyferry/model/member';
+import type { RandomSource } from '@daisyferry/model/scheduler';
+import { decodeGossip } from '../gossip-codec';
+import type { GossipAddress } from '../gossip-effect';
+import type { GossipMessage, GossipMethodName } from '../gossip-message';
+import { GossipMethod, MAX_DATAGRAM_BYTES } from '../gossip-message';
+import { DEFAULT_GOSSIP_TUNING } from '../gossip-options';
+import type { Reply } from '../gossip-reply';
+import { emptyReply, writeReply } from '../gossip-reply';
+import type { MemberRecord } from '../member-record';
+import { fromMemberRow } from '../member-row';
+import type { MemberTable } from '../member-table';
+import { MessageWriter } from '../message-writer';
+import { TableRepair } from '../table-repair';
+import { UpdateQueue } from '../update-queue';
+import type { FleetUpdate } from './fleet-churn';
+
+const MAX_QUEUED = 8_192;
+const TRANSMISSIONS_PER_DECADE = 3;
+const SPREAD_MS = 2_000;
+/** Room that a sender under its own byte budget has on average. */
+const MEAN_ROOM_BYTES = 900;
+
+export interface FleetSpeakerOptions {
+  readonly cluster: string;
+  readonly table: MemberTable;
+  readonly socket: Socket;
+  readonly random: RandomSource;
+  /** Greatest policy revision of the fleet. */
+  readonly revision: () => number;
+  /** The measured daemon announced a policy revision. */
+  readonly onSubjectRevision: (revision: number) => void;
+}
+
+/**
+ * Speaks the gossip protocol towards one daemon on behalf of all other members. Each datagram goes
+ * out as the one of a random member; what one daemon of the fleet receives on average is sent.
+ */
+export class FleetSpeaker {
+  private subject: GossipAddress | undefined;
+
+  private subjectRef = '';
+
+  private sequence = 0;
+
+  private readonly queue = new UpdateQueue(MAX_QUEUED);
+
+  private readonly repair: TableRepair;
+
+  private readonly records: MemberRecord[];
+
+  constructor(private readonly options: FleetSpeakerOptions) {
+    this.repair = new TableRepair(options.table, 0, options.random);
+    this.records = [...options.table.all()];
+    options.socket.on('message', (payload, { address, port }) =>
+      this.receive(payload, { address, port }),
+    );
+  }
+
+  /** Pings the daemon as a random member does. */
+  ping(): void {
+    if (this.subject === undefined) return;
+    this.sequence += 1;
+    this.send(GossipMethod.ping, this.sequence, this.subjectRef, emptyReply());
+  }
+
+  /** Spreads an update: a few pushes out of turn, the other copies on later messages. */
+  spread({ record, whole }: FleetUpdate): void {
+    const { fanout } = DEFAULT_GOSSIP_TUNING;
+    this.queue.add(record, 'changed', whole);
+    for (let copy = 0; copy < fanout; copy += 1) this.pushLater();
+  }
+
+  /** Pushes that tell a new policy revision. */
+  rumor(): void {
+    for (let copy = 0; copy <= DEFAULT_GOSSIP_TUNING.fanout; copy += 1) this.pushLater();
+  }
+
+  private pushLater(): void {
+    const delayMs = this.options.random() * SPREAD_MS;
+    setTimeout(() => this.send(GossipMethod.push, 0, '', emptyReply()), delayMs);
+  }
+
+  private receive(payload: Buffer, from: GossipAddress): void {
+    const decoded = decodeGossip(payload, this.options.cluster);
+    if (!decoded.ok) return;
+    const { message } = decoded;
+    this.subject = from;
+    this.subjectRef = message.from;
+    this.learn(message);
+    this.options.onSubjectRevision(message.revision);
+    const reply = this.replyTo(message);
+    if (message.method === GossipMethod.ping && this.isRunning(message.target)) {
+      this.send(GossipMethod.ack, message.sequence, message.target, reply);
+    } else if (reply.records.length + reply.needs.length > 0) {
+      this.send(GossipMethod.push, 0, '', reply);
+    }
+  }
+
+  private learn({ records }: GossipMessage): void {
+    const { table } = this.options;
+    for (const row of records) {
+      const { member, refutations } = fromMemberRow(row);
+      if (table.recordNamed(member.id.name) === undefined) {
+        table.put(member, refutations, Reachability.alive, Date.now());
+      }
+    }
+  }
+
+  private isRunning(target: string): boolean {
+    if (target === '') return true;
+    return this.options.table.recordByRef(target)?.reachability === Reachability.alive;
+  }
+
+  private replyTo({ needs, digest, listing, from }: GossipMessage): Reply {
+    const reply = emptyReply();
+    const { table } = this.options;
+    const asked = needs.map((ref) => table.recordByRef(ref));
+    reply.records.push(...asked.filter((record) => record !== undefined));
+    if (table.recordByRef(from) === undefined) reply.needs.push(from);
+    const entries = digest && this.repair.listFor(digest, Date.now());
+    if (digest && entries) reply.listings.push({ ...digest, entries });
+    if (listing === undefined) return reply;
+    const plan = this.repair.plan(listing);
+    reply.records.push(...plan.unlisted);
+    reply.states.push(...plan.dead);
+    return reply;
+  }
+
+  private send(method: GossipMethodName, sequence: number, target: string, reply: Reply): void {
+    const { cluster, table, random, socket, revision } = this.options;
+    const sender = this.records[Math.floor(random() * this.records.length)];
+    if (this.subject === undefined || sender === undefined) return;
+    const current = table.recordNamed(sender.member.id.name) ?? sender;
+    const head = { method, cluster, from: current.ref, revision: revision(), sequence, target };
+    const roomBytes = Math.min(MAX_DATAGRAM_BYTES, MEAN_ROOM_BYTES);
+    const writer = new MessageWriter(head, roomBytes, undefined);
+    if (method === GossipMethod.ping) writer.setDigest(this.repair.digest());
+    writeReply(writer, reply);
+    const maxTimes = TRANSMISSIONS_PER_DECADE * Math.ceil(Math.log10(table.liveCount + 1));
+    this.queue.take(maxTimes, (update) => writer.addUpdate(update));
+    socket.send(writer.finish(), this.subject.port, this.subject.address);
+  }
+}
--- a/packages/membership/src/member-fetch.ts
+++ b/packages/membership/src/member-fetch.ts
@@ -13,7 +13,7 @@
 const ROWS_PER_PAGE = 128;
 const PAGE_TIMEOUT_MS = 3_000;
 const ATTEMPTS_PER_PAGE = 4;
-const CONCURRENT_PAGES = 4;
+const CONCURRENT_PAGES = 2;
 
 export interface MemberFetchOptions {
   readonly selfName: string;
--- a/packages/membership/src/membership-task.ts
+++ b/packages/membership/src/membership-task.ts
@@ -17,6 +17,8 @@
   onMemberChanged(view: MemberView): void;
   /** A member applies a greater policy revision than was announced here. */
   onPolicyRumor(revision: number, from: Member): void;
+  /** A peer knows many times the members known here: `MemberFetch` has to run. */
+  onTableBehind(): void;
   /** Another live process carries this daemon's name; this one has been replaced. */
   onSuperseded(by: Member): void;
 }
@@ -175,6 +177,9 @@
       case 'policyRumor':
         listener.onPolicyRumor(effect.revision, effect.from);
         break;
+      case 'tableBehind':
+        listener.onTableBehind();
+        break;
       case 'superseded':
         listener.onSuperseded(effect.by);
         break;
--- a/packages/membership/src/message-intake.ts
+++ b/packages/membership/src/message-intake.ts
@@ -4,6 +4,7 @@
 import { GossipMethod } from './gossip-message';
 import type { Reply } from './gossip-reply';
 import { emptyReply, isEmptyReply } from './gossip-reply';
+import { memberRef } from './member-ref';
 import type { MemberFact } from './member-row';
 import { fromMemberRow } from './member-row';
 import type { MemberTable } from './member-table';
@@ -25,10 +26,16 @@
   readonly outbox: Outbox;
 }
 
+/** References remembered as asked for. */
+const MAX_ASKED = 4_096;
+
 const STATES = [Reachability.alive, Reachability.suspect, Reachability.dead] as const;
 
 /** Applies one message to the parts of the engine and answers it. */
 export class MessageIntake {
+  /** References asked for; their records are no news to others. */
+  private readonly asked = new Set<string>();
+
   constructor(private readonly parts: IntakeParts) {}
 
   receive(message: GossipMessage, from: GossipAddress, nowMs: number): void {
@@ -38,6 +45,7 @@
     this.greet(message, reply);
     this.answerNeeds(message, reply);
     this.compare(message, reply, nowMs);
+    this.noteAsked(reply);
     this.noticeRevision(message);
     this.answer(message, from, reply, nowMs);
   }
@@ -50,7 +58,8 @@
 
   /** Applies a record; the holder of an older one is told the greater one in the reply. */
   private applyFact(fact: MemberFact, reply: Reply, nowMs: number): void {
-    const verdict = this.parts.updates.applyRecord(fact, nowMs);
+    const isNews = !this.asked.delete(memberRef(fact.member));
+    const verdict = this.parts.updates.applyRecord(fact, nowMs, isNews);
     if (verdict.kind === 'outdated') reply.records.push(verdict.held);
     if (verdict.kind === 'namesake') this.parts.namesake.meet(fact.member, nowMs);
   }
@@ -80,7 +89,8 @@
   }
 
   private compare({ digest, listing }: GossipMessage, reply: Reply, nowMs: number): void {
-    const { repair, table, updates } = this.parts;
+    const { repair, table, updates, outbox } = this.parts;
+    if (digest && repair.compareSize(digest) === 'behind') outbox.emit({ kind: 'tableBehind' });
     const entries = digest && repair.listFor(digest, nowMs);
     if (digest && entries) reply.listings.push({ ...digest, entries });
     if (listing === undefined) return;
@@ -94,6 +104,12 @@
     }
   }
 
+  private noteAsked({ needs }: Reply): void {
+    for (const ref of needs) {
+      if (this.asked.size < MAX_ASKED) this.asked.add(ref);
+    }
+  }
+
   private noticeRevision({ from, revision }: GossipMessage): void {
     const { table, outbox } = this.parts;
     const sender = table.recordByRef(from);
--- a/packages/membership/src/table-repair.ts
+++ b/packages/membership/src/table-repair.ts
@@ -3,7 +3,10 @@
 import type { BucketDigest, BucketListing, RefCount } from './gossip-message';
 import type { MemberRecord } from './member-record';
 import type { MemberTable } from './member-table';
-import { bucketOf, TableDigest } from './table-digest';
+import { bucketOf, MAX_DIGEST_BITS, TableDigest } from './table-digest';
+
+/** Tables whose sizes differ by this power of two are not mended bucket by bucket. */
+const GREAT_DIFFERENCE_BITS = 4;
 
 /** What a listing of a peer calls for. */
 export interface RepairPlan {
@@ -21,21 +24,35 @@
 export class TableRepair {
   private listedAtMs = Number.NEGATIVE_INFINITY;
 
+  private nextIndex: number;
+
   constructor(
     private readonly table: MemberTable,
     private readonly periodMs: number,
-    private readonly random: RandomSource,
-  ) {}
+    random: RandomSource,
+  ) {
+    this.nextIndex = Math.floor(random() * 2 ** MAX_DIGEST_BITS);
+  }
 
-  /** Digest of a random bucket, for the next ping. */
+  /** Digest of the next bucket in turn, for the next ping. */
   digest(): BucketDigest {
     const bits = TableDigest.bitsFor(this.table.liveCount);
-    return this.table.digest.of(bits, Math.floor(this.random() * 2 ** bits));
+    this.nextIndex += 1;
+    return this.table.digest.of(bits, this.nextIndex % 2 ** bits);
+  }
+
+  /** How this table's size compares with that of the sender of a digest. */
+  compareSize({ bits }: BucketDigest): 'similar' | 'behind' | 'ahead' {
+    const ownBits = TableDigest.bitsFor(this.table.liveCount);
+    if (bits >= ownBits + GREAT_DIFFERENCE_BITS) return 'behind';
+    if (bits <= ownBits - GREAT_DIFFERENCE_BITS) return 'ahead';
+    return 'similar';
   }
 
   /** The entries of a bucket whose digest differs at a peer, unless one was listed just now. */
   listFor(theirs: BucketDigest, nowMs: number): readonly RefCount[] | undefined {
     if (nowMs - this.listedAtMs < this.periodMs) return undefined;
+    if (this.compareSize(theirs) !== 'similar') return undefined;
     const mine = this.table.digest.of(theirs.bits, theirs.index);
     if (mine.digest === theirs.digest) return undefined;
     this.listedAtMs = nowMs;
