Send the record that outranks a restarted daemon whole, also when it is dead

Cause: a run started with its clock an hour back, after its predecessor was declared dead, was never admitted: peers answered with the dead record by reference, which the new run cannot resolve (found by the convergence property: kill 11, pause 0, restart 11 with clockBackMs 3600000). Change: records that answer an outdated one go whole in any state; properties for convergence, partition, byte budget and pauses. Conclusion: a restarted daemon takes its name over whatever its clock says.

--- a/packages/membership/src/gossip-reply.ts
+++ b/packages/membership/src/gossip-reply.ts
@@ -46,9 +46,9 @@
 
 /** Writes as much of a reply as fits, the shortest parts first. */
 export function writeReply(writer: MessageWriter, reply: Reply): void {
-  for (const record of reply.states) writer.addUpdate({ record, whole: false });
+  for (const record of reply.states) writer.addState(record);
   for (const ref of reply.needs) writer.addNeed(ref);
-  for (const record of reply.records) writer.addUpdate({ record, whole: true });
+  for (const record of reply.records) writer.addRecord(record);
   const [listing] = reply.listings;
   if (listing !== undefined) writer.setListing(listing);
 }
--- a/packages/membership/src/message-writer.ts
+++ b/packages/membership/src/message-writer.ts
@@ -58,16 +58,24 @@
     return rows === 0 && listing === undefined;
   }
 
-  /** Adds the state of a member; false when it does not fit. */
+  /** Adds a queued update; the dead go by reference. False when it does not fit. */
   addUpdate({ record, whole }: PendingUpdate): boolean {
-    const { name } = record.member.id;
-    if (this.names.has(name)) return true;
-    const added =
-      whole && record.reachability !== Reachability.dead
-        ? this.addRecord(record)
-        : this.addState(record);
-    if (added) this.names.add(name);
-    return added;
+    return whole && record.reachability !== Reachability.dead
+      ? this.addRecord(record)
+      : this.addState(record);
+  }
+
+  /** Adds a whole record, whatever its reachability; false when it does not fit. */
+  addRecord(record: MemberRecord): boolean {
+    const row = toMemberRow(record);
+    return this.addOnce(record, JSON.stringify(row).length + 1, () => this.draft.records.push(row));
+  }
+
+  /** Adds the state of a member by reference; false when it does not fit. */
+  addState(record: MemberRecord): boolean {
+    const state: RefCount = [record.ref, record.refutations];
+    const list = this.draft[record.reachability];
+    return this.addOnce(record, refCountBytes(state), () => list.push(state));
   }
 
   /** Asks for a record; false when it does not fit. */
@@ -97,17 +105,11 @@
     return encodeGossip({ ...this.head, ...this.draft }, this.key);
   }
 
-  private addRecord(record: MemberRecord): boolean {
-    const row = toMemberRow(record);
-    if (!this.reserve(JSON.stringify(row).length + 1)) return false;
-    this.draft.records.push(row);
-    return true;
-  }
-
-  private addState(record: MemberRecord): boolean {
-    const state: RefCount = [record.ref, record.refutations];
-    if (!this.reserve(refCountBytes(state))) return false;
-    this.draft[record.reachability].push(state);
+  private addOnce({ member }: MemberRecord, bytes: number, add: () => void): boolean {
+    if (this.names.has(member.id.name)) return true;
+    if (!this.reserve(bytes)) return false;
+    this.names.add(member.id.name);
+    add();
     return true;
   }
 
--- a/packages/membership/tests/fake-network.ts
+++ b/packages/membership/tests/fake-network.ts
@@ -66,10 +66,10 @@
 export class FakeNetwork {
   nowMs = START_MS;
 
-  faults: NetworkFaults = NO_FAULTS;
+  private faults: NetworkFaults = NO_FAULTS;
 
-  /** Names the side of a node; datagrams between different sides are lost. */
-  sideOf: (address: string) => number = () => 0;
+  /** Datagrams between nodes of different sides are lost. */
+  private sides = 1;
 
   readonly nodes = new Map<string, Node>();
 
@@ -80,9 +80,17 @@
     private readonly tuning: Partial<GossipTuning> = {},
   ) {}
 
-  add(self: Member, seeds: readonly GossipAddress[]): GossipEngine {
+  /** Replaces the node at the member's address by a new run that knows one seed. */
+  restart(self: Member, clockBackMs: number): GossipEngine {
+    const [seed] = this.live().filter(({ address }) => address !== self.address);
+    const seeds = seed === undefined ? [] : [{ address: seed.address, port: GOSSIP_PORT }];
+    return this.add(self, seeds, clockBackMs);
+  }
+
+  add(self: Member, seeds: readonly GossipAddress[], clockBackMs = 0): GossipEngine {
     const { random, tuning } = this;
-    const engine = new GossipEngine({ self, cluster: 'test', random, tuning }, this.nowMs);
+    const options = { self, cluster: 'test', random, tuning };
+    const engine = new GossipEngine(options, this.nowMs - clockBackMs);
     const node: Node = {
       engine,
       address: self.address,
@@ -97,6 +105,32 @@
     return engine;
   }
 
+  setFaults(faults: NetworkFaults): void {
+    this.faults = faults;
+  }
+
+  heal(): void {
+    this.faults = NO_FAULTS;
+    this.sides = 1;
+  }
+
+  /** Parts the network by the last byte of the addresses. */
+  part(sides: number): void {
+    this.sides = sides;
+  }
+
+  pause(member: Member, forMs: number): void {
+    this.node(member).pausedUntilMs = this.nowMs + forMs;
+  }
+
+  kill(member: Member): void {
+    this.node(member).isUp = false;
+  }
+
+  private sideOf(address: string): number {
+    return Number(address.split('.')[3]) % this.sides;
+  }
+
   node(member: Pick<Member, 'address'>): Node {
     const node = this.nodes.get(member.address);
     if (node === undefined) throw new Error(`no node at ${member.address}`);
--- a/packages/membership/tests/gossip-engine.test.ts
+++ b/packages/membership/tests/gossip-engine.test.ts
@@ -13,7 +13,7 @@
   it('notices a killed member everywhere', () => {
     const { network, members } = joinedNetwork(20, 2);
     network.runFor(30 * SECOND_MS, () => network.allSeeAlive(members));
-    network.node(testMember(7)).isUp = false;
+    network.kill(testMember(7));
     const rest = members.filter((member) => member.id.name !== 'vault-7');
     expect(network.runFor(6 * SECOND_MS, () => network.allSeeAlive(rest))).toBe(true);
     const [node] = network.live();
--- /dev/null
+++ b/packages/membership/tests/gossip-properties.test.ts
@@ -0,0 +1,139 @@
+import type { Member } from '@daisyferry/model/member';
+import { Reachability } from '@daisyferry/model/member';
+import fc from 'fast-check';
+import { describe, expect, it } from 'vitest';
+import type { FakeNetwork } from './fake-network';
+import { joinedNetwork, testMember } from './fake-network';
+
+const SECOND_MS = 1_000;
+const MINUTE_MS = 60 * SECOND_MS;
+const RUNS = { numRuns: 25, seed: 20_261_204 };
+const SMALL = 12;
+const GOSSIP_BYTES_PER_SECOND = 3_000;
+
+const networkFaults = fc.record({
+  lossRatio: fc.double({ min: 0, max: 0.3, noNaN: true }),
+  duplicateRatio: fc.double({ min: 0, max: 0.3, noNaN: true }),
+  maxDelayMs: fc.integer({ min: 1, max: 150 }),
+});
+
+type Step =
+  | { readonly kind: 'pause'; readonly node: number; readonly forMs: number }
+  | { readonly kind: 'part'; readonly sides: number; readonly forMs: number }
+  | { readonly kind: 'kill'; readonly node: number }
+  | { readonly kind: 'restart'; readonly node: number; readonly clockBackMs: number }
+  | { readonly kind: 'wait'; readonly forMs: number };
+
+const node = fc.integer({ min: 0, max: SMALL - 1 });
+const forMs = fc.integer({ min: 100, max: 20_000 });
+const steps = fc.array(
+  fc.oneof(
+    fc.record({ kind: fc.constant('pause' as const), node, forMs }),
+    fc.record({ kind: fc.constant('part' as const), sides: fc.integer({ min: 2, max: 3 }), forMs }),
+    fc.record({ kind: fc.constant('kill' as const), node }),
+    fc.record({
+      kind: fc.constant('restart' as const),
+      node,
+      clockBackMs: fc.constantFrom(0, 0, 3_600_000),
+    }),
+    fc.record({ kind: fc.constant('wait' as const), forMs }),
+  ),
+  { maxLength: 6 },
+);
+
+/** Plays a step; returns the members that run afterwards. */
+function play(network: FakeNetwork, running: Map<number, Member>, step: Step, run: number): void {
+  switch (step.kind) {
+    case 'pause':
+      network.pause(testMember(step.node), step.forMs);
+      network.runFor(step.forMs / 2);
+      break;
+    case 'part':
+      network.part(step.sides);
+      network.runFor(step.forMs);
+      network.part(1);
+      break;
+    case 'kill':
+      if (step.node === 0) break;
+      network.kill(testMember(step.node));
+      running.delete(step.node);
+      break;
+    case 'restart': {
+      const incarnation = (SMALL + run).toString(16).padStart(16, '0');
+      const base = testMember(step.node);
+      const member = { ...base, id: { ...base.id, incarnation } };
+      running.set(step.node, member);
+      network.restart(member, step.clockBackMs);
+      break;
+    }
+    case 'wait':
+      network.runFor(step.forMs);
+      break;
+    default:
+  }
+}
+
+describe('gossip under faults', () => {
+  it('converges to exactly the running members after any faults', () => {
+    fc.assert(
+      fc.property(fc.integer(), networkFaults, steps, (seed, faults, played) => {
+        const { network, members } = joinedNetwork(SMALL, Math.abs(seed));
+        const running = new Map(members.map((member, number) => [number, member]));
+        network.setFaults(faults);
+        network.runFor(10 * SECOND_MS);
+        played.forEach((step, run) => play(network, running, step, run));
+        network.heal();
+        const expected = [...running.values()];
+        expect(network.runFor(3 * MINUTE_MS, () => network.allSeeAlive(expected))).toBe(true);
+      }),
+      RUNS,
+    );
+  });
+
+  it('keeps suspects of a parted half in the table and takes them back', () => {
+    fc.assert(
+      fc.property(fc.integer(), (seed) => {
+        const { network, members } = joinedNetwork(16, Math.abs(seed));
+        network.runFor(MINUTE_MS, () => network.allSeeAlive(members));
+        network.part(2);
+        network.runFor(2 * MINUTE_MS);
+        for (const { engine } of network.live()) {
+          expect(engine.table.membersOf('vault').length).toBeGreaterThan(12);
+        }
+        network.heal();
+        expect(network.runFor(MINUTE_MS, () => network.allSeeAlive(members))).toBe(true);
+      }),
+      { ...RUNS, numRuns: 3 },
+    );
+  });
+
+  it('stays under the byte budget while half of the members are gone', () => {
+    fc.assert(
+      fc.property(fc.integer(), (seed) => {
+        const { network, members } = joinedNetwork(24, Math.abs(seed));
+        network.runFor(MINUTE_MS, () => network.allSeeAlive(members));
+        for (const member of members.slice(12)) network.kill(member);
+        const before = network.live().map(({ bytesSent }) => bytesSent);
+        network.runFor(30 * SECOND_MS);
+        network.live().forEach(({ bytesSent }, at) => {
+          const perSecond = (bytesSent - (before[at] ?? 0)) / 30;
+          expect(perSecond).toBeLessThan(GOSSIP_BYTES_PER_SECOND);
+        });
+      }),
+      { ...RUNS, numRuns: 3 },
+    );
+  });
+
+  it('does not suspect others for long after a pause of its own', () => {
+    const { network, members } = joinedNetwork(SMALL, 9);
+    network.runFor(MINUTE_MS, () => network.allSeeAlive(members));
+    const paused = network.node(testMember(4));
+    network.pause(testMember(4), 30 * SECOND_MS);
+    network.runFor(31 * SECOND_MS);
+    const suspects = [...paused.engine.table.all()].filter(
+      ({ reachability, member }) =>
+        reachability !== Reachability.alive && member.id.name !== 'vault-4',
+    );
+    expect(suspects).toEqual([]);
+  });
+});
