Add the store adapters, the policies and their changes

Cause: daemons need the platform's store and one order of accepted policies. Change: etcd adapter, in-memory store and HTTP stand-in over one engine; replica, method matching, changes by compare-and-swap, reader task. Conclusion: a first whole path; faults of changes are not yet tested.

--- /dev/null
+++ b/packages/policies/src/method-matcher.ts
@@ -0,0 +1,75 @@
+import type { MethodRule, ServicePolicy } from '@daisyferry/model/policy';
+
+interface Candidate {
+  readonly rule: MethodRule;
+  /** The prefix without a slash at its end; empty for `/`. */
+  readonly prefix: string;
+}
+
+const SLASH = 0x2f;
+
+/** More specific first: the longer prefix, then the rule that names an HTTP method. */
+function bySpecificity(left: Candidate, right: Candidate): number {
+  if (left.prefix.length !== right.prefix.length) return right.prefix.length - left.prefix.length;
+  return Number(right.rule.httpMethod !== undefined) - Number(left.rule.httpMethod !== undefined);
+}
+
+function pathOnly(target: string): string {
+  const query = target.indexOf('?');
+  return query === -1 ? target : target.slice(0, query);
+}
+
+function matchesSegments(prefix: string, path: string): boolean {
+  if (!path.startsWith(prefix)) return false;
+  return path.length === prefix.length || path.charCodeAt(prefix.length) === SLASH;
+}
+
+/** The rules of one policy, prepared for the lookup that each call makes. */
+class CompiledPolicy {
+  private readonly byHttpMethod = new Map<string, readonly Candidate[]>();
+
+  private readonly forAnyMethod: readonly Candidate[];
+
+  constructor(policy: ServicePolicy) {
+    const candidates = policy.methods
+      .map((rule) => ({ rule, prefix: rule.pathPrefix.replace(/\/+$/, '') }))
+      .sort(bySpecificity);
+    this.forAnyMethod = candidates.filter(({ rule }) => rule.httpMethod === undefined);
+    for (const { rule } of candidates) {
+      const { httpMethod } = rule;
+      if (httpMethod === undefined || this.byHttpMethod.has(httpMethod)) continue;
+      const matching = candidates.filter(
+        (candidate) =>
+          candidate.rule.httpMethod === undefined || candidate.rule.httpMethod === httpMethod,
+      );
+      this.byHttpMethod.set(httpMethod, matching);
+    }
+  }
+
+  match(httpMethod: string, path: string): MethodRule | undefined {
+    const candidates = this.byHttpMethod.get(httpMethod) ?? this.forAnyMethod;
+    for (const { rule, prefix } of candidates) {
+      if (matchesSegments(prefix, path)) return rule;
+    }
+    return undefined;
+  }
+}
+
+const compiledPolicies = new WeakMap<ServicePolicy, CompiledPolicy>();
+
+/**
+ * Finds the rule of a call: the longest path prefix of whole segments wins, and among equal
+ * prefixes the rule that names the HTTP method. A query string in `path` is ignored.
+ */
+export function matchMethod(
+  policy: ServicePolicy,
+  httpMethod: string,
+  path: string,
+): MethodRule | undefined {
+  let compiled = compiledPolicies.get(policy);
+  if (compiled === undefined) {
+    compiled = new CompiledPolicy(policy);
+    compiledPolicies.set(policy, compiled);
+  }
+  return compiled.match(httpMethod, pathOnly(path));
+}
--- /dev/null
+++ b/packages/policies/src/proposed-change.ts
@@ -0,0 +1,77 @@
+import { createHash } from 'node:crypto';
+import { servicePolicySchema, type ServicePolicy } from '@daisyferry/model/policy';
+import { checkDocument, type Checked, type Problem } from '@daisyferry/settings/check-settings';
+import { z } from 'zod';
+import { validatePolicy } from './validate-policy';
+
+const MAX_AUTHOR_CHARACTERS = 256;
+
+/** What both kinds of change carry. */
+export interface ChangeRequest {
+  /** Chosen by the operator's client, unique for each change; makes a repeat harmless. */
+  readonly operationId: string;
+  /** Revision of the service's record that the change is based on; 0 when there must be none. */
+  readonly expectedRevision: number;
+  readonly author: string;
+}
+
+export interface ProposedPolicy extends ChangeRequest {
+  /** The whole new document, not yet checked. */
+  readonly document: unknown;
+  /** Checks everything and writes nothing. */
+  readonly dryRun: boolean;
+}
+
+export interface ProposedWithdrawal extends ChangeRequest {
+  readonly service: string;
+  readonly dryRun: boolean;
+}
+
+/** A checked change. */
+export interface CheckedProposal extends ChangeRequest {
+  readonly service: string;
+  /** Null withdraws the policy. */
+  readonly policy: ServicePolicy | null;
+  /** Tells two changes apart that carry the same operation identifier. */
+  readonly digest: string;
+}
+
+export const operationIdSchema = z.string().regex(/^[A-Za-z0-9][A-Za-z0-9._-]{0,127}$/);
+
+const requestSchema = z.object({
+  operationId: operationIdSchema,
+  expectedRevision: z.int().min(0),
+  author: z.string().min(1).max(MAX_AUTHOR_CHARACTERS),
+});
+
+const withdrawalSchema = requestSchema.extend({ service: servicePolicySchema.shape.service });
+
+function digestOf(service: string, policy: ServicePolicy | null, expectedRevision: number): string {
+  const text = JSON.stringify([service, policy, expectedRevision]);
+  return createHash('sha256').update(text).digest('base64url');
+}
+
+function problemsOf(checked: Checked<unknown>): readonly Problem[] {
+  return checked.ok ? [] : checked.problems;
+}
+
+/** Checks the arguments and the whole document; all problems are named at once. */
+export function checkPolicyProposal(proposal: ProposedPolicy): Checked<CheckedProposal> {
+  const request = checkDocument(requestSchema, proposal);
+  const document = validatePolicy(proposal.document);
+  if (!request.ok || !document.ok) {
+    return { ok: false, problems: [...problemsOf(request), ...problemsOf(document)] };
+  }
+  const policy = document.value;
+  const { service } = policy;
+  const digest = digestOf(service, policy, request.value.expectedRevision);
+  return { ok: true, value: { ...request.value, service, policy, digest } };
+}
+
+export function checkWithdrawal(proposal: ProposedWithdrawal): Checked<CheckedProposal> {
+  const request = checkDocument(withdrawalSchema, proposal);
+  if (!request.ok) return request;
+  const { service, expectedRevision } = request.value;
+  const digest = digestOf(service, null, expectedRevision);
+  return { ok: true, value: { ...request.value, policy: null, digest } };
+}
--- /dev/null
+++ b/packages/store/src/memory-store.ts
@@ -0,0 +1,175 @@
+import type { Scheduler, Timer } from '@daisyferry/model/scheduler';
+import type { KeyQuery } from './key-range';
+import type {
+  Compare,
+  PlatformStore,
+  RangeResult,
+  StoreResult,
+  TransactionResult,
+  Watch,
+  WatchListener,
+  WriteOperation,
+} from './platform-store';
+import { StoreEngine } from './store-engine';
+import { refusedCall, undecidedCall } from './store-failure';
+import {
+  NO_STORE_FAULTS,
+  StoreFaultMode,
+  type StoreCallCounts,
+  type StoreFaultModeName,
+  type StoreFaults,
+} from './store-faults';
+
+type Answer<Value> = (result: StoreResult<Value>) => void;
+
+/**
+ * The platform's store within one process, for tests of its users: faults are set or planned call
+ * by call, and all waiting goes through the scheduler.
+ */
+export class MemoryStore implements PlatformStore {
+  private faults: StoreFaults = NO_STORE_FAULTS;
+
+  private planned: StoreFaultModeName[] = [];
+
+  private callCounts = { reads: 0, writes: 0, watches: 0, leases: 0 };
+
+  constructor(
+    private readonly scheduler: Scheduler,
+    /** Shared by several stores, so that each user can have faults of its own. */
+    readonly engine: StoreEngine = new StoreEngine(),
+  ) {}
+
+  get counts(): StoreCallCounts {
+    return { ...this.callCounts };
+  }
+
+  setFaults(faults: StoreFaults): void {
+    this.faults = faults;
+    if (faults.mode === StoreFaultMode.down) this.engine.endWatches();
+  }
+
+  /** Sets the faults of the next calls, one for each call, before `setFaults` counts again. */
+  planFaults(modes: readonly StoreFaultModeName[]): void {
+    this.planned = [...modes];
+  }
+
+  /** Goes back to the state at an older store revision. */
+  restore(storeRevision: number): void {
+    this.engine.restore(storeRevision);
+  }
+
+  range(
+    query: KeyQuery & { readonly limit?: number },
+    timeoutMs: number,
+  ): Promise<StoreResult<RangeResult>> {
+    this.callCounts.reads += 1;
+    return this.read(timeoutMs, () => this.engine.range(query));
+  }
+
+  transact(
+    compares: readonly Compare[],
+    writes: readonly WriteOperation[],
+    timeoutMs: number,
+  ): Promise<StoreResult<TransactionResult>> {
+    this.callCounts.writes += 1;
+    this.engine.expireLeases(this.scheduler.nowMs());
+    if (this.engine.namesUnknownLease(writes)) {
+      return Promise.resolve(refusedCall('requested lease not found'));
+    }
+    return this.write(timeoutMs, () => this.engine.transact(compares, writes));
+  }
+
+  grantLease(
+    ttlSeconds: number,
+    timeoutMs: number,
+  ): Promise<StoreResult<{ readonly leaseId: string }>> {
+    this.callCounts.leases += 1;
+    return this.write(timeoutMs, () => ({
+      leaseId: this.engine.grantLease(ttlSeconds, this.scheduler.nowMs()),
+    }));
+  }
+
+  renewLease(
+    leaseId: string,
+    timeoutMs: number,
+  ): Promise<StoreResult<{ readonly remainingSeconds: number }>> {
+    this.callCounts.leases += 1;
+    return this.write(timeoutMs, () => ({
+      remainingSeconds: this.engine.renewLease(leaseId, this.scheduler.nowMs()),
+    }));
+  }
+
+  revokeLease(leaseId: string, timeoutMs: number): Promise<StoreResult<null>> {
+    this.callCounts.leases += 1;
+    if (!this.engine.hasLease(leaseId)) return Promise.resolve(refusedCall('lease not found'));
+    return this.write(timeoutMs, () => {
+      this.engine.revokeLease(leaseId);
+      return null;
+    });
+  }
+
+  watch(query: KeyQuery & { readonly fromRevision: number }, listener: WatchListener): Watch {
+    this.callCounts.watches += 1;
+    let stopped = false;
+    let watch: Watch | undefined;
+    this.scheduler.after(0, () => {
+      if (stopped) return;
+      if (this.faults.mode === StoreFaultMode.down) listener.onEnd('lost');
+      else watch = this.engine.watch(query, listener);
+    });
+    return {
+      stop: () => {
+        stopped = true;
+        watch?.stop();
+      },
+    };
+  }
+
+  close(): Promise<void> {
+    return Promise.resolve();
+  }
+
+  private nextMode(): StoreFaultModeName {
+    return this.planned.shift() ?? this.faults.mode;
+  }
+
+  private read<Value>(timeoutMs: number, action: () => Value): Promise<StoreResult<Value>> {
+    return new Promise((resolve) => {
+      const mode = this.nextMode();
+      this.engine.expireLeases(this.scheduler.nowMs());
+      if (mode === StoreFaultMode.down) resolve(refusedCall('the store is down'));
+      else if (mode === StoreFaultMode.slow) this.late(timeoutMs, action, resolve, refusedCall);
+      else resolve({ ok: true, value: action() });
+    });
+  }
+
+  private write<Value>(timeoutMs: number, action: () => Value): Promise<StoreResult<Value>> {
+    return new Promise((resolve) => {
+      const mode = this.nextMode();
+      this.engine.expireLeases(this.scheduler.nowMs());
+      if (mode === StoreFaultMode.down) resolve(refusedCall('the store is down'));
+      else if (mode === StoreFaultMode.slow) this.late(timeoutMs, action, resolve, undecidedCall);
+      else if (mode === StoreFaultMode.loseAnswers) this.lose(timeoutMs, action, resolve);
+      else resolve({ ok: true, value: action() });
+    });
+  }
+
+  private lose<Value>(timeoutMs: number, action: () => Value, answer: Answer<Value>): void {
+    action();
+    this.scheduler.after(timeoutMs, () => answer(undecidedCall('the answer was lost')));
+  }
+
+  /** Carries out the action after the delay, even when the caller has stopped waiting by then. */
+  private late<Value>(
+    timeoutMs: number,
+    action: () => Value,
+    answer: Answer<Value>,
+    failure: typeof undecidedCall,
+  ): void {
+    const timeout: Timer = this.scheduler.after(timeoutMs, () => answer(failure('timeout')));
+    this.scheduler.after(this.faults.delayMs, () => {
+      timeout.cancel();
+      answer({ ok: true, value: action() });
+    });
+  }
+}
--- a/packages/store/src/platform-store.ts
+++ b/packages/store/src/platform-store.ts
@@ -1,3 +1,5 @@
+import type { KeyQuery } from './key-range';
+
 /** One stored key with the store's own revisions. */
 export interface StoredValue {
   readonly key: string;
@@ -64,9 +66,9 @@
 
 /** The platform's key-value service. All outcomes are values; no method rejects. */
 export interface PlatformStore {
-  /** Reads one key, or all keys with a prefix in key order. */
+  /** Reads one key, or the keys with a prefix in key order, at the most `limit` of them. */
   range(
-    query: { readonly key: string; readonly prefix?: boolean; readonly limit?: number },
+    query: KeyQuery & { readonly limit?: number },
     timeoutMs: number,
   ): Promise<StoreResult<RangeResult>>;
   /** Applies the writes in one step if every comparison holds. */
--- /dev/null
+++ b/packages/store/src/stand-in/stand-in-requests.ts
@@ -0,0 +1,54 @@
+import { z } from 'zod';
+import { StoreFaultMode } from '../store-faults';
+
+const revision = z.union([z.string().regex(/^\d+$/), z.int().min(0)]).transform(Number);
+const leaseId = z.union([z.string(), z.int()]).transform(String);
+
+const keyRangeSchema = z.object({ key: z.string(), range_end: z.string().optional() });
+
+export const rangeRequestSchema = keyRangeSchema.extend({ limit: revision.default(0) });
+
+export type EncodedKeyRange = z.infer<typeof keyRangeSchema>;
+
+const compareSchema = z.object({
+  key: z.string(),
+  target: z.literal('MOD'),
+  result: z.literal('EQUAL').default('EQUAL'),
+  mod_revision: revision.default(0),
+});
+
+const writeSchema = z.union([
+  z.object({
+    request_put: z.object({
+      key: z.string(),
+      value: z.string().default(''),
+      lease: leaseId.optional(),
+    }),
+  }),
+  z.object({ request_delete_range: z.object({ key: z.string() }) }),
+]);
+
+export type EncodedWrite = z.infer<typeof writeSchema>;
+
+export const transactRequestSchema = z.object({
+  compare: z.array(compareSchema).default([]),
+  success: z.array(writeSchema).default([]),
+});
+
+export const leaseGrantRequestSchema = z.object({ TTL: revision });
+
+export const leaseRequestSchema = z.object({ ID: leaseId });
+
+export const watchRequestSchema = z.object({
+  create_request: keyRangeSchema.extend({ start_revision: revision.default(0) }),
+});
+
+export const faultsRequestSchema = z.strictObject({
+  mode: z.enum(StoreFaultMode),
+  delayMs: z.number().min(0).max(600_000).default(0),
+});
+
+export const restoreRequestSchema = z.strictObject({
+  /** Store revision to go back to; the state before the last write when absent. */
+  storeRevision: revision.optional(),
+});
--- /dev/null
+++ b/packages/store/src/store-engine.ts
@@ -0,0 +1,202 @@
+import { selects, type KeyQuery } from './key-range';
+import type {
+  Compare,
+  RangeResult,
+  StoredValue,
+  TransactionResult,
+  WatchEvent,
+  WatchListener,
+  WriteOperation,
+} from './platform-store';
+
+interface Entry extends StoredValue {
+  readonly leaseId: string | undefined;
+}
+
+interface Change {
+  readonly storeRevision: number;
+  readonly key: string;
+  readonly before: Entry | undefined;
+  readonly after: Entry | undefined;
+}
+
+interface Lease {
+  readonly ttlSeconds: number;
+  expiresAtMs: number;
+}
+
+interface Watcher {
+  readonly query: KeyQuery;
+  readonly listener: WatchListener;
+}
+
+const DEFAULT_HISTORY_CHANGES = 50_000;
+const MS_PER_SECOND = 1_000;
+
+/**
+ * State of a key-value store with compare-and-swap, leases and watches. Time is an argument; the
+ * listeners of watches are called within the call that changes the state.
+ */
+export class StoreEngine {
+  private storeRevision = 1;
+
+  private readonly entries = new Map<string, Entry>();
+
+  private readonly leases = new Map<string, Lease>();
+
+  private readonly watchers = new Set<Watcher>();
+
+  private changes: Change[] = [];
+
+  /** Changes up to this revision are no longer held. */
+  private compactedRevision = 0;
+
+  private nextLeaseId = 1;
+
+  constructor(private readonly historyChanges = DEFAULT_HISTORY_CHANGES) {}
+
+  get revision(): number {
+    return this.storeRevision;
+  }
+
+  range(query: KeyQuery & { readonly limit?: number }): RangeResult {
+    const keys = [...this.entries.keys()].filter((key) => selects(query, key)).sort();
+    const page = query.limit === undefined ? keys : keys.slice(0, query.limit);
+    const values = page.flatMap((key) => {
+      const entry = this.entries.get(key);
+      if (entry === undefined) return [];
+      return [{ key, value: entry.value, modRevision: entry.modRevision }];
+    });
+    return { values, storeRevision: this.storeRevision };
+  }
+
+  transact(compares: readonly Compare[], writes: readonly WriteOperation[]): TransactionResult {
+    const holds = compares.every(
+      ({ key, modRevision }) => (this.entries.get(key)?.modRevision ?? 0) === modRevision,
+    );
+    if (holds && writes.length > 0) this.write(writes);
+    return { succeeded: holds, storeRevision: this.storeRevision };
+  }
+
+  grantLease(ttlSeconds: number, nowMs: number): string {
+    const leaseId = String(this.nextLeaseId++);
+    this.leases.set(leaseId, { ttlSeconds, expiresAtMs: nowMs + ttlSeconds * MS_PER_SECOND });
+    return leaseId;
+  }
+
+  /** Renews a lease and returns the seconds that remain; 0 for a lease that is not there. */
+  renewLease(leaseId: string, nowMs: number): number {
+    this.expireLeases(nowMs);
+    const lease = this.leases.get(leaseId);
+    if (lease === undefined) return 0;
+    lease.expiresAtMs = nowMs + lease.ttlSeconds * MS_PER_SECOND;
+    return lease.ttlSeconds;
+  }
+
+  /** Ends a lease and deletes its keys; false for a lease that is not there. */
+  revokeLease(leaseId: string): boolean {
+    if (!this.leases.delete(leaseId)) return false;
+    const keys = [...this.entries.values()].filter((entry) => entry.leaseId === leaseId);
+    if (keys.length > 0) this.write(keys.map(({ key }) => ({ kind: 'delete', key })));
+    return true;
+  }
+
+  hasLease(leaseId: string): boolean {
+    return this.leases.has(leaseId);
+  }
+
+  /** True if a write names a lease that has lapsed or never was: such a write is refused. */
+  namesUnknownLease(writes: readonly WriteOperation[]): boolean {
+    return writes.some(
+      (write) =>
+        write.kind === 'put' && write.leaseId !== undefined && !this.leases.has(write.leaseId),
+    );
+  }
+
+  /** Ends the leases that were not renewed in time. */
+  expireLeases(nowMs: number): void {
+    for (const [leaseId, lease] of this.leases) {
+      if (lease.expiresAtMs <= nowMs) this.revokeLease(leaseId);
+    }
+  }
+
+  /** Starts a watch, which first receives the changes held from `fromRevision` on. */
+  watch(
+    query: KeyQuery & { readonly fromRevision: number },
+    listener: WatchListener,
+  ): { stop(): void } {
+    if (query.fromRevision <= this.compactedRevision) {
+      listener.onEnd('compacted');
+      return { stop: () => undefined };
+    }
+    const watcher: Watcher = { query, listener };
+    this.watchers.add(watcher);
+    const missed = this.changes.filter((change) => change.storeRevision >= query.fromRevision);
+    this.notify(watcher, missed);
+    return { stop: () => this.watchers.delete(watcher) };
+  }
+
+  /** Ends all watches, as a restart of the store does. */
+  endWatches(): void {
+    const ended = [...this.watchers];
+    this.watchers.clear();
+    for (const { listener } of ended) listener.onEnd('lost');
+  }
+
+  /** Goes back to the state at an older revision, as a restore from a backup does. */
+  restore(storeRevision: number): void {
+    const kept = this.changes.filter((change) => change.storeRevision <= storeRevision);
+    const undone = this.changes.slice(kept.length).reverse();
+    for (const { key, before } of undone) this.set(key, before);
+    this.changes = kept;
+    this.storeRevision = Math.min(this.storeRevision, storeRevision);
+    this.endWatches();
+  }
+
+  private write(writes: readonly WriteOperation[]): void {
+    this.storeRevision += 1;
+    const changes: Change[] = [];
+    for (const write of writes) {
+      const before = this.entries.get(write.key);
+      const after = this.entryOf(write);
+      if (before === undefined && after === undefined) continue;
+      changes.push({ storeRevision: this.storeRevision, key: write.key, before, after });
+      this.set(write.key, after);
+    }
+    this.changes.push(...changes);
+    this.compact();
+    for (const watcher of [...this.watchers]) {
+      if (this.watchers.has(watcher)) this.notify(watcher, changes);
+    }
+  }
+
+  private entryOf(write: WriteOperation): Entry | undefined {
+    if (write.kind === 'delete') return undefined;
+    const { key, value, leaseId } = write;
+    return { key, value, modRevision: this.storeRevision, leaseId };
+  }
+
+  private set(key: string, entry: Entry | undefined): void {
+    if (entry === undefined) this.entries.delete(key);
+    else this.entries.set(key, entry);
+  }
+
+  private compact(): void {
+    const excess = this.changes.length - this.historyChanges;
+    if (excess <= 0) return;
+    const dropped = this.changes.splice(0, excess);
+    this.compactedRevision = dropped[dropped.length - 1]?.storeRevision ?? this.compactedRevision;
+  }
+
+  private notify(watcher: Watcher, changes: readonly Change[]): void {
+    const events = changes
+      .filter(({ key }) => selects(watcher.query, key))
+      .map(({ key, after, storeRevision }): WatchEvent => ({
+        kind: after === undefined ? 'delete' : 'put',
+        key,
+        value: after?.value ?? '',
+        modRevision: storeRevision,
+      }));
+    if (events.length > 0) watcher.listener.onEvents(events, this.storeRevision);
+  }
+}
--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -7,6 +7,7 @@
   daisyferry: 'packages/cli/src/main.ts',
   'daisyferry-timeline': 'packages/timeline/src/main.ts',
   'daisyferry-bench': 'packages/bench/src/main.ts',
+  'daisyferry-store-stand-in': 'packages/store/src/stand-in/main.ts',
 };
 
 const entryPoints = Object.fromEntries(
