Keep nested thresholds by key instead of by windows

Cause: the least value of 100 ms windows delayed a rising threshold at every hop. Change: observeNested takes the key of the nested call; the latest value of each key counts.

--- a/packages/admission/src/downstream-thresholds.ts
+++ b/packages/admission/src/downstream-thresholds.ts
@@ -1,61 +1,41 @@
 import { MAX_THRESHOLD, MIN_THRESHOLD } from './priority';
-import { recoveredThreshold } from './threshold-recovery';
-
-/** Time over which the least of the nested thresholds of a method is kept. */
-const LEAST_WINDOW_MS = 100;
+import { THRESHOLD_FORGET_MS, recoveredThreshold } from './threshold-recovery';
 
 interface NestedThreshold {
-  /** Least value of the present window. */
-  readonly least: number;
-  /** Least value of the window before. */
-  readonly previousLeast: number;
-  readonly windowStartMs: number;
+  readonly threshold: number;
   readonly heardAtMs: number;
 }
 
 /**
- * Thresholds that the nested calls of a method met, at the home of that method. A method may call
- * several services, some of which are not overloaded; the least recent value counts, since a request
- * completes only if all of its nested calls do. Pass the threshold of the nested key as the book of
- * this daemon gives it (`ThresholdBook.threshold`), which is a mean over homes and thus steady.
+ * Thresholds that the nested calls of a method met, at the home of that method, by the key of the
+ * nested call. The least over the keys counts, since a request completes only if all of its nested
+ * calls do. Pass the threshold of the nested key as the book of this daemon gives it
+ * (`ThresholdBook.threshold`): a mean over homes, and thus steadier than a single answer.
  */
 export class DownstreamThresholds {
-  private readonly byMethod = new Map<string, NestedThreshold>();
+  private readonly byMethod = new Map<string, Map<string, NestedThreshold>>();
 
-  /** Notes the threshold that a nested call of a method met. */
-  observeNested(method: string, threshold: number, nowMs: number): void {
+  /**
+   * Notes the threshold that a nested call of a method met. `nestedKey` is the key of the nested call
+   * (`service/method`); it keeps the services that one method calls apart.
+   */
+  observeNested(method: string, threshold: number, nowMs: number, nestedKey = ''): void {
     const bounded = Math.min(MAX_THRESHOLD, Math.max(MIN_THRESHOLD, threshold));
-    const nested = this.byMethod.get(method);
-    if (nested === undefined) {
-      this.byMethod.set(method, {
-        least: bounded,
-        previousLeast: MAX_THRESHOLD,
-        windowStartMs: nowMs,
-        heardAtMs: nowMs,
-      });
-      return;
-    }
-    this.byMethod.set(method, this.withinWindow(nested, bounded, nowMs));
+    const nested = this.byMethod.get(method) ?? new Map<string, NestedThreshold>();
+    this.byMethod.set(method, nested);
+    nested.set(nestedKey, { threshold: bounded, heardAtMs: nowMs });
   }
 
   /** The threshold to publish for a method: the least of its own and of what nested calls met. */
   fold(method: string, own: number, nowMs: number): number {
     const nested = this.byMethod.get(method);
     if (nested === undefined) return own;
-    const least = Math.min(nested.least, nested.previousLeast);
-    return Math.min(own, recoveredThreshold(least, nowMs - nested.heardAtMs));
-  }
-
-  private withinWindow(nested: NestedThreshold, threshold: number, nowMs: number): NestedThreshold {
-    const elapsedMs = nowMs - nested.windowStartMs;
-    if (elapsedMs < LEAST_WINDOW_MS) {
-      return { ...nested, least: Math.min(nested.least, threshold), heardAtMs: nowMs };
+    let least = own;
+    for (const [key, { threshold, heardAtMs }] of nested) {
+      const ageMs = nowMs - heardAtMs;
+      if (ageMs >= THRESHOLD_FORGET_MS) nested.delete(key);
+      else least = Math.min(least, recoveredThreshold(threshold, ageMs));
     }
-    return {
-      least: threshold,
-      previousLeast: elapsedMs < 2 * LEAST_WINDOW_MS ? nested.least : MAX_THRESHOLD,
-      windowStartMs: nowMs,
-      heardAtMs: nowMs,
-    };
+    return least;
   }
 }
--- a/packages/admission/src/threshold-book.ts
+++ b/packages/admission/src/threshold-book.ts
@@ -1,9 +1,7 @@
 import type { CallClassRank } from '@daisyferry/model/call-class';
 import { CallClass } from '@daisyferry/model/call-class';
 import { MAX_THRESHOLD, MIN_THRESHOLD, priorityOf } from './priority';
-import { THRESHOLD_HOLD_MS, THRESHOLD_RISE_MS, recoveredThreshold } from './threshold-recovery';
-
-const FORGET_AFTER_MS = THRESHOLD_HOLD_MS + THRESHOLD_RISE_MS;
+import { THRESHOLD_FORGET_MS, recoveredThreshold } from './threshold-recovery';
 
 interface HeardThreshold {
   threshold: number;
@@ -40,7 +38,7 @@
     let count = 0;
     for (const [home, heard] of homes) {
       const ageMs = nowMs - heard.heardAtMs;
-      if (ageMs >= FORGET_AFTER_MS) {
+      if (ageMs >= THRESHOLD_FORGET_MS) {
         homes.delete(home);
         continue;
       }
@@ -65,7 +63,7 @@
     let latestMs = nowMs;
     for (const heard of homes.values()) {
       if (heard.threshold >= MAX_THRESHOLD) continue;
-      latestMs = Math.max(latestMs, heard.heardAtMs + FORGET_AFTER_MS);
+      latestMs = Math.max(latestMs, heard.heardAtMs + THRESHOLD_FORGET_MS);
     }
     return Math.ceil(latestMs - nowMs);
   }
--- a/packages/admission/src/threshold-recovery.ts
+++ b/packages/admission/src/threshold-recovery.ts
@@ -1,9 +1,11 @@
 import { MAX_THRESHOLD } from './priority';
 
 /** Time for which a threshold is taken at its word after it was heard. */
-export const THRESHOLD_HOLD_MS = 250;
+const THRESHOLD_HOLD_MS = 250;
 /** Time over which a threshold that is not renewed rises to the maximum. */
-export const THRESHOLD_RISE_MS = 750;
+const THRESHOLD_RISE_MS = 750;
+/** Age at which a threshold says nothing more. */
+export const THRESHOLD_FORGET_MS = THRESHOLD_HOLD_MS + THRESHOLD_RISE_MS;
 
 /**
  * A learned threshold at a later time: held for a moment, then rising linearly to the maximum, so
