--- /dev/null
+++ b/packages/callpath/src/attempt-verdict.ts
@@ -0,0 +1,53 @@
+import type { RefusalReasonName } from '@daisyferry/model/outcome';
+import { Outcome, RefusalReason } from '@daisyferry/model/outcome';
+import type { SendResult } from './call-message';
+
+export type AttemptVerdict = 'final' | 'retry-elsewhere';
+
+/** Refusals that speak of one instance; another one may well serve the call. */
+const INSTANCE_REFUSALS: ReadonlySet<RefusalReasonName> = new Set([
+  RefusalReason.queueFull,
+  RefusalReason.targetShed,
+  RefusalReason.leaving,
+  RefusalReason.noTarget,
+  RefusalReason.notReady,
+  RefusalReason.recordsFull,
+]);
+
+/** Says whether the result of an attempt is final or another instance may be tried. */
+export function attemptVerdict(sent: SendResult, idempotent: boolean): AttemptVerdict {
+  if (sent.kind === 'connect-failed') return 'retry-elsewhere';
+  if (sent.kind === 'lost') return idempotent ? 'retry-elsewhere' : 'final';
+  const { result } = sent;
+  switch (result.outcome) {
+    case Outcome.completed:
+    case Outcome.failed:
+      return 'final';
+    case Outcome.notRun:
+      return INSTANCE_REFUSALS.has(result.reason) ? 'retry-elsewhere' : 'final';
+    case Outcome.unknown:
+      return idempotent ? 'retry-elsewhere' : 'final';
+    default:
+      throw new Error(`unexpected outcome ${String(result satisfies never)}`);
+  }
+}
+
+/** What the routing learns from an attempt. */
+export function pickerResultOf(
+  sent: SendResult,
+  cancelled: boolean,
+): 'answered' | 'refused' | 'connect-failed' | 'lost' | 'cancelled' {
+  if (sent.kind === 'connect-failed') return 'connect-failed';
+  if (sent.kind === 'lost') return cancelled ? 'cancelled' : 'lost';
+  switch (sent.result.outcome) {
+    case Outcome.completed:
+    case Outcome.failed:
+      return 'answered';
+    case Outcome.notRun:
+      return sent.result.reason === RefusalReason.noTarget ? 'connect-failed' : 'refused';
+    case Outcome.unknown:
+      return cancelled ? 'cancelled' : 'lost';
+    default:
+      throw new Error(`unexpected outcome ${String(sent.result satisfies never)}`);
+  }
+}
--- /dev/null
+++ b/packages/callpath/src/attempts.ts
@@ -0,0 +1,128 @@
+import type { Ticket } from '@daisyferry/execution/ticket';
+import type { Member } from '@daisyferry/model/member';
+import { RefusalReason, UnknownReason } from '@daisyferry/model/outcome';
+import type { Scheduler } from '@daisyferry/model/scheduler';
+import type { TimelineSink } from '@daisyferry/model/timeline-event';
+import type { RetryShare } from '@daisyferry/retries/retry-share';
+import type { TargetPicker } from '@daisyferry/routing/target-picker';
+import type { ThresholdBook } from '@daisyferry/admission/threshold-book';
+import type { CallResult, HomeClient, SendResult } from './call-message';
+import type { EntryCall } from './entry-call';
+import { attemptVerdict, pickerResultOf } from './attempt-verdict';
+import { refusal, unknown } from './results';
+
+export interface AttemptParts {
+  readonly picker: TargetPicker;
+  readonly homes: HomeClient;
+  readonly thresholds: ThresholdBook;
+  readonly shareOf: (service: string) => RetryShare;
+  readonly scheduler: Scheduler;
+  readonly timeline: TimelineSink;
+  readonly newId: () => string;
+  readonly mint: (home: Member, entry: EntryCall) => Ticket;
+  /** Passes the threshold of a nested call on to the method of its parent. */
+  readonly onNestedThreshold: (entry: EntryCall) => void;
+}
+
+const NO_TARGET_RETRY_MS = 1_000;
+
+/** Sends one attempt and books what its reply tells. */
+export async function sendAttempt(
+  parts: AttemptParts,
+  entry: EntryCall,
+  home: Member,
+  ticket: Ticket | undefined,
+  attempt: number,
+): Promise<SendResult> {
+  const { picker, scheduler, thresholds, timeline } = parts;
+  const { name } = home.id;
+  const callId = parts.newId();
+  const tokens = entry.purse.grant();
+  picker.started(name, scheduler.nowMs());
+  timeline.emit({ kind: 'call.sent', ...entry.trace, call: callId, detail: name });
+  const sent = await parts.homes.send(
+    home,
+    {
+      service: entry.request.service,
+      content: entry.request.content,
+      rootId: entry.rootId,
+      callId,
+      parentCallId: entry.trace.parentCall,
+      rank: entry.rank,
+      tokens,
+      attempt,
+      remainingMs: Math.max(1, entry.deadlineAtMs - scheduler.nowMs()),
+      ticket,
+    },
+    entry.request.cancellation,
+  );
+  const nowMs = scheduler.nowMs();
+  const cancelled = entry.request.cancellation.reason !== undefined;
+  picker.finished(name, pickerResultOf(sent, cancelled), nowMs);
+  if (sent.kind === 'connect-failed') entry.purse.giveBack(tokens, tokens);
+  if (sent.kind === 'replied') {
+    entry.purse.giveBack(sent.signals.tokensReturned, tokens);
+    picker.observeLoad(name, sent.signals.load, nowMs);
+    thresholds.observe(entry.thresholdKey, name, sent.signals.threshold, nowMs);
+    parts.onNestedThreshold(entry);
+  }
+  return sent;
+}
+
+function lastResult(sent: SendResult, entry: EntryCall): CallResult {
+  switch (sent.kind) {
+    case 'replied':
+      return sent.result;
+    case 'connect-failed':
+      return refusal(RefusalReason.noTarget, NO_TARGET_RETRY_MS);
+    case 'lost':
+      return unknown(
+        entry.request.cancellation.reason === 'deadline-passed'
+          ? UnknownReason.deadlineWhileRunning
+          : UnknownReason.homeLost,
+      );
+    default:
+      throw new Error(`unexpected result ${String(sent satisfies never)}`);
+  }
+}
+
+/** Takes a retry token, and a place in the daemon's share where the home has seen the call. */
+function mayRetry(parts: AttemptParts, entry: EntryCall, sent: SendResult): boolean {
+  if (entry.request.cancellation.reason !== undefined) return false;
+  const nowMs = parts.scheduler.nowMs();
+  if (nowMs >= entry.deadlineAtMs || entry.purse.available === 0) return false;
+  const { maxShare } = entry.policy.retries;
+  const counted = sent.kind !== 'connect-failed';
+  const share = parts.shareOf(entry.request.service);
+  if (counted && !share.tryRetry(maxShare, nowMs)) return false;
+  return entry.purse.take();
+}
+
+/** A streamed request body has been read by the first attempt. */
+function canSendAgain(entry: EntryCall): boolean {
+  return entry.request.content.body.kind === 'held';
+}
+
+/**
+ * Sends a call to one home after another until it has a result, within the retry tokens of the
+ * root. Each attempt of a call that is not idempotent has a ticket of its own; the next is minted
+ * only after the last one's home has recorded that it never runs.
+ */
+export async function runAttempts(parts: AttemptParts, entry: EntryCall): Promise<CallResult> {
+  const { service } = entry.request;
+  const excluded = new Set<string>();
+  let result: CallResult = refusal(RefusalReason.noTarget, NO_TARGET_RETRY_MS);
+  parts.shareOf(service).attempt(parts.scheduler.nowMs());
+  for (let attempt = 1; ; attempt += 1) {
+    const home = parts.picker.pick(service, excluded, parts.scheduler.nowMs());
+    if (home === undefined) return result;
+    const ticket = entry.rule.idempotent ? undefined : parts.mint(home, entry);
+    const sent = await sendAttempt(parts, entry, home, ticket, attempt);
+    result = lastResult(sent, entry);
+    const verdict = attemptVerdict(sent, entry.rule.idempotent);
+    if (verdict === 'final' || !canSendAgain(entry)) return result;
+    if (!mayRetry(parts, entry, sent)) return result;
+    excluded.add(home.id.name);
+    parts.timeline.emit({ kind: 'call.retried', ...entry.trace, detail: home.id.name });
+  }
+}
--- /dev/null
+++ b/packages/callpath/src/call-home.ts
@@ -0,0 +1,142 @@
+import type { AdmissionController } from '@daisyferry/admission/admission-controller';
+import type { DownstreamThresholds } from '@daisyferry/admission/downstream-thresholds';
+import { rootHashOf } from '@daisyferry/admission/priority';
+import type { ExecutionRecords } from '@daisyferry/execution/execution-records';
+import { callClassName, callClassRank, moreCritical } from '@daisyferry/model/call-class';
+import type { Refusal } from '@daisyferry/model/outcome';
+import { RefusalReason } from '@daisyferry/model/outcome';
+import type { PolicyTable } from '@daisyferry/model/policy-table';
+import type { Scheduler } from '@daisyferry/model/scheduler';
+import type { TimelineSink } from '@daisyferry/model/timeline-event';
+import { matchMethod } from '@daisyferry/policies/method-matcher';
+import { RetryPurse } from '@daisyferry/retries/retry-purse';
+import type { ActiveCalls } from './active-calls';
+import type { AdmissionGate } from './admission-gate';
+import type { CallResult, HomeReply, PeerCall, TargetClient } from './call-message';
+import type { Cancellation } from './cancellation';
+import { CancelReason } from './cancellation';
+import type { HomeCall } from './home-call';
+import { executeOnTarget } from './target-execution';
+import type { LocalTarget } from './local-target';
+import { refusal } from './results';
+import { claimTicket } from './ticket-claim';
+
+/** Time after which a caller may come back to a daemon that cannot serve for want of state. */
+const NOT_READY_RETRY_MS = 1_000;
+const LEAVING_RETRY_MS = 50;
+
+export interface CallHomeParts {
+  readonly service: string;
+  readonly policies: PolicyTable;
+  readonly records: ExecutionRecords;
+  readonly admission: AdmissionController;
+  readonly gate: AdmissionGate;
+  readonly downstream: DownstreamThresholds;
+  readonly activeCalls: ActiveCalls;
+  readonly target: LocalTarget;
+  readonly targetClient: TargetClient;
+  readonly scheduler: Scheduler;
+  readonly timeline: TimelineSink;
+}
+
+/** Runs calls on the target beside the daemon: admission, execution record, hand-over. */
+export class CallHome {
+  constructor(private readonly parts: CallHomeParts) {}
+
+  /** Resolves once the call has its result; a streamed answer goes on after that. */
+  async handle(call: PeerCall, cancellation: Cancellation): Promise<HomeReply> {
+    const prepared = this.prepare(call, cancellation);
+    if ('outcome' in prepared) return this.reply(prepared, '', call.tokens);
+    const timer = this.parts.scheduler.after(call.remainingMs, () =>
+      cancellation.cancel(CancelReason.deadlinePassed),
+    );
+    const result = await this.run(prepared);
+    // A streamed answer is still under way: its deadline stays in force.
+    if (!('body' in result) || result.body.kind === 'held') timer.cancel();
+    return this.reply(result, prepared.method, prepared.purse.drain());
+  }
+
+  private async run(home: HomeCall): Promise<CallResult> {
+    if (home.rule.idempotent) return this.admitAndExecute(home);
+    const claim = await claimTicket(this.parts, home);
+    if (claim.kind === 'settled') return claim.result;
+    return this.admitAndExecute(home);
+  }
+
+  private async admitAndExecute(home: HomeCall): Promise<CallResult> {
+    if (!home.takesWork) return this.refuse(home, this.refusalOfTarget());
+    const decision = await this.parts.gate.admit(home);
+    if (decision.kind === 'refused') return this.refuse(home, decision.refusal);
+    const { timeline } = this.parts;
+    timeline.emit({ kind: 'call.admitted', ...home.trace, durationMs: decision.queuedMs });
+    return executeOnTarget(this.parts, home);
+  }
+
+  private refusalOfTarget(): Refusal {
+    const { state } = this.parts.target;
+    if (state === 'leaving' || state === 'left') {
+      return refusal(RefusalReason.leaving, LEAVING_RETRY_MS);
+    }
+    return refusal(RefusalReason.noTarget, NOT_READY_RETRY_MS);
+  }
+
+  /** Records the refusal under the ticket first, so that it stays true for ever. */
+  private refuse(home: HomeCall, refused: Refusal): Refusal {
+    const { records, scheduler, timeline } = this.parts;
+    if (home.ticket !== undefined) {
+      records.refuse(home.ticket.nonce, refused.reason, scheduler.nowMs());
+    }
+    timeline.emit({ kind: 'call.refused', ...home.trace, detail: refused.reason });
+    return refused;
+  }
+
+  /** Checks everything that needs no waiting. */
+  private prepare(call: PeerCall, cancellation: Cancellation): HomeCall | CallResult {
+    const { service, policies, target, scheduler } = this.parts;
+    const nowMs = scheduler.nowMs();
+    if (!policies.ready) return refusal(RefusalReason.notReady, NOT_READY_RETRY_MS);
+    if (call.service !== service) return refusal(RefusalReason.noTarget, NOT_READY_RETRY_MS);
+    const policy = policies.policyOf(service)?.policy ?? undefined;
+    if (policy === undefined) return refusal(RefusalReason.unknownService, NOT_READY_RETRY_MS);
+    const rule = matchMethod(policy, call.content.httpMethod, call.content.path);
+    if (rule === undefined) return refusal(RefusalReason.unknownMethod, NOT_READY_RETRY_MS);
+    if (!rule.idempotent && call.ticket === undefined) {
+      return refusal(RefusalReason.ticketRequired, 0);
+    }
+    const rank = moreCritical(call.rank, callClassRank(rule.class) ?? call.rank);
+    return {
+      call,
+      rule,
+      policy,
+      method: rule.name,
+      rank,
+      className: callClassName(rank) ?? rule.class,
+      rootHash: rootHashOf(call.rootId),
+      ticket: rule.idempotent ? undefined : call.ticket,
+      receivedAtMs: nowMs,
+      deadlineAtMs: nowMs + Math.min(call.remainingMs, rule.maxDeadlineMs),
+      takesWork: target.takesWork(policy.drain.noNewWorkAfterMs, nowMs),
+      purse: new RetryPurse(Math.min(call.tokens, policy.retries.tokensPerRoot)),
+      cancellation,
+      trace: {
+        root: call.rootId,
+        call: call.callId,
+        ...(call.parentCallId === undefined ? {} : { parentCall: call.parentCallId }),
+        service,
+        method: rule.name,
+      },
+    };
+  }
+
+  private reply(result: CallResult, method: string, tokensReturned: number): HomeReply {
+    const { admission, downstream, scheduler } = this.parts;
+    const nowMs = scheduler.nowMs();
+    const own = admission.threshold(nowMs);
+    const threshold = method === '' ? own : downstream.fold(method, own, nowMs);
+    return {
+      kind: 'replied',
+      result,
+      signals: { tokensReturned, threshold, load: admission.load() },
+    };
+  }
+}
--- /dev/null
+++ b/packages/callpath/src/pass-through-entry.ts
@@ -0,0 +1,104 @@
+import type { Member, MemberDirectory } from '@daisyferry/model/member';
+import { Outcome, RefusalReason, UnknownReason } from '@daisyferry/model/outcome';
+import type { MethodRule } from '@daisyferry/model/policy';
+import type { PolicyTable } from '@daisyferry/model/policy-table';
+import type { RandomSource, Scheduler } from '@daisyferry/model/scheduler';
+import { matchMethod } from '@daisyferry/policies/method-matcher';
+import type { CallResult, HomeClient, PeerCall, SendResult } from './call-message';
+import { CancelReason } from './cancellation';
+import type { EntryAnswer, EntryPoint, EntryRequest } from './entry-call';
+import { refusal, unknown } from './results';
+
+/** Retries of one hop, as meshes make them by default when retrying is switched on. */
+const RETRIES_PER_HOP = 3;
+const RETRY_LATER_MS = 1_000;
+const DEFAULT_TIMEOUT_MS = 1_500;
+
+export interface PassThroughParts {
+  readonly policies: PolicyTable;
+  readonly directory: MemberDirectory;
+  readonly homes: HomeClient;
+  readonly scheduler: Scheduler;
+  readonly random: RandomSource;
+  readonly newId: () => string;
+}
+
+function isFinal(sent: SendResult): boolean {
+  return sent.kind === 'replied' && sent.result.outcome === Outcome.completed;
+}
+
+function resultOf(sent: SendResult): CallResult {
+  return sent.kind === 'replied' ? sent.result : unknown(UnknownReason.homeLost);
+}
+
+/** Entry without any decision of ours: a random instance, a timeout, three retries a hop. */
+export class PassThroughEntry implements EntryPoint {
+  constructor(private readonly parts: PassThroughParts) {}
+
+  async run(request: EntryRequest): Promise<EntryAnswer> {
+    const rootId =
+      request.origin.kind === 'nested' ? request.origin.parent.rootId : this.parts.newId();
+    const result = await this.attempt(request, rootId);
+    return { result, rootId, className: undefined, ticket: undefined };
+  }
+
+  private async attempt(request: EntryRequest, rootId: string): Promise<CallResult> {
+    let result: CallResult = refusal(RefusalReason.noTarget, RETRY_LATER_MS);
+    for (let attempt = 1; attempt <= 1 + RETRIES_PER_HOP; attempt += 1) {
+      if (request.cancellation.reason !== undefined) return result;
+      const home = this.pick(request.service);
+      if (home === undefined) return result;
+      const sent = await this.send(home, request, rootId, attempt);
+      result = resultOf(sent);
+      if (isFinal(sent) || request.content.body.kind === 'stream') return result;
+    }
+    return result;
+  }
+
+  private async send(
+    home: Member,
+    request: EntryRequest,
+    rootId: string,
+    attempt: number,
+  ): Promise<SendResult> {
+    const timeoutMs = this.ruleOf(request)?.defaultDeadlineMs ?? DEFAULT_TIMEOUT_MS;
+    const { cancellation, detach } = request.cancellation.child();
+    const timer = this.parts.scheduler.after(timeoutMs, () =>
+      cancellation.cancel(CancelReason.deadlinePassed),
+    );
+    const call: PeerCall = {
+      service: request.service,
+      content: request.content,
+      rootId,
+      callId: this.parts.newId(),
+      parentCallId: undefined,
+      rank: 0,
+      tokens: 0,
+      attempt,
+      remainingMs: timeoutMs,
+      ticket: undefined,
+    };
+    const sent = await this.parts.homes.send(home, call, cancellation);
+    const streamed =
+      sent.kind === 'replied' && 'body' in sent.result && sent.result.body.kind === 'stream';
+    if (!streamed) {
+      timer.cancel();
+      detach();
+    }
+    return sent;
+  }
+
+  private ruleOf(request: EntryRequest): MethodRule | undefined {
+    const policy = this.parts.policies.policyOf(request.service)?.policy ?? undefined;
+    if (policy === undefined) return undefined;
+    return matchMethod(policy, request.content.httpMethod, request.content.path);
+  }
+
+  private pick(service: string): Member | undefined {
+    const members = this.parts.directory.membersOf(service);
+    const serving = members.filter(
+      ({ member }) => member.targetState === 'serving' || member.targetState === 'warming',
+    );
+    return serving[Math.floor(this.parts.random() * serving.length)]?.member;
+  }
+}
--- /dev/null
+++ b/packages/callpath/src/pass-through-home.ts
@@ -0,0 +1,38 @@
+import { CALL_CLASS_COUNT } from '@daisyferry/model/call-class';
+import { Header, SHED_BEFORE_WORK } from '@daisyferry/model/headers';
+import { Outcome, UnknownReason } from '@daisyferry/model/outcome';
+import type { HomeReply, PeerCall, TargetClient } from './call-message';
+import type { Cancellation } from './cancellation';
+import { unknown } from './results';
+
+const FIRST_SERVER_ERROR_STATUS = 500;
+
+/** Home without any decision of ours: every call goes to the target at once. */
+export class PassThroughHome {
+  constructor(private readonly targetClient: TargetClient) {}
+
+  async handle(call: PeerCall, cancellation: Cancellation): Promise<HomeReply> {
+    const handed = await this.targetClient.handOver(
+      {
+        content: call.content,
+        callId: call.callId,
+        rootId: call.rootId,
+        className: '',
+        attempt: call.attempt,
+        remainingMs: call.remainingMs,
+      },
+      cancellation,
+    );
+    const signals = { tokensReturned: 0, threshold: CALL_CLASS_COUNT, load: 0 };
+    if (handed.kind !== 'answer') {
+      return { kind: 'replied', result: unknown(UnknownReason.targetLost), signals };
+    }
+    const { statusCode, headers, body } = handed;
+    const shed = headers.some(
+      ([name, value]) => name === Header.shed && value === SHED_BEFORE_WORK,
+    );
+    const failed = shed || statusCode >= FIRST_SERVER_ERROR_STATUS;
+    const outcome = failed ? Outcome.failed : Outcome.completed;
+    return { kind: 'replied', result: { outcome, statusCode, headers, body }, signals };
+  }
+}
--- /dev/null
+++ b/packages/callpath/src/ticket-issuer.ts
@@ -0,0 +1,54 @@
+import { mintTicket } from '@daisyferry/execution/ticket';
+import type { TicketCodec } from '@daisyferry/execution/ticket-codec';
+import type { TicketsAnswer, TicketsRequest } from '@daisyferry/model/local-api';
+import type { Refusal } from '@daisyferry/model/outcome';
+import { RefusalReason } from '@daisyferry/model/outcome';
+import type { ServicePolicy } from '@daisyferry/model/policy';
+import type { PolicyTable } from '@daisyferry/model/policy-table';
+import type { Scheduler } from '@daisyferry/model/scheduler';
+import { matchMethod } from '@daisyferry/policies/method-matcher';
+import type { TargetPicker } from '@daisyferry/routing/target-picker';
+import { refusal } from './results';
+
+export interface TicketIssuerParts {
+  readonly policies: PolicyTable;
+  readonly picker: TargetPicker;
+  readonly codec: TicketCodec;
+  readonly scheduler: Scheduler;
+  readonly newId: () => string;
+}
+
+const RETRY_LATER_MS = 1_000;
+const NO_HOMES_EXCLUDED: ReadonlySet<string> = new Set();
+
+/** Issues tickets for calls that are not idempotent; nothing is kept for a ticket until its use. */
+export class TicketIssuer {
+  constructor(private readonly parts: TicketIssuerParts) {}
+
+  /** One encoded ticket for a home with room, or undefined while no home is known. */
+  issue(service: string, policy: ServicePolicy): string | undefined {
+    const { picker, codec, scheduler, newId } = this.parts;
+    const nowMs = scheduler.nowMs();
+    const home = picker.pick(service, NO_HOMES_EXCLUDED, nowMs);
+    if (home === undefined) return undefined;
+    return codec.encode(mintTicket(home.id, policy.tickets.lifetimeMs, newId(), nowMs));
+  }
+
+  /** Several tickets for one method, taken ahead. */
+  issueAhead(service: string, request: TicketsRequest): TicketsAnswer | Refusal {
+    const { policies } = this.parts;
+    if (!policies.ready) return refusal(RefusalReason.notReady, RETRY_LATER_MS);
+    const policy = policies.policyOf(service)?.policy ?? undefined;
+    if (policy === undefined) return refusal(RefusalReason.unknownService, RETRY_LATER_MS);
+    if (matchMethod(policy, request.method, request.path) === undefined) {
+      return refusal(RefusalReason.unknownMethod, RETRY_LATER_MS);
+    }
+    const tickets: string[] = [];
+    for (let index = 0; index < request.count; index += 1) {
+      const ticket = this.issue(service, policy);
+      if (ticket === undefined) return refusal(RefusalReason.noTarget, RETRY_LATER_MS);
+      tickets.push(ticket);
+    }
+    return { tickets, expiresInMs: policy.tickets.lifetimeMs };
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/answer-writer.ts
@@ -0,0 +1,99 @@
+import type { CallBody, HeaderPair } from '@daisyferry/callpath/call-message';
+import type { EntryAnswer } from '@daisyferry/callpath/entry-call';
+import { Header } from '@daisyferry/model/headers';
+import type { Refusal, UnknownOutcome } from '@daisyferry/model/outcome';
+import { Outcome, RefusalReason, UnknownReason } from '@daisyferry/model/outcome';
+import type { ServerResponse } from 'node:http';
+
+const MS_PER_SECOND = 1_000;
+const DEFAULT_REFUSAL_STATUS = 503;
+
+/** Status codes of refusals that are the request's own doing; all others are 503. */
+const REFUSAL_STATUS: Readonly<Record<string, number>> = {
+  [RefusalReason.ticketRequired]: 428,
+  [RefusalReason.ticketRefused]: 409,
+  [RefusalReason.ticketInvalid]: 400,
+  [RefusalReason.badRequest]: 400,
+  [RefusalReason.unknownService]: 404,
+  [RefusalReason.unknownMethod]: 404,
+};
+
+const UNKNOWN_STATUS = 502;
+const TIMEOUT_STATUS = 504;
+
+/** Status code by which a caller learns of a refusal or an unknown outcome. */
+export function statusOf(result: Refusal | UnknownOutcome): number {
+  if (result.outcome === Outcome.notRun) {
+    return REFUSAL_STATUS[result.reason] ?? DEFAULT_REFUSAL_STATUS;
+  }
+  return result.reason === UnknownReason.deadlineWhileRunning ? TIMEOUT_STATUS : UNKNOWN_STATUS;
+}
+
+/** Writes status, headers and body; an answer that ends early destroys the connection. */
+export function writeMessage(
+  response: ServerResponse,
+  statusCode: number,
+  headers: readonly HeaderPair[],
+  body: CallBody,
+): void {
+  const flat: string[] = [];
+  for (const [name, value] of headers) flat.push(name, value);
+  if (body.kind === 'held') {
+    flat.push('content-length', String(body.bytes.length));
+    response.writeHead(statusCode, flat);
+    response.end(body.bytes);
+    return;
+  }
+  if (body.lengthBytes !== undefined) flat.push('content-length', String(body.lengthBytes));
+  response.writeHead(statusCode, flat);
+  const { stream } = body;
+  stream.on('error', () => response.destroy());
+  stream.on('close', () => {
+    if (!stream.readableEnded) response.destroy();
+  });
+  response.on('close', () => stream.destroy());
+  stream.pipe(response);
+}
+
+/** JSON body of refusals and unknown outcomes, in the problem details format (RFC 9457). */
+function problemBody(result: Refusal | UnknownOutcome, detail: string | undefined): Buffer {
+  const retryAfterMs =
+    result.outcome === Outcome.notRun ? Math.ceil(result.retryAfterMs) : undefined;
+  return Buffer.from(
+    `${JSON.stringify({ outcome: result.outcome, reason: result.reason, retryAfterMs, detail })}\n`,
+  );
+}
+
+function problemHeaders(result: Refusal | UnknownOutcome): HeaderPair[] {
+  const headers: HeaderPair[] = [
+    ['content-type', 'application/problem+json'],
+    [Header.reason, result.reason],
+  ];
+  if (result.outcome === Outcome.notRun) {
+    const seconds = Math.ceil(result.retryAfterMs / MS_PER_SECOND);
+    headers.push([Header.retryAfterMs, String(Math.ceil(result.retryAfterMs))]);
+    headers.push(['retry-after', String(seconds)]);
+  }
+  return headers;
+}
+
+/** Writes what a caller is told; `detail` names what is wrong with a malformed request. */
+export function writeEntryAnswer(
+  response: ServerResponse,
+  answer: EntryAnswer,
+  detail?: string,
+): void {
+  const { result, rootId, className, ticket } = answer;
+  const own: HeaderPair[] = [[Header.outcome, result.outcome]];
+  if (rootId !== '') own.push([Header.root, rootId]);
+  if (className !== undefined) own.push([Header.class, className]);
+  if (ticket !== undefined) own.push([Header.ticket, ticket]);
+  if ('body' in result) {
+    writeMessage(response, result.statusCode, [...own, ...result.headers], result.body);
+    return;
+  }
+  writeMessage(response, statusOf(result), [...own, ...problemHeaders(result)], {
+    kind: 'held',
+    bytes: problemBody(result, detail),
+  });
+}
--- /dev/null
+++ b/packages/daemon/src/control-plane.ts
@@ -0,0 +1,96 @@
+import { MembershipTask } from '@daisyferry/membership/membership-task';
+import { PolicyDelivery } from '@daisyferry/membership/policy-delivery';
+import { RevisionSurvey } from '@daisyferry/membership/revision-survey';
+import type { Member, MemberView } from '@daisyferry/model/member';
+import type { RandomSource, Scheduler } from '@daisyferry/model/scheduler';
+import type { TimelineSink } from '@daisyferry/model/timeline-event';
+import { PolicyChanges } from '@daisyferry/policies/policy-changes';
+import { PolicyReader } from '@daisyferry/policies/policy-reader';
+import { LocalPolicies } from '@daisyferry/policies/policy-replica';
+import { PolicyStore } from '@daisyferry/policies/policy-store';
+import type { DaemonSettings } from '@daisyferry/settings/daemon-settings';
+import type { PlatformStore } from '@daisyferry/store/platform-store';
+import type { Logger } from 'pino';
+import type { RpcHttp } from './rpc-http';
+
+export interface ControlPlaneContext {
+  readonly settings: DaemonSettings;
+  readonly member: Member;
+  readonly key: Buffer | undefined;
+  readonly store: PlatformStore;
+  readonly rpc: RpcHttp;
+  readonly scheduler: Scheduler;
+  readonly random: RandomSource;
+  readonly timeline: TimelineSink;
+  readonly logger: Logger;
+  readonly onSuperseded: (by: Member) => void;
+}
+
+/** Everything that daemons share: members, policies, their delivery and their changes. */
+export interface ControlPlane {
+  readonly membership: MembershipTask;
+  readonly policies: LocalPolicies;
+  readonly policyStore: PolicyStore;
+  readonly reader: PolicyReader;
+  readonly delivery: PolicyDelivery;
+  readonly changes: PolicyChanges;
+  readonly survey: RevisionSurvey;
+}
+
+/** Builds the shared state of a daemon; nothing is started. */
+export function buildControlPlane(context: ControlPlaneContext): ControlPlane {
+  const { settings, store, rpc, scheduler, random, timeline, logger } = context;
+  const policies = new LocalPolicies();
+  const policyStore = new PolicyStore(store, settings.cluster, settings.store.timeoutMs);
+  let announce: (revision: number) => void = () => undefined;
+  const onApplied = (revision: number): void => {
+    announce(revision);
+    timeline.emit({ kind: 'policy.applied', detail: String(revision) });
+    logger.info({ revision }, 'policies applied');
+  };
+  const delivery = new PolicyDelivery({ replica: policies, rpc, scheduler, random, onApplied });
+  const membership = new MembershipTask({
+    bind: settings.listeners.gossip,
+    scheduler,
+    gossip: {
+      self: context.member,
+      cluster: settings.cluster,
+      random,
+      ...(context.key === undefined ? {} : { key: context.key }),
+    },
+    listener: {
+      onMemberChanged: ({ member, reachability }: MemberView) =>
+        timeline.emit({
+          kind: 'member.state',
+          service: member.service,
+          detail: `${member.id.name} ${reachability} ${member.targetState}`,
+        }),
+      onPolicyRumor: (revision, from) => delivery.rumor(revision, from),
+      onSuperseded: context.onSuperseded,
+    },
+  });
+  announce = (revision) => membership.announcePolicyRevision(revision);
+  const reader = new PolicyReader({
+    store,
+    policyStore,
+    replica: policies,
+    scheduler,
+    random,
+    onApplied,
+    onRegressed: (storeRevision, appliedRevision) =>
+      logger.error({ storeRevision, appliedRevision }, 'store is behind the policies in force'),
+    onStoreState: (available) => {
+      timeline.emit({ kind: 'store.state', detail: available ? 'available' : 'unavailable' });
+      logger.warn({ available }, 'store availability changed');
+    },
+  });
+  const changes = new PolicyChanges({
+    store,
+    policyStore,
+    scheduler,
+    random,
+    appliedRevision: () => policies.revision,
+  });
+  const survey = new RevisionSurvey(settings.name, membership.table, policies, rpc);
+  return { membership, policies, policyStore, reader, delivery, changes, survey };
+}
--- /dev/null
+++ b/packages/daemon/src/daemon-identity.ts
@@ -0,0 +1,33 @@
+import type { DaemonId, Member } from '@daisyferry/model/member';
+import type { DaemonSettings } from '@daisyferry/settings/daemon-settings';
+import { randomBytes, randomUUID } from 'node:crypto';
+
+const INCARNATION_BYTES = 8;
+
+/** Identity of this run of the daemon. */
+export function newIdentity(settings: DaemonSettings): DaemonId {
+  return { name: settings.name, incarnation: randomBytes(INCARNATION_BYTES).toString('hex') };
+}
+
+/** A fresh identifier of 32 hexadecimal digits. */
+export function newId(): string {
+  return randomUUID().replaceAll('-', '');
+}
+
+/** What this daemon publishes at its start, before any port is bound or target announced. */
+export function firstMember(settings: DaemonSettings, id: DaemonId): Member {
+  const { peers, gossip } = settings.listeners;
+  return {
+    id,
+    service: settings.service,
+    dataCentre: settings.dataCentre,
+    region: settings.region,
+    address: settings.advertisedAddress ?? peers.address,
+    peerPort: peers.port,
+    gossipPort: gossip.port,
+    slots: settings.slots,
+    connections: settings.connections,
+    targetState: 'absent',
+    version: 1,
+  };
+}
--- /dev/null
+++ b/packages/daemon/src/data-listeners.ts
@@ -0,0 +1,100 @@
+import type { ActiveCalls } from '@daisyferry/callpath/active-calls';
+import type { EntryOrigin, EntryPoint } from '@daisyferry/callpath/entry-call';
+import type { TicketIssuer } from '@daisyferry/callpath/ticket-issuer';
+import type { TicketCodec } from '@daisyferry/execution/ticket-codec';
+import { Header } from '@daisyferry/model/headers';
+import type { DaemonSettings } from '@daisyferry/settings/daemon-settings';
+import type { FastifyInstance } from 'fastify';
+import type { JSONRPCServer } from 'json-rpc-2.0';
+import type { IncomingHttpHeaders } from 'node:http';
+import { EntryHandler } from './entry-handler';
+import type { OwnHome } from './home-http-client';
+import { createListener, routeAll } from './listener';
+import { PeerHandler } from './peer-handler';
+import { registerRpcRoute } from './rpc-route';
+import type { TargetRoutesOptions } from './target-routes';
+import { registerTargetRoutes } from './target-routes';
+import { registerTicketRoutes } from './ticket-routes';
+import { readTls } from './tls-files';
+
+export interface DataListenersParts {
+  readonly settings: DaemonSettings;
+  readonly entry: EntryPoint;
+  readonly home: OwnHome;
+  readonly issuer: TicketIssuer;
+  readonly activeCalls: ActiveCalls;
+  readonly codec: TicketCodec;
+  readonly targetRoutes: TargetRoutesOptions;
+  readonly rpcServer: JSONRPCServer;
+  readonly countMalformed: (listener: string, field: string) => void;
+  readonly countRpcBytes: (direction: 'sent' | 'received', bytes: number) => void;
+}
+
+export interface DataListeners {
+  readonly callers: FastifyInstance;
+  readonly local: FastifyInstance;
+  readonly peers: FastifyInstance;
+}
+
+/** Sockets that the local listener and the peer listener accept. */
+const MAX_LOCAL_CONNECTIONS = 10_000;
+const MAX_PEER_CONNECTIONS = 50_000;
+
+function nestedOrigin(activeCalls: ActiveCalls, headers: IncomingHttpHeaders): EntryOrigin {
+  const context = headers[Header.context];
+  if (typeof context !== 'string') return { kind: 'detached', context: undefined };
+  const parent = activeCalls.find(context);
+  return parent === undefined ? { kind: 'detached', context } : { kind: 'nested', parent };
+}
+
+/** Creates the listeners that carry calls; they do not listen yet. */
+export function createDataListeners(parts: DataListenersParts): DataListeners {
+  const { settings, entry, home, activeCalls, codec } = parts;
+  const { limits, listeners } = settings;
+  const shared = { maxHeaderBytes: limits.maxHeaderBytes, idleTimeoutMs: limits.idleTimeoutMs };
+  const ownService = settings.service;
+
+  const callers = createListener({
+    ...shared,
+    maxConnections: limits.maxCallerConnections,
+    tls: readTls(listeners.callers.tls),
+    requireClientCertificate: false,
+  });
+  registerTicketRoutes(callers, parts.issuer, ownService);
+  const fromCallers = new EntryHandler({
+    entry,
+    ownService,
+    limits,
+    originOf: () => ({ kind: 'caller' }),
+  });
+  routeAll(callers, async (request, response) => fromCallers.handle(request, response));
+
+  const local = createListener({
+    ...shared,
+    maxConnections: MAX_LOCAL_CONNECTIONS,
+    tls: undefined,
+    requireClientCertificate: false,
+  });
+  registerTargetRoutes(local, parts.targetRoutes);
+  const fromTarget = new EntryHandler({
+    entry,
+    ownService,
+    limits,
+    originOf: (headers) => nestedOrigin(activeCalls, headers),
+  });
+  routeAll(local, async (request, response) => fromTarget.handle(request, response));
+
+  const peers = createListener({
+    ...shared,
+    maxConnections: MAX_PEER_CONNECTIONS,
+    tls: readTls(listeners.peers.tls),
+    requireClientCertificate: true,
+  });
+  registerRpcRoute(peers, parts.rpcServer, parts.countRpcBytes);
+  const fromPeers = new PeerHandler(home, codec, limits, (field) =>
+    parts.countMalformed('peers', field),
+  );
+  routeAll(peers, async (request, response) => fromPeers.handle(request, response));
+
+  return { callers, local, peers };
+}
--- /dev/null
+++ b/packages/daemon/src/entry-handler.ts
@@ -0,0 +1,78 @@
+import type { EntryOrigin, EntryPoint } from '@daisyferry/callpath/entry-call';
+import { refusal } from '@daisyferry/callpath/results';
+import { Header } from '@daisyferry/model/headers';
+import { RefusalReason } from '@daisyferry/model/outcome';
+import type { IncomingHttpHeaders, IncomingMessage, ServerResponse } from 'node:http';
+import { writeEntryAnswer } from './answer-writer';
+import type { BodyLimits } from './held-body-reader';
+import { readBody } from './held-body-reader';
+import { passingHeaders } from './hop-headers';
+import { wholeNumber } from './peer-wire';
+import { cancellationOf } from './request-cancellation';
+
+export interface EntryHandlerOptions {
+  readonly entry: EntryPoint;
+  readonly ownService: string;
+  readonly limits: BodyLimits;
+  readonly originOf: (headers: IncomingHttpHeaders) => EntryOrigin;
+}
+
+const MAX_DEADLINE_MS = 600_000;
+
+function headerText(headers: IncomingHttpHeaders, name: string): string | undefined {
+  const value = headers[name];
+  return typeof value === 'string' ? value : undefined;
+}
+
+function refuseMalformed(response: ServerResponse, detail: string): void {
+  writeEntryAnswer(
+    response,
+    {
+      result: refusal(RefusalReason.badRequest, 0),
+      rootId: '',
+      className: undefined,
+      ticket: undefined,
+    },
+    detail,
+  );
+}
+
+/** Turns HTTP requests of callers and of the local target into calls. */
+export class EntryHandler {
+  constructor(private readonly options: EntryHandlerOptions) {}
+
+  async handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const { headers } = request;
+    const cancellation = cancellationOf(response);
+    const deadlineText = headerText(headers, Header.deadlineMs);
+    const requestedMs = wholeNumber(deadlineText, 1, MAX_DEADLINE_MS);
+    if (deadlineText !== undefined && requestedMs === undefined) {
+      refuseMalformed(
+        response,
+        `${Header.deadlineMs}: expected a whole number of ms from 1 to ${MAX_DEADLINE_MS}`,
+      );
+      return;
+    }
+    const read = await readBody(request, this.options.limits);
+    if (read.kind === 'cut') return;
+    if (read.kind === 'too-large') {
+      refuseMalformed(response, `body: longer than ${this.options.limits.maxBodyBytes} bytes`);
+      return;
+    }
+    const answer = await this.options.entry.run({
+      service: headerText(headers, Header.service) ?? this.options.ownService,
+      content: {
+        httpMethod: request.method ?? 'GET',
+        path: request.url ?? '/',
+        headers: passingHeaders(request.rawHeaders),
+        body: read.body,
+      },
+      requestedMs,
+      ticketText: headerText(headers, Header.ticket),
+      origin: this.options.originOf(headers),
+      cancellation,
+    });
+    if (response.destroyed) return;
+    writeEntryAnswer(response, answer);
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/exchange-handler.ts
@@ -0,0 +1,160 @@
+import type { Cancellation } from '@daisyferry/callpath/cancellation';
+import type { IncomingHttpHeaders } from 'node:http';
+import { Readable } from 'node:stream';
+import type { Dispatcher } from 'undici';
+import { ExchangeAborted } from './exchange-aborted';
+import type { ExchangeLimits, ExchangeResult } from './http-exchange';
+
+type Controller = Dispatcher.DispatchController;
+
+const FIRST_FINAL_STATUS = 200;
+
+function flattened(headers: IncomingHttpHeaders): string[] {
+  const flat: string[] = [];
+  for (const [name, value] of Object.entries(headers)) {
+    const values = Array.isArray(value) ? value : [value ?? ''];
+    for (const one of values) flat.push(name, one);
+  }
+  return flat;
+}
+
+/**
+ * Follows one request through undici. A request whose start has been reported once is never
+ * written a second time: a second start aborts it, so that the library cannot repeat a call.
+ */
+export class ExchangeHandler implements Dispatcher.DispatchHandler {
+  private controller: Controller | undefined;
+
+  private started = false;
+
+  private settled = false;
+
+  private abortReason: Error | undefined;
+
+  private statusCode = 0;
+
+  private rawHeaders: readonly string[] = [];
+
+  private chunks: Buffer[] | undefined;
+
+  private heldBytes = 0;
+
+  private stream: Readable | undefined;
+
+  private resolveEnded: (end: 'whole' | 'cut') => void = () => undefined;
+
+  private stopFollowing: () => void = () => undefined;
+
+  constructor(
+    private readonly limits: ExchangeLimits,
+    private readonly resolve: (result: ExchangeResult) => void,
+  ) {}
+
+  /** Aborts the exchange when the call is cancelled. */
+  follow(cancellation: Cancellation): void {
+    this.stopFollowing = cancellation.onCancel((reason) => this.abort(reason));
+  }
+
+  onRequestStart(controller: Controller): void {
+    this.controller = controller;
+    if (this.started || this.abortReason !== undefined) {
+      controller.abort(this.abortReason ?? new ExchangeAborted('second start'));
+      return;
+    }
+    this.started = true;
+  }
+
+  onResponseStart(controller: Controller, statusCode: number, headers: IncomingHttpHeaders): void {
+    if (statusCode < FIRST_FINAL_STATUS) return;
+    this.statusCode = statusCode;
+    this.rawHeaders = flattened(headers);
+    if (this.holds(headers['content-length'])) {
+      this.chunks = [];
+      return;
+    }
+    this.openStream(controller);
+  }
+
+  onResponseData(controller: Controller, chunk: Buffer): void {
+    if (this.chunks === undefined) {
+      if (this.stream?.push(chunk) === false) controller.pause();
+      return;
+    }
+    this.chunks.push(chunk);
+    this.heldBytes += chunk.length;
+    if (this.heldBytes > this.limits.maxHeldBytes) this.releaseHeld(controller);
+  }
+
+  onResponseEnd(): void {
+    this.stopFollowing();
+    if (this.chunks !== undefined) {
+      this.settle({
+        kind: 'answer',
+        statusCode: this.statusCode,
+        rawHeaders: this.rawHeaders,
+        body: { kind: 'held', bytes: Buffer.concat(this.chunks) },
+        ended: Promise.resolve('whole'),
+      });
+      return;
+    }
+    this.stream?.push(null);
+    this.resolveEnded('whole');
+  }
+
+  onResponseError(_controller: Controller, error: Error): void {
+    this.stopFollowing();
+    this.settle({ kind: this.started || this.abortReason !== undefined ? 'lost' : 'not-sent' });
+    this.stream?.destroy(error);
+    this.resolveEnded('cut');
+  }
+
+  private abort(reason: string): void {
+    const error = new ExchangeAborted(reason);
+    this.abortReason = error;
+    this.settle({ kind: 'lost' });
+    this.controller?.abort(error);
+  }
+
+  private holds(declared: string | string[] | undefined): boolean {
+    if (declared === undefined) return this.limits.holdUnknownLength;
+    return Number(declared) <= this.limits.maxHeldBytes;
+  }
+
+  private openStream(controller: Controller): void {
+    const stream = new Readable({
+      read: () => controller.resume(),
+      destroy: (error, done) => {
+        if (!this.stream?.readableEnded) this.abort('answer not read to its end');
+        done(error);
+      },
+    });
+    // The reader learns of an early end by `ended`; an error without a reader is no fault.
+    stream.on('error', () => undefined);
+    this.stream = stream;
+    const ended = new Promise<'whole' | 'cut'>((resolve) => {
+      this.resolveEnded = resolve;
+    });
+    const declared = this.rawHeaders[this.rawHeaders.indexOf('content-length') + 1];
+    const known = this.rawHeaders.includes('content-length');
+    this.settle({
+      kind: 'answer',
+      statusCode: this.statusCode,
+      rawHeaders: this.rawHeaders,
+      body: { kind: 'stream', stream, lengthBytes: known ? Number(declared) : undefined },
+      ended,
+    });
+  }
+
+  private releaseHeld(controller: Controller): void {
+    const chunks = this.chunks ?? [];
+    this.chunks = undefined;
+    this.openStream(controller);
+    for (const chunk of chunks) this.stream?.push(chunk);
+  }
+
+  private settle(result: ExchangeResult): void {
+    if (this.settled) return;
+    this.settled = true;
+    this.resolve(result);
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/held-body-reader.ts
@@ -0,0 +1,51 @@
+import type { CallBody } from '@daisyferry/callpath/call-message';
+import type { IncomingMessage } from 'node:http';
+
+export type BodyRead =
+  | { readonly kind: 'body'; readonly body: CallBody }
+  | { readonly kind: 'too-large' }
+  /** The sender closed the connection before the end of its body. */
+  | { readonly kind: 'cut' };
+
+export interface BodyLimits {
+  readonly maxBodyBytes: number;
+  readonly maxHeldBodyBytes: number;
+}
+
+export const EMPTY_BODY: CallBody = { kind: 'held', bytes: Buffer.alloc(0) };
+
+async function readHeld(message: IncomingMessage, lengthBytes: number): Promise<BodyRead> {
+  return new Promise((resolve) => {
+    const chunks: Buffer[] = [];
+    let receivedBytes = 0;
+    message.on('data', (chunk: Buffer) => {
+      chunks.push(chunk);
+      receivedBytes += chunk.length;
+    });
+    message.on('end', () => {
+      if (receivedBytes !== lengthBytes) {
+        resolve({ kind: 'cut' });
+        return;
+      }
+      const bytes =
+        chunks.length === 1 && chunks[0] !== undefined ? chunks[0] : Buffer.concat(chunks);
+      resolve({ kind: 'body', body: { kind: 'held', bytes } });
+    });
+    message.on('close', () => resolve({ kind: 'cut' }));
+    message.on('error', () => resolve({ kind: 'cut' }));
+  });
+}
+
+/** Reads short bodies of declared length whole; longer ones and those of unknown length stream. */
+export async function readBody(message: IncomingMessage, limits: BodyLimits): Promise<BodyRead> {
+  const declared = message.headers['content-length'];
+  const chunked = message.headers['transfer-encoding'] !== undefined;
+  if (declared === undefined && !chunked) return { kind: 'body', body: EMPTY_BODY };
+  const lengthBytes = declared === undefined ? undefined : Number(declared);
+  if (lengthBytes === 0) return { kind: 'body', body: EMPTY_BODY };
+  if (lengthBytes !== undefined && lengthBytes > limits.maxBodyBytes) return { kind: 'too-large' };
+  if (lengthBytes !== undefined && lengthBytes <= limits.maxHeldBodyBytes) {
+    return readHeld(message, lengthBytes);
+  }
+  return { kind: 'body', body: { kind: 'stream', stream: message, lengthBytes } };
+}
--- /dev/null
+++ b/packages/daemon/src/measured-entry.ts
@@ -0,0 +1,37 @@
+import type { EntryAnswer, EntryPoint, EntryRequest } from '@daisyferry/callpath/entry-call';
+import type { Scheduler } from '@daisyferry/model/scheduler';
+import type { DaemonMetrics } from '@daisyferry/telemetry/daemon-metrics';
+import { RecentRefusals } from './recent-refusals';
+
+/** Counts the results of an entry and remembers the latest refusals for `explain`. */
+export class MeasuredEntry implements EntryPoint {
+  readonly refusals = new RecentRefusals();
+
+  constructor(
+    private readonly inner: EntryPoint,
+    private readonly metrics: DaemonMetrics,
+    private readonly scheduler: Scheduler,
+  ) {}
+
+  async run(request: EntryRequest): Promise<EntryAnswer> {
+    const startMs = this.scheduler.nowMs();
+    const answer = await this.inner.run(request);
+    const nowMs = this.scheduler.nowMs();
+    const { result, className = 'none', rootId } = answer;
+    const reason = 'reason' in result ? result.reason : '';
+    this.metrics.countCall(className, result.outcome, reason, nowMs - startMs);
+    if (reason !== '') {
+      this.refusals.add({
+        rootId,
+        service: request.service,
+        httpMethod: request.content.httpMethod,
+        path: request.content.path,
+        className,
+        outcome: result.outcome,
+        reason,
+        atMs: nowMs,
+      });
+    }
+    return answer;
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/node-scheduler.ts
@@ -0,0 +1,13 @@
+import type { Scheduler, Timer } from '@daisyferry/model/scheduler';
+
+/** The process clock: monotonic, anchored at the wall clock of the process start. */
+export class NodeScheduler implements Scheduler {
+  nowMs(): number {
+    return performance.timeOrigin + performance.now();
+  }
+
+  after(delayMs: number, action: () => void): Timer {
+    const timer = setTimeout(action, delayMs);
+    return { cancel: () => clearTimeout(timer) };
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/peer-handler.ts
@@ -0,0 +1,64 @@
+import { refusal } from '@daisyferry/callpath/results';
+import type { HomeReply } from '@daisyferry/callpath/call-message';
+import type { TicketCodec } from '@daisyferry/execution/ticket-codec';
+import { CALL_CLASS_COUNT } from '@daisyferry/model/call-class';
+import { RefusalReason } from '@daisyferry/model/outcome';
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import { writeMessage } from './answer-writer';
+import type { BodyLimits } from './held-body-reader';
+import { EMPTY_BODY, readBody } from './held-body-reader';
+import type { OwnHome } from './home-http-client';
+import { passingHeaders } from './hop-headers';
+import { decodePeerCall, encodeReply } from './peer-wire';
+import { cancellationOf } from './request-cancellation';
+
+function writeReply(response: ServerResponse, reply: HomeReply): void {
+  const { statusCode, headers } = encodeReply(reply);
+  const { result } = reply;
+  const body = 'body' in result ? result.body : EMPTY_BODY;
+  writeMessage(response, statusCode, headers, body);
+}
+
+function malformed(): HomeReply {
+  return {
+    kind: 'replied',
+    result: refusal(RefusalReason.badRequest, 0),
+    signals: { tokensReturned: 0, threshold: CALL_CLASS_COUNT, load: 0 },
+  };
+}
+
+/** Turns HTTP requests of other daemons into calls of the home. */
+export class PeerHandler {
+  constructor(
+    private readonly home: OwnHome,
+    private readonly codec: TicketCodec,
+    private readonly limits: BodyLimits,
+    private readonly onMalformed: (header: string) => void,
+  ) {}
+
+  async handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const cancellation = cancellationOf(response);
+    const decoded = decodePeerCall(request.headers, this.codec);
+    if (!decoded.ok) {
+      this.onMalformed(decoded.header);
+      writeReply(response, malformed());
+      return;
+    }
+    const read = await readBody(request, this.limits);
+    if (read.kind === 'cut') return;
+    if (read.kind === 'too-large') {
+      this.onMalformed('content-length');
+      writeReply(response, malformed());
+      return;
+    }
+    const content = {
+      httpMethod: request.method ?? 'GET',
+      path: request.url ?? '/',
+      headers: passingHeaders(request.rawHeaders),
+      body: read.body,
+    };
+    const reply = await this.home.handle({ ...decoded.head, content }, cancellation);
+    if (response.destroyed) return;
+    writeReply(response, reply);
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/pool-book.ts
@@ -0,0 +1,54 @@
+import { Pool } from 'undici';
+
+/** How long an idle connection is kept; servers of the project keep theirs longer. */
+const IDLE_CONNECTION_MS = 30_000;
+const CONNECT_TIMEOUT_MS = 1_000;
+
+export interface PoolTls {
+  readonly key: Buffer;
+  readonly cert: Buffer;
+  readonly ca: Buffer;
+}
+
+/** Connection pools by address; each connection carries one request at a time. */
+export class PoolBook {
+  private readonly pools = new Map<string, Pool>();
+
+  constructor(private tls?: PoolTls) {}
+
+  poolFor(address: string, port: number, connections: number): Pool {
+    const host = address.includes(':') ? `[${address}]` : address;
+    const scheme = this.tls === undefined ? 'http' : 'https';
+    const origin = `${scheme}://${host}:${port}`;
+    const present = this.pools.get(origin);
+    if (present !== undefined) return present;
+    const pool = new Pool(origin, {
+      connections,
+      pipelining: 1,
+      keepAliveTimeout: IDLE_CONNECTION_MS,
+      connect: { timeout: CONNECT_TIMEOUT_MS, ...this.tls },
+    });
+    this.pools.set(origin, pool);
+    return pool;
+  }
+
+  /** New connections use the new key material; calls under way finish on the old ones. */
+  async replaceTls(tls: PoolTls): Promise<void> {
+    this.tls = tls;
+    await this.close();
+  }
+
+  /** Closes all pools once their calls have ended. */
+  async close(): Promise<void> {
+    const pools = [...this.pools.values()];
+    this.pools.clear();
+    await Promise.all(pools.map(async (pool) => pool.close()));
+  }
+
+  /** Ends all connections at once. */
+  async destroy(): Promise<void> {
+    const pools = [...this.pools.values()];
+    this.pools.clear();
+    await Promise.all(pools.map(async (pool) => pool.destroy()));
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/rpc-http.ts
@@ -0,0 +1,82 @@
+import type { Member } from '@daisyferry/model/member';
+import { PEER_RPC_PATH } from '@daisyferry/model/local-api';
+import type { PeerRpc, RpcResult } from '@daisyferry/membership/peer-rpc';
+import { RPC_BUSY_CODE } from '@daisyferry/membership/peer-rpc';
+import { Cancellation, CancelReason } from '@daisyferry/callpath/cancellation';
+import type { Scheduler } from '@daisyferry/model/scheduler';
+import { createJSONRPCRequest, isJSONRPCResponse } from 'json-rpc-2.0';
+import { exchange } from './http-exchange';
+import type { PoolBook } from './pool-book';
+
+/** Largest answer of a peer that is read. */
+const MAX_ANSWER_BYTES = 16_777_216;
+const CONNECTIONS = 2;
+
+export interface RpcHttpOptions {
+  readonly pools: PoolBook;
+  readonly scheduler: Scheduler;
+  readonly countBytes: (direction: 'sent' | 'received', bytes: number) => void;
+}
+
+function parsed(bytes: Buffer): unknown {
+  try {
+    return JSON.parse(bytes.toString('utf8'));
+  } catch {
+    return undefined;
+  }
+}
+
+function resultOf(bytes: Buffer): RpcResult {
+  const message = parsed(bytes);
+  if (!isJSONRPCResponse(message)) {
+    return { ok: false, kind: 'failed', detail: 'not a JSON-RPC response' };
+  }
+  if (message.error === undefined) return { ok: true, value: message.result };
+  const kind = message.error.code === RPC_BUSY_CODE ? 'busy' : 'failed';
+  return { ok: false, kind, detail: message.error.message };
+}
+
+/** JSON-RPC 2.0 calls to other daemons, over HTTP on their peer listeners. */
+export class RpcHttp implements PeerRpc {
+  private lastId = 0;
+
+  constructor(private readonly options: RpcHttpOptions) {}
+
+  async call(
+    member: Member,
+    method: string,
+    params: unknown,
+    timeoutMs: number,
+  ): Promise<RpcResult> {
+    this.lastId += 1;
+    const request = createJSONRPCRequest(this.lastId, method, params);
+    const bytes = Buffer.from(JSON.stringify(request));
+    const cancellation = new Cancellation();
+    const { pools, scheduler, countBytes } = this.options;
+    const timer = scheduler.after(timeoutMs, () =>
+      cancellation.cancel(CancelReason.deadlinePassed),
+    );
+    const answer = await exchange(
+      pools.poolFor(member.address, member.peerPort, CONNECTIONS),
+      {
+        httpMethod: 'POST',
+        path: PEER_RPC_PATH,
+        headers: [['content-type', 'application/json']],
+        body: { kind: 'held', bytes },
+      },
+      { maxHeldBytes: MAX_ANSWER_BYTES, holdUnknownLength: true },
+      cancellation,
+    );
+    timer.cancel();
+    countBytes('sent', bytes.length);
+    if (answer.kind !== 'answer' || answer.body.kind !== 'held') {
+      return {
+        ok: false,
+        kind: 'unreachable',
+        detail: `${method}: no answer of ${member.id.name}`,
+      };
+    }
+    countBytes('received', answer.body.bytes.length);
+    return resultOf(answer.body.bytes);
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/target-control.ts
@@ -0,0 +1,101 @@
+import type { AdmissionController } from '@daisyferry/admission/admission-controller';
+import type { LocalTarget } from '@daisyferry/callpath/local-target';
+import type { PolicyTable } from '@daisyferry/model/policy-table';
+import type { Scheduler, Timer } from '@daisyferry/model/scheduler';
+import type { DaemonSettings } from '@daisyferry/settings/daemon-settings';
+import { LIMITS_BEFORE_POLICY } from './call-path-parts';
+import type { Announcement } from './target-routes';
+
+const TICK_MS = 100;
+const DEFAULT_NO_NEW_WORK_AFTER_MS = 2_000;
+const DEFAULT_DRAIN_WAIT_MS = 30_000;
+
+export interface TargetControlParts {
+  readonly settings: DaemonSettings;
+  readonly target: LocalTarget;
+  readonly admission: AdmissionController;
+  readonly policies: PolicyTable;
+  readonly scheduler: Scheduler;
+  /** Calls that hold a slot or wait for one. */
+  readonly callsInHand: () => number;
+}
+
+/** Drives the target beside the daemon through its states and applies its limits. */
+export class TargetControl {
+  private slots: number;
+
+  private configuredRevision = -1;
+
+  private timer: Timer | undefined;
+
+  private drained: (() => void)[] = [];
+
+  constructor(private readonly parts: TargetControlParts) {
+    this.slots = parts.settings.slots;
+  }
+
+  start(): void {
+    this.timer = this.parts.scheduler.after(TICK_MS, () => {
+      this.tick();
+      this.start();
+    });
+  }
+
+  stop(): void {
+    this.timer?.cancel();
+  }
+
+  announce(announcement: Announcement, nowMs: number): void {
+    this.slots = announcement.slots ?? this.parts.settings.slots;
+    this.configuredRevision = -1;
+    this.configure(nowMs);
+    this.parts.admission.beginWarmUp(nowMs);
+  }
+
+  leave(nowMs: number): void {
+    this.parts.target.leave(nowMs);
+  }
+
+  /** Resolves once no call is in hand, or after the longest wait of the policy. */
+  async leaveAndWait(): Promise<'drained' | 'timeout'> {
+    const { target, scheduler } = this.parts;
+    this.leave(scheduler.nowMs());
+    if (target.state !== 'leaving') return 'drained';
+    const maxWaitMs = this.drainRule()?.maxWaitMs ?? DEFAULT_DRAIN_WAIT_MS;
+    return new Promise((resolve) => {
+      const timer = scheduler.after(maxWaitMs, () => resolve('timeout'));
+      this.drained.push(() => {
+        timer.cancel();
+        resolve('drained');
+      });
+    });
+  }
+
+  /** Applies the limits of the policy in force. */
+  configure(nowMs: number): void {
+    const { policies, settings, admission } = this.parts;
+    const record = policies.policyOf(settings.service);
+    const revision = record?.revision ?? 0;
+    if (revision === this.configuredRevision) return;
+    this.configuredRevision = revision;
+    admission.configure(record?.policy?.limits ?? LIMITS_BEFORE_POLICY, this.slots, nowMs);
+  }
+
+  private tick(): void {
+    const { target, admission, scheduler, callsInHand } = this.parts;
+    const nowMs = scheduler.nowMs();
+    this.configure(nowMs);
+    const { limit, slots } = admission.snapshot(nowMs);
+    const noNewWorkAfterMs = this.drainRule()?.noNewWorkAfterMs ?? DEFAULT_NO_NEW_WORK_AFTER_MS;
+    target.tick({ inFlight: callsInHand(), warm: limit >= slots, noNewWorkAfterMs }, nowMs);
+    if (target.state === 'leaving') return;
+    const waiting = this.drained;
+    this.drained = [];
+    for (const resolve of waiting) resolve();
+  }
+
+  private drainRule() {
+    const { policies, settings } = this.parts;
+    return policies.policyOf(settings.service)?.policy?.drain;
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/target-http-client.ts
@@ -0,0 +1,71 @@
+import type {
+  HandOver,
+  HandOverResult,
+  HeaderPair,
+  TargetClient,
+} from '@daisyferry/callpath/call-message';
+import type { Cancellation } from '@daisyferry/callpath/cancellation';
+import type { LocalTarget } from '@daisyferry/callpath/local-target';
+import { Header } from '@daisyferry/model/headers';
+import type { Pool } from 'undici';
+import { passingHeaders } from './hop-headers';
+import { exchange } from './http-exchange';
+import type { PoolBook } from './pool-book';
+
+export interface TargetClientOptions {
+  /** Sockets opened to the target at the most. */
+  readonly connections: number;
+  readonly maxHeldBytes: number;
+}
+
+/** Headers of the target's answer that pass on, with the one by which it sheds calls. */
+function answerHeaders(rawHeaders: readonly string[]): HeaderPair[] {
+  const headers = passingHeaders(rawHeaders);
+  const index = rawHeaders.indexOf(Header.shed);
+  const value = index < 0 ? undefined : rawHeaders[index + 1];
+  if (value !== undefined) headers.push([Header.shed, value]);
+  return headers;
+}
+
+/** Hands calls over to the target beside the daemon by HTTP. */
+export class TargetHttpClient implements TargetClient {
+  constructor(
+    private readonly target: LocalTarget,
+    private readonly pools: PoolBook,
+    private readonly options: TargetClientOptions,
+  ) {}
+
+  async handOver(call: HandOver, cancellation: Cancellation): Promise<HandOverResult> {
+    const pool = this.pool();
+    if (pool === undefined) return { kind: 'not-sent' };
+    const { content } = call;
+    const result = await exchange(
+      pool,
+      {
+        httpMethod: content.httpMethod,
+        path: content.path,
+        headers: [
+          ...content.headers,
+          [Header.context, call.callId],
+          [Header.call, call.callId],
+          [Header.root, call.rootId],
+          [Header.class, call.className],
+          [Header.attempt, String(call.attempt)],
+          [Header.deadlineMs, String(Math.max(1, Math.floor(call.remainingMs)))],
+        ],
+        body: content.body,
+      },
+      { maxHeldBytes: this.options.maxHeldBytes, holdUnknownLength: true },
+      cancellation,
+    );
+    if (result.kind !== 'answer') return result;
+    const { statusCode, rawHeaders, body, ended } = result;
+    return { kind: 'answer', statusCode, headers: answerHeaders(rawHeaders), body, ended };
+  }
+
+  private pool(): Pool | undefined {
+    const { address } = this.target;
+    if (address === undefined) return undefined;
+    return this.pools.poolFor(address.address, address.port, this.options.connections);
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/ticket-routes.ts
@@ -0,0 +1,47 @@
+import type { TicketIssuer } from '@daisyferry/callpath/ticket-issuer';
+import { Header } from '@daisyferry/model/headers';
+import { TICKETS_PATH } from '@daisyferry/model/local-api';
+import { checkDocument, problemText } from '@daisyferry/settings/check-settings';
+import type { FastifyInstance } from 'fastify';
+import { z } from 'zod';
+import { writeEntryAnswer } from './answer-writer';
+
+const MAX_TICKETS = 100;
+const BAD_REQUEST_STATUS = 400;
+
+const ticketsSchema = z.strictObject({
+  method: z.string().min(1).max(16),
+  path: z.string().startsWith('/').max(2_048),
+  count: z.int().min(1).max(MAX_TICKETS),
+});
+
+/** Route by which callers take tickets ahead. */
+export function registerTicketRoutes(
+  app: FastifyInstance,
+  issuer: TicketIssuer,
+  ownService: string,
+): void {
+  app.post(TICKETS_PATH, (request, reply) => {
+    const checked = checkDocument(ticketsSchema, request.body);
+    if (!checked.ok) {
+      reply.code(BAD_REQUEST_STATUS).send({ problems: checked.problems.map(problemText) });
+      return;
+    }
+    const service = request.headers[Header.service];
+    const answer = issuer.issueAhead(
+      typeof service === 'string' ? service : ownService,
+      checked.value,
+    );
+    if (!('outcome' in answer)) {
+      reply.send(answer);
+      return;
+    }
+    reply.hijack();
+    writeEntryAnswer(reply.raw, {
+      result: answer,
+      rootId: '',
+      className: undefined,
+      ticket: undefined,
+    });
+  });
+}
--- a/packages/membership/src/rpc-schemas.ts
+++ b/packages/membership/src/rpc-schemas.ts
@@ -10,6 +10,7 @@
 
 const policyRecordSchema = z.strictObject({
   revision,
+  service: servicePolicySchema.shape.service,
   operationId: z.string(),
   author: z.string(),
   acceptedAt: z.string(),
--- a/packages/model/src/local-api.ts
+++ b/packages/model/src/local-api.ts
@@ -8,6 +8,22 @@
   state: '/_daisyferry/target/state',
 } as const;
 
+/** Path on a callers' listener where tickets are taken ahead (POST). */
+export const TICKETS_PATH = '/_daisyferry/tickets';
+
+/** Body of a request for tickets; the service is named by the service header. */
+export interface TicketsRequest {
+  /** HTTP method of the calls. */
+  readonly method: string;
+  readonly path: string;
+  readonly count: number;
+}
+
+export interface TicketsAnswer {
+  readonly tickets: readonly string[];
+  readonly expiresInMs: number;
+}
+
 /** Path of JSON-RPC 2.0 calls on a daemon's peer listener. */
 export const PEER_RPC_PATH = '/_daisyferry/rpc';
 
--- /dev/null
+++ b/packages/settings/src/network-rules.ts
@@ -0,0 +1,40 @@
+import type { Problem } from './check-settings';
+import type { DaemonSettings } from './daemon-settings';
+
+const SECURE_LISTENERS = ['callers', 'peers', 'admin'] as const;
+
+/** True for addresses that only processes of the same instance reach. */
+export function isLoopback(address: string): boolean {
+  return address.startsWith('127.') || address === '::1';
+}
+
+/** Listeners that other instances reach need TLS or an explicit statement of trust. */
+export function networkProblems(settings: DaemonSettings): readonly Problem[] {
+  const problems: Problem[] = [];
+  for (const name of SECURE_LISTENERS) {
+    const { address, tls, trustedNetwork } = settings.listeners[name];
+    if (isLoopback(address) || tls !== undefined || trustedNetwork) continue;
+    problems.push({
+      path: `listeners.${name}`,
+      value: JSON.stringify(address),
+      expected: 'tls, or trustedNetwork true, or a loopback address',
+    });
+  }
+  const { gossip, local } = settings.listeners;
+  if (!isLoopback(local.address)) {
+    problems.push({
+      path: 'listeners.local.address',
+      value: JSON.stringify(local.address),
+      expected: 'a loopback address: only the target beside the daemon may use it',
+    });
+  }
+  const gossipOpen = !isLoopback(gossip.address) && !settings.listeners.peers.trustedNetwork;
+  if (gossipOpen && settings.clusterKeyFile === undefined) {
+    problems.push({
+      path: 'clusterKeyFile',
+      value: 'nothing',
+      expected: 'a key file, since the gossip listener is open to other instances',
+    });
+  }
+  return problems;
+}
