Prove on sockets that an exchange is sent once and answered whole

Cause: hidden retries or cut answers of the HTTP library would break every promise above it. Change: raw TCP server for tests; 14 cases of resets, truncation, late and doubled answers, cancelled waits.

--- /dev/null
+++ b/packages/daemon/tests/http-exchange.test.ts
@@ -0,0 +1,178 @@
+import { Cancellation } from '@daisyferry/callpath/cancellation';
+import type { Socket } from 'node:net';
+import { text } from 'node:stream/consumers';
+import { afterEach, describe, expect, it } from 'vitest';
+import type { ExchangeRequest, ExchangeResult } from '../src/http-exchange';
+import { exchange } from '../src/http-exchange';
+import { PoolBook } from '../src/pool-book';
+import type { RawServer } from './util/raw-server';
+import { startRawServer } from './util/raw-server';
+
+const LIMITS = { maxHeldBytes: 64, holdUnknownLength: false };
+const REQUEST: ExchangeRequest = {
+  httpMethod: 'POST',
+  path: '/payouts',
+  headers: [['x-request', '1']],
+  body: { kind: 'held', bytes: Buffer.from('{}') },
+};
+
+let server: RawServer | undefined;
+const pools = new PoolBook();
+
+afterEach(async () => {
+  await pools.destroy();
+  await server?.close();
+  server = undefined;
+});
+
+async function send(
+  answer: (socket: Socket, request: string, count: number) => void,
+  cancellation = new Cancellation(),
+  request = REQUEST,
+): Promise<ExchangeResult> {
+  server = await startRawServer(answer);
+  return exchange(pools.poolFor('127.0.0.1', server.port, 1), request, LIMITS, cancellation);
+}
+
+async function bodyOf(result: ExchangeResult): Promise<string> {
+  if (result.kind !== 'answer') throw new Error(`no answer: ${result.kind}`);
+  return result.body.kind === 'held' ? result.body.bytes.toString() : text(result.body.stream);
+}
+
+describe('exchange', () => {
+  it('reads a short answer whole', async () => {
+    const result = await send((socket) => {
+      socket.write('HTTP/1.1 201 Created\r\ncontent-length: 4\r\nx-a: 1\r\n\r\nok');
+      setImmediate(() => socket.write('ay'));
+    });
+    expect(result).toMatchObject({ kind: 'answer', statusCode: 201, body: { kind: 'held' } });
+    expect(await bodyOf(result)).toBe('okay');
+  });
+
+  it.each([
+    { name: 'longer than held', head: 'content-length: 100', body: 'x'.repeat(100) },
+    {
+      name: 'of unknown length',
+      head: 'transfer-encoding: chunked',
+      body: '3\r\nabc\r\n0\r\n\r\n',
+    },
+  ])('streams an answer $name', async ({ head, body }) => {
+    const result = await send((socket) =>
+      socket.write(`HTTP/1.1 200 OK\r\n${head}\r\n\r\n${body}`),
+    );
+    if (result.kind !== 'answer') throw new Error(result.kind);
+    expect(result.body.kind).toBe('stream');
+    expect((await bodyOf(result)).length).toBeGreaterThan(2);
+    expect(await result.ended).toBe('whole');
+  });
+
+  it.each([
+    { name: 'before any byte', written: '' },
+    { name: 'within the head', written: 'HTTP/1.1 200 OK\r\ncontent-le' },
+    { name: 'within a short body', written: 'HTTP/1.1 200 OK\r\ncontent-length: 10\r\n\r\nabc' },
+  ])('is lost, and sent once, when the connection ends $name', async ({ written }) => {
+    const result = await send((socket) => socket.end(written));
+    expect(result).toEqual({ kind: 'lost' });
+    expect(server?.requests).toHaveLength(1);
+  });
+
+  it.each([
+    { name: 'declared length', head: 'content-length: 1000', body: 'abc' },
+    { name: 'chunks', head: 'transfer-encoding: chunked', body: '3\r\nabc\r\n' },
+  ])('reports a stream of $name that ends early as cut', async ({ head, body }) => {
+    const result = await send((socket) => socket.end(`HTTP/1.1 200 OK\r\n${head}\r\n\r\n${body}`));
+    if (result.kind !== 'answer') throw new Error(result.kind);
+    expect(await result.ended).toBe('cut');
+    await expect(bodyOf(result)).rejects.toThrow();
+  });
+
+  it('is lost after a reset, and never sent a second time', async () => {
+    const result = await send((socket) => socket.resetAndDestroy());
+    expect(result).toEqual({ kind: 'lost' });
+    const again = await exchange(
+      pools.poolFor('127.0.0.1', server?.port ?? 0, 1),
+      { ...REQUEST, httpMethod: 'GET', body: { kind: 'held', bytes: Buffer.alloc(0) } },
+      LIMITS,
+      new Cancellation(),
+    );
+    expect(again).toEqual({ kind: 'lost' });
+    expect(server?.requests).toHaveLength(2);
+  });
+
+  it('is not sent when nothing listens', async () => {
+    server = await startRawServer(() => undefined);
+    const { port } = server;
+    await server.close();
+    const pool = pools.poolFor('127.0.0.1', port, 1);
+    expect(await exchange(pool, REQUEST, LIMITS, new Cancellation())).toEqual({ kind: 'not-sent' });
+  });
+
+  it('never writes a request that was cancelled while it waited for a connection', async () => {
+    const first = new Cancellation();
+    let answerFirst = (): void => undefined;
+    const running = send((socket) => {
+      answerFirst = () => socket.write('HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n');
+    }, first);
+    await expect.poll(() => server?.requests.length).toBe(1);
+    const cancellation = new Cancellation();
+    const pool = pools.poolFor('127.0.0.1', server?.port ?? 0, 1);
+    const waiting = exchange(pool, REQUEST, LIMITS, cancellation);
+    cancellation.cancel('caller-gone');
+    expect(await waiting).toEqual({ kind: 'lost' });
+    answerFirst();
+    expect((await running).kind).toBe('answer');
+    await pools.close();
+    expect(server?.requests).toHaveLength(1);
+  });
+
+  it('closes the connection when cancelled while the target works', async () => {
+    const cancellation = new Cancellation();
+    let closed = false;
+    const result = await send((socket) => {
+      socket.on('close', () => {
+        closed = true;
+      });
+      cancellation.cancel('caller-gone');
+    }, cancellation);
+    expect(result).toEqual({ kind: 'lost' });
+    await expect.poll(() => closed).toBe(true);
+  });
+
+  it('gives a late answer to nobody else', async () => {
+    const cancellation = new Cancellation();
+    const sockets: Socket[] = [];
+    const first = send((socket, request) => {
+      sockets.push(socket);
+      if (request.includes('x-request: 2')) {
+        sockets[0]?.write('HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nfirst');
+        socket.write('HTTP/1.1 200 OK\r\ncontent-length: 6\r\n\r\nsecond');
+        return;
+      }
+      cancellation.cancel('caller-gone');
+    }, cancellation);
+    expect(await first).toEqual({ kind: 'lost' });
+    const second = await exchange(
+      pools.poolFor('127.0.0.1', server?.port ?? 0, 1),
+      { ...REQUEST, headers: [['x-request', '2']] },
+      LIMITS,
+      new Cancellation(),
+    );
+    expect(await bodyOf(second)).toBe('second');
+  });
+
+  it('takes no second answer on one connection', async () => {
+    const double = 'HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nfirst';
+    const result = await send((socket, _request, count) => {
+      if (count === 1) socket.write(double + double.replace('first', 'extra'));
+      else socket.write(double.replace('first', 'right'));
+    });
+    expect(await bodyOf(result)).toBe('first');
+    const next = await exchange(
+      pools.poolFor('127.0.0.1', server?.port ?? 0, 1),
+      REQUEST,
+      LIMITS,
+      new Cancellation(),
+    );
+    expect(next.kind === 'answer' ? await bodyOf(next) : next.kind).not.toBe('extra');
+  });
+});
