Limit the rise of the threshold and soften its correction

Cause: with a delay target of 50 ms the threshold swung between 1 and 4; the rates of classes that were shut out decayed within 0.3 s, and the correction was stronger than the lag of the feedback allows. Change: correction over 400 ms, rates of shut classes decay over 1 s, the threshold rises by at most 0.3 a window, and calls that passed an entry a moment ago are let in while the queue is short.

--- a/packages/admission/src/admission-controller.ts
+++ b/packages/admission/src/admission-controller.ts
@@ -231,10 +231,10 @@
   private refusalOf(request: AdmissionRequest, nowMs: number): RefusalReasonName | undefined {
     if (request.deadlineAtMs <= nowMs) return RefusalReason.deadlinePassed;
     if (nowMs >= this.lastStartMs(request)) return RefusalReason.doomed;
-    const isShedding = this.isEnabled(Mechanism.threshold);
-    if (isShedding && !this.control.passes(request.rank, request.rootHash))
-      return RefusalReason.shed;
-    return undefined;
+    if (!this.isEnabled(Mechanism.threshold)) return undefined;
+    const isQueueShort = this.backlogMs(nowMs) < this.limits.queueDelayTargetMs;
+    const passes = this.control.passes(request.rank, request.rootHash, isQueueShort);
+    return passes ? undefined : RefusalReason.shed;
   }
 
   /** Time from which on the call can no longer finish before its deadline. */
--- a/packages/admission/src/threshold-control.ts
+++ b/packages/admission/src/threshold-control.ts
@@ -7,17 +7,19 @@
 /** Windows for which a published threshold may still be in use at the entries. */
 const FEEDBACK_WINDOWS = 4;
 /** Time over which the backlog is brought back to its target. */
-const CORRECTION_MS = 200;
+const CORRECTION_MS = 400;
 /** Weight of the newest window in the estimate of a class's rate. */
 const RATE_WEIGHT = 0.35;
 /** Least part of a class that must be let through to estimate its rate. */
 const LEAST_PASSED_PART = 0.05;
 /** Factor per window by which the estimate of a class that is not let through decays. */
-const UNSEEN_DECAY = 0.85;
+const UNSEEN_DECAY = 0.95;
+/** Greatest rise of the threshold per window: from least to maximum in half a second. */
+const MAX_RISE = 0.3;
 /** Integral gain per window, and its bounds. */
-const INTEGRAL_GAIN = 0.02;
-const MIN_CORRECTION = 0.5;
-const MAX_CORRECTION = 2;
+const INTEGRAL_GAIN = 0.01;
+const MIN_CORRECTION = 0.7;
+const MAX_CORRECTION = 1.5;
 /** Windows caught up after a pause; older ones would only repeat the decay. */
 const MAX_CATCH_UP_WINDOWS = 64;
 /** Greatest rate of admission, relative to the capacity, with an empty queue. */
@@ -47,6 +49,9 @@
   /** Least threshold that any entry can have applied to the calls of this window. */
   private surelyPassed: number = MAX_THRESHOLD;
 
+  /** Greatest threshold that an entry can still apply. */
+  private maybePassed: number = MAX_THRESHOLD;
+
   private readonly arrivals = new Float64Array(CALL_CLASS_COUNT);
 
   private readonly ratePerMs = new Float64Array(CALL_CLASS_COUNT);
@@ -76,9 +81,14 @@
     this.arrivals[rank] = (this.arrivals[rank] ?? 0) + 1;
   }
 
-  /** Whether a call passes; calls of the money class always do. */
-  passes(rank: CallClassRank, rootHash: number): boolean {
-    return rank === CallClass.money || priorityOf(rank, rootHash) < this.current;
+  /**
+   * Whether a call passes; calls of the money class always do. A call that passed its entry under a
+   * threshold published a moment ago is still let in while the queue is short: work has been spent on
+   * its request already, and a slot would stay idle.
+   */
+  passes(rank: CallClassRank, rootHash: number, isQueueShort: boolean): boolean {
+    if (rank === CallClass.money) return true;
+    return priorityOf(rank, rootHash) < (isQueueShort ? this.maybePassed : this.current);
   }
 
   /** Time in ms within which the threshold follows a change of load. */
@@ -153,9 +163,10 @@
   }
 
   private publish(threshold: number): void {
-    this.current = threshold;
+    this.current = Math.min(threshold, this.current + MAX_RISE);
     this.published.shift();
-    this.published.push(threshold);
+    this.published.push(this.current);
     this.surelyPassed = Math.min(...this.published);
+    this.maybePassed = Math.max(...this.published);
   }
 }
