--- a/packages/execution/src/ticket-codec.ts
+++ b/packages/execution/src/ticket-codec.ts
@@ -1,4 +1,4 @@
-import { createHmac, timingSafeEqual } from 'node:crypto';
+import { createHmac, createSecretKey, timingSafeEqual, type KeyObject } from 'node:crypto';
 import type { Ticket } from './ticket';
 
 const VERSION = '1';
@@ -28,7 +28,12 @@
  * a text without a valid one is refused. Without a key nothing is signed.
  */
 export class TicketCodec {
-  constructor(private readonly key: Buffer | undefined) {}
+  private readonly key: KeyObject | undefined;
+
+  /** @param key The cluster's key, or undefined in a cluster without one. */
+  constructor(key: Buffer | undefined) {
+    this.key = key === undefined ? undefined : createSecretKey(key);
+  }
 
   encode(ticket: Ticket): string {
     const { home, expiresAtMs, nonce } = ticket;
@@ -67,7 +72,7 @@
     return found.length === MAC_BYTES && timingSafeEqual(found, expected);
   }
 
-  private signature(key: Buffer, content: string): Buffer {
+  private signature(key: KeyObject, content: string): Buffer {
     return createHmac('sha256', key).update(content).digest().subarray(0, MAC_BYTES);
   }
 }
--- a/packages/execution/src/ticket.ts
+++ b/packages/execution/src/ticket.ts
@@ -12,12 +12,15 @@
   readonly nonce: string;
 }
 
-/** Makes a ticket for a home daemon; the nonce must be fresh random bits. */
+/**
+ * Makes a ticket for a home daemon; the nonce must be fresh random bits. Its expiry is never later
+ * than the lifetime allows.
+ */
 export function mintTicket(
   home: DaemonId,
   lifetimeMs: number,
   nonce: string,
   nowMs: number,
 ): Ticket {
-  return { home, expiresAtMs: Math.ceil(nowMs + lifetimeMs), nonce };
+  return { home, expiresAtMs: Math.floor(nowMs + lifetimeMs), nonce };
 }
--- a/packages/routing/src/target-picker.ts
+++ b/packages/routing/src/target-picker.ts
@@ -111,8 +111,9 @@
    * @param callerCount Number of daemons that call the target's service.
    */
   connectionsAllowed(member: Member, callerCount: number): number {
-    const targets = Math.max(1, this.candidatesOf(member.service).all.length);
-    const subsetShare = Math.min(1, this.subsetSize() / targets);
+    const { groups, all } = this.candidatesOf(member.service);
+    const used = groups.reduce((sum, group) => sum + group.length, 0);
+    const subsetShare = used / Math.max(1, all.length);
     const callersOfTarget = Math.max(1, Math.ceil(callerCount * subsetShare));
     return Math.max(1, Math.floor(member.connections / callersOfTarget));
   }
@@ -159,7 +160,7 @@
 
   private firstToRecover(candidates: readonly Candidate[], nowMs: number): Candidate | undefined {
     const waitMs = ({ member }: Candidate) => {
-      const health = this.targets.get(member.id.name)?.health;
+      const health = this.knownHealth(member);
       return health?.isAvoided(nowMs) === true ? health.avoidedUntil : 0;
     };
     return candidates.reduce<Candidate | undefined>(
@@ -174,17 +175,23 @@
 
   /** Published load and own calls in flight, both as shares of the target's capacity. */
   private scoreOf({ member }: Candidate, nowMs: number): number {
-    const health = this.targets.get(member.id.name)?.health;
+    const health = this.knownHealth(member);
     if (health === undefined) return 0;
     return health.loadAt(nowMs) + health.inFlight / Math.max(1, member.slots);
   }
 
   private isUsable({ member }: Candidate, nowMs: number, mayBeTrial: boolean): boolean {
     if (this.isDisabled(RoutingMechanism.avoidance)) return true;
-    const known = this.targets.get(member.id.name);
-    if (known === undefined) return true;
-    if (known.health.isAvoided(nowMs)) return false;
-    return mayBeTrial || !known.health.isTrial(nowMs);
+    const health = this.knownHealth(member);
+    if (health === undefined) return true;
+    if (health.isAvoided(nowMs)) return false;
+    return mayBeTrial || !health.isTrial(nowMs);
+  }
+
+  /** What is known of this run of the target's daemon; nothing of earlier runs. */
+  private knownHealth({ id }: Member): TargetHealth | undefined {
+    const known = this.targets.get(id.name);
+    return known?.incarnation === id.incarnation ? known.health : undefined;
   }
 
   private candidatesOf(service: string): CandidateGroups {
@@ -197,6 +204,7 @@
     const groups = groupCandidates(directory.membersOf(service), peers, place);
     const entry = { ...groups, epoch: directory.epoch };
     this.cache.set(service, entry);
+    this.forgetRemoved();
     return entry;
   }
 
@@ -211,6 +219,13 @@
     return health;
   }
 
+  private forgetRemoved(): void {
+    for (const [name, { health }] of this.targets) {
+      if (health.inFlight > 0) continue;
+      if (this.options.directory.memberNamed(name) === undefined) this.targets.delete(name);
+    }
+  }
+
   private subsetSize(): number {
     if (this.isDisabled(RoutingMechanism.subset)) return Number.MAX_SAFE_INTEGER;
     return this.options.subsetSize;
