--- /dev/null
+++ b/packages/admin-api/src/store-policy-admin.ts
@@ -0,0 +1,112 @@
+import type { PolicyRecord } from '@daisyferry/model/policy';
+import type { ChangeOutcome } from '@daisyferry/policies/change-outcome';
+import type { PolicyChanges } from '@daisyferry/policies/policy-changes';
+import { differencesBetween } from '@daisyferry/policies/policy-difference';
+import type { LocalPolicies } from '@daisyferry/policies/policy-replica';
+import type { PolicyStore } from '@daisyferry/policies/policy-store';
+import type { ProposedPolicy, ProposedWithdrawal } from '@daisyferry/policies/proposed-change';
+import { validatePolicy } from '@daisyferry/policies/validate-policy';
+import type { StoreResult } from '@daisyferry/store/platform-store';
+import type {
+  ComparedWith,
+  HistoryPage,
+  HistoryQuery,
+  PolicyAdmin,
+  PolicyComparison,
+} from './policy-admin';
+
+/** Administration of policies over the platform's store and the daemon's own replica. */
+export class StorePolicyAdmin implements PolicyAdmin {
+  constructor(
+    private readonly changes: PolicyChanges,
+    private readonly policyStore: PolicyStore,
+    private readonly replica: LocalPolicies,
+  ) {}
+
+  propose(proposal: ProposedPolicy): Promise<ChangeOutcome> {
+    return this.changes.propose(proposal);
+  }
+
+  withdraw(proposal: ProposedWithdrawal): Promise<ChangeOutcome> {
+    return this.changes.withdraw(proposal);
+  }
+
+  settle(operationId: string): Promise<ChangeOutcome> {
+    return this.changes.settle(operationId);
+  }
+
+  async policy(
+    service: string,
+    revision: number | undefined,
+  ): Promise<StoreResult<PolicyRecord | undefined>> {
+    const present = this.replica.recordOf(service);
+    if (revision === undefined || revision === present?.revision) {
+      return { ok: true, value: present };
+    }
+    const stored = await this.policyStore.readRevision(revision);
+    if (!stored.ok) return stored;
+    const record = stored.value?.value;
+    return { ok: true, value: record?.service === service ? record : undefined };
+  }
+
+  policies(): { readonly revision: number; readonly records: readonly PolicyRecord[] } {
+    const records = this.replica
+      .allRecords()
+      .filter(({ policy }) => policy !== null)
+      .sort((left, right) => (left.service < right.service ? -1 : 1));
+    return { revision: this.replica.revision, records };
+  }
+
+  async compare(service: string, other: ComparedWith): Promise<StoreResult<PolicyComparison>> {
+    const present = this.replica.recordOf(service);
+    const presentRevision = present?.revision ?? 0;
+    const before = present?.policy;
+    if (other.kind === 'document') {
+      const checked = validatePolicy(other.document);
+      const problems = checked.ok ? [] : checked.problems;
+      const differences = checked.ok ? differencesBetween(before, checked.value) : [];
+      return { ok: true, value: { presentRevision, differences, problems } };
+    }
+    const older = await this.policy(service, other.revision);
+    if (!older.ok) return older;
+    const differences = differencesBetween(older.value?.policy, before);
+    return { ok: true, value: { presentRevision, differences, problems: [] } };
+  }
+
+  /** Follows the chain of a service's records, or all revisions downwards. */
+  async history({
+    service,
+    beforeRevision,
+    limit,
+  }: HistoryQuery): Promise<StoreResult<HistoryPage>> {
+    const start = await this.startOf(service, beforeRevision);
+    if (!start.ok) return start;
+    const records: PolicyRecord[] = [];
+    let revision = start.value;
+    while (revision > 0 && records.length < limit) {
+      const stored = await this.policyStore.readRevision(revision);
+      if (!stored.ok) return stored;
+      const record = stored.value?.value;
+      if (record === undefined) return { ok: true, value: { records, more: false } };
+      const isListed = beforeRevision === undefined || record.revision < beforeRevision;
+      if (isListed) records.push(record);
+      revision = service === undefined ? revision - 1 : record.previousRevision;
+    }
+    return { ok: true, value: { records, more: revision > 0 } };
+  }
+
+  private async startOf(
+    service: string | undefined,
+    beforeRevision: number | undefined,
+  ): Promise<StoreResult<number>> {
+    if (service === undefined && beforeRevision !== undefined) {
+      return { ok: true, value: beforeRevision - 1 };
+    }
+    if (service === undefined) {
+      const head = await this.policyStore.readHead();
+      return head.ok ? { ok: true, value: head.value.revision } : head;
+    }
+    const present = await this.policyStore.readService(service);
+    return present.ok ? { ok: true, value: present.value?.value.revision ?? 0 } : present;
+  }
+}
--- /dev/null
+++ b/packages/admin-api/tests/admin-plugin.test.ts
@@ -0,0 +1,199 @@
+import fastify, { type FastifyInstance } from 'fastify';
+import { afterEach, beforeEach, describe, expect, it } from 'vitest';
+import type { MemberView } from '@daisyferry/model/member';
+import { VirtualScheduler } from '@daisyferry/model/virtual-scheduler';
+import { PolicyChanges } from '@daisyferry/policies/policy-changes';
+import { LocalPolicies } from '@daisyferry/policies/policy-replica';
+import { PolicyStore } from '@daisyferry/policies/policy-store';
+import { MemoryStore } from '@daisyferry/store/memory-store';
+import { registerAdminApi } from '../src/admin-plugin';
+import type { FleetAdmin } from '../src/fleet-admin';
+import { StorePolicyAdmin } from '../src/store-policy-admin';
+
+const SERVICE = '/daisyferry.admin.v1.AdministrationService';
+
+const DOCUMENT = {
+  service: 'teller',
+  methods: [
+    {
+      name: 'rates',
+      httpMethod: 'GET',
+      pathPrefix: '/rates',
+      class: 'interactive',
+      idempotent: true,
+      defaultDeadlineMs: 1_500,
+      maxDeadlineMs: 10_000,
+    },
+  ],
+  retries: { tokensPerRoot: 3, maxShare: 0.1 },
+  drain: { noNewWorkAfterMs: 2_000, maxWaitMs: 30_000, maxLeavingShare: 0.34 },
+  limits: { queueDelayTargetMs: 20, maxQueueMs: 300, warmUpMs: 3_000 },
+  tickets: { lifetimeMs: 60_000, maxAnswerBytes: 65_536 },
+};
+
+const MEMBER: MemberView = {
+  member: {
+    id: { name: 'teller-1', incarnation: '00000000000000aa' },
+    service: 'teller',
+    dataCentre: 'quiapo',
+    region: 'ncr',
+    address: '127.0.0.1',
+    peerPort: 1,
+    gossipPort: 2,
+    slots: 10,
+    connections: 20,
+    targetState: 'serving',
+    version: 1,
+  },
+  reachability: 'alive',
+};
+
+const FLEET: FleetAdmin = {
+  members: (service) => (service === 'vault' ? [] : [MEMBER]),
+  drain: (daemon, force) =>
+    Promise.resolve({
+      outcome: 'begun',
+      reason: '',
+      daemon: daemon ?? 'teller-1',
+      targetState: 'leaving',
+      inFlight: force ? 1 : 0,
+    }),
+  status: (comparedRevision) =>
+    Promise.resolve({
+      daemon: 'teller-1',
+      incarnation: '00000000000000aa',
+      service: 'teller',
+      appliedRevision: 1,
+      ready: true,
+      targetState: 'serving',
+      members: 1,
+      comparedRevision: comparedRevision ?? 0,
+      lagging: [{ daemon: 'teller-2', service: 'teller' }],
+      storeRegressions: 0,
+    }),
+  explain: () => ({
+    refusals: [],
+    limits: [{ name: 'concurrency', value: 7, unit: 'calls', detail: '' }],
+  }),
+  readTimeline: (afterSequence) => ({
+    events: [
+      {
+        daemon: 'teller-1',
+        incarnation: '00000000000000aa',
+        sequence: afterSequence + 1,
+        wallMs: 1_700_000_000_000,
+        kind: 'call.refused',
+        root: 'r',
+      },
+    ],
+    daemon: 'teller-1',
+    incarnation: '00000000000000aa',
+    lost: 0,
+  }),
+};
+
+describe('administration API over HTTP/JSON', () => {
+  let app: FastifyInstance;
+  let store: MemoryStore;
+  let url: string;
+
+  async function start(tls: boolean): Promise<void> {
+    const scheduler = new VirtualScheduler();
+    store = new MemoryStore(scheduler);
+    const policyStore = new PolicyStore(store, 'dorado', 1_000);
+    const replica = new LocalPolicies();
+    const changes = new PolicyChanges({
+      store,
+      policyStore,
+      scheduler,
+      random: () => 0.5,
+      appliedRevision: () => replica.revision,
+    });
+    const policies = new StorePolicyAdmin(changes, policyStore, replica);
+    app = fastify();
+    await registerAdminApi(app, { policies, fleet: FLEET }, { tls, operators: [] });
+    url = await app.listen({ host: '127.0.0.1', port: 0 });
+  }
+
+  async function call(method: string, body: object): Promise<unknown> {
+    const answer = await fetch(`${url}${SERVICE}/${method}`, {
+      method: 'POST',
+      headers: { 'content-type': 'application/json' },
+      body: JSON.stringify(body),
+    });
+    return answer.json();
+  }
+
+  const apply = (operationId: string, document: object = DOCUMENT) =>
+    call('ApplyPolicy', {
+      document: JSON.stringify(document),
+      operationId,
+      expectedRevision: '0',
+      author: 'bench',
+    });
+
+  beforeEach(() => start(false));
+
+  afterEach(() => app.close());
+
+  it('accepts a policy, then refuses one based on no policy', async () => {
+    expect(await apply('one')).toMatchObject({ outcome: 'accepted', revision: '1' });
+    expect(await apply('two')).toMatchObject({
+      outcome: 'refused',
+      reason: 'conflict',
+      presentRevision: '1',
+      presentAuthor: 'bench',
+    });
+    expect(await call('History', {})).toMatchObject({
+      records: [{ revision: '1', service: 'teller', author: 'bench', document: '' }],
+      more: false,
+    });
+  });
+
+  it('names each problem of a document', async () => {
+    expect(await apply('one', { ...DOCUMENT, methods: [], retries: {} })).toMatchObject({
+      outcome: 'refused',
+      reason: 'invalid',
+      problems: [
+        { path: 'methods' },
+        { path: 'retries.tokensPerRoot' },
+        { path: 'retries.maxShare' },
+      ],
+    });
+  });
+
+  it.each([
+    { method: 'Drain', body: { daemon: 'teller-1', force: false }, answer: { outcome: 'begun' } },
+    {
+      method: 'Status',
+      body: { revision: '4' },
+      answer: { appliedRevision: '1', comparedRevision: '4', lagging: [{ daemon: 'teller-2' }] },
+    },
+    { method: 'ListMembers', body: { service: 'vault' }, answer: { members: [] } },
+    { method: 'ListMembers', body: {}, answer: { members: [{ name: 'teller-1' }] } },
+    { method: 'Explain', body: {}, answer: { limits: [{ name: 'concurrency', value: 7 }] } },
+    {
+      method: 'ReadTimeline',
+      body: { afterSequence: 4 },
+      answer: { events: [{ sequence: 5, wallMs: 1_700_000_000_000, root: 'r' }], lost: 0 },
+    },
+    { method: 'GetPolicy', body: { service: 'teller' }, answer: {} },
+    { method: 'ApplyPolicy', body: { document: '{' }, answer: { code: 'invalid_argument' } },
+    {
+      method: 'ApplyPolicy',
+      body: { document: 'x'.repeat(600_000) },
+      answer: { code: 'resource_exhausted' },
+    },
+  ])('answers $method', async ({ method, body, answer }) => {
+    expect(await call(method, body)).toMatchObject(answer);
+  });
+
+  it('lets an operator without a certificate change nothing', async () => {
+    await app.close();
+    await start(true);
+    for (const method of ['ApplyPolicy', 'WithdrawPolicy', 'SettleChange', 'Drain']) {
+      expect(await call(method, {})).toMatchObject({ code: 'permission_denied' });
+    }
+    expect(store.counts).toMatchObject({ reads: 0, writes: 0 });
+  });
+});
--- a/packages/policies/src/policy-replica.ts
+++ b/packages/policies/src/policy-replica.ts
@@ -30,6 +30,11 @@
     return record === undefined || record.policy === null ? undefined : record;
   }
 
+  /** The last record of a service, a withdrawal included. */
+  recordOf(service: string): PolicyRecord | undefined {
+    return this.records.get(service);
+  }
+
   /** Last record of each service, withdrawn ones included, in the order of revisions. */
   allRecords(): readonly PolicyRecord[] {
     return [...this.records.values()].sort((left, right) => left.revision - right.revision);
--- a/scripts/generate.mjs
+++ b/scripts/generate.mjs
@@ -4,7 +4,21 @@
 import path from 'node:path';
 
 // Each generator writes one committed file or folder; --check regenerates elsewhere and compares.
-const generators = [];
+const generators = [
+  {
+    name: 'administration API',
+    output: 'packages/admin-api/src/gen',
+    command: (target) => [
+      'buf',
+      'generate',
+      'packages/admin-api',
+      '--template',
+      'packages/admin-api/buf.gen.yaml',
+      '--output',
+      target,
+    ],
+  },
+];
 
 const check = process.argv.includes('--check');
 
