Serve the administration API from every daemon

Cause: policies could not be applied and targets not drained by operators. Change: backend of the administration API, drains passed on between daemons by JSON-RPC with a guard on the share of a service that may leave, explanations from the latest refusals.

--- a/packages/daemon/src/start-daemon.ts
+++ b/packages/daemon/src/start-daemon.ts
@@ -1,4 +1,5 @@
 import { rootHashOf } from '@daisyferry/admission/priority';
+import { StorePolicyAdmin } from '@daisyferry/admin-api/store-policy-admin';
 import { LocalTarget } from '@daisyferry/callpath/local-target';
 import { TicketCodec } from '@daisyferry/execution/ticket-codec';
 import type { RandomSource } from '@daisyferry/model/scheduler';
@@ -15,6 +16,8 @@
 import { buildControlPlane } from './control-plane';
 import { firstMember, newId, newIdentity } from './daemon-identity';
 import { createDataListeners } from './data-listeners';
+import { DrainControl } from './drain-control';
+import { FleetBackend } from './fleet-backend';
 import { FleetStart } from './fleet-start';
 import { closeListener, listen } from './listener';
 import { MeasuredEntry } from './measured-entry';
@@ -148,20 +151,34 @@
     },
   });
   registerGauges(metrics, { callPath, control, scheduler });
-  const admin = createAdminListener({
+  const drains = new DrainControl({
+    settings,
+    directory: membership.directory,
+    policies,
+    target,
+    targetControl,
+    rpc,
+    scheduler,
+    callsInHand,
+  });
+  drains.register(rpcServer);
+  const fleetBackend = new FleetBackend({
     settings,
     self,
     control,
     callPath,
     target,
-    targetControl,
-    entry,
-    rpc,
-    rpcServer,
+    drains,
+    refusals: entry.refusals,
     timeline,
-    metrics,
     scheduler,
   });
+  const policyBackend = new StorePolicyAdmin(control.changes, control.policyStore, policies);
+  const admin = await createAdminListener({
+    settings,
+    metrics,
+    backend: { policies: policyBackend, fleet: fleetBackend },
+  });
 
   const addresses = settings.listeners;
   const peers = await listen(listeners.peers, addresses.peers.address, addresses.peers.port);
