--- a/packages/membership/src/measure/subject.ts
+++ b/packages/membership/src/measure/subject.ts
@@ -44,10 +44,6 @@
     this.delivery?.rumor(revision, from);
   }
 
-  onTableBehind(): void {
-    // The newcomer's start fetches the table.
-  }
-
   onSuperseded(): void {
     // No other process has this name.
   }
--- a/packages/membership/src/probe-cycle.ts
+++ b/packages/membership/src/probe-cycle.ts
@@ -1,3 +1,4 @@
+import { Reachability } from '@daisyferry/model/member';
 import type { RandomSource } from '@daisyferry/model/scheduler';
 import type { GossipAddress } from './gossip-effect';
 import { GossipMethod } from './gossip-message';
@@ -109,6 +110,8 @@
       updates.suspectUnanswered(record, nowMs);
       return;
     }
+    // Others already look after a suspect; asking them again would only cost bytes.
+    if (record.reachability !== Reachability.alive) return;
     const content = { sequence: step.sequence, target: step.ref };
     for (const { member } of order.pick(tuning.relays, (other) => other !== record)) {
       outbox.send(GossipMethod.relay, addressOf(member), nowMs, content);
--- a/packages/membership/src/prober.ts
+++ b/packages/membership/src/prober.ts
@@ -11,7 +11,6 @@
 interface Probe {
   readonly name: string;
   readonly ref: string;
-  readonly isFar: boolean;
   readonly stage: 'direct' | 'relayed';
   readonly deadlineMs: number;
 }
@@ -64,7 +63,7 @@
     const { nearAckTimeoutMs, farAckTimeoutMs } = this.tuning;
     const deadlineMs = nowMs + this.stretched(isFar ? farAckTimeoutMs : nearAckTimeoutMs);
     const { ref, member } = record;
-    this.probes.set(sequence, { name: member.id.name, ref, isFar, stage: 'direct', deadlineMs });
+    this.probes.set(sequence, { name: member.id.name, ref, stage: 'direct', deadlineMs });
     return sequence;
   }
 
