Repair differing states of members, not only missing members

Cause: after a partition a daemon could keep others as suspects for good: a member that had already contradicted once ignored doubts with a lower count, and digests did not cover states (found by the convergence property: three sides for 10 s, then a kill; 11 runs). Change: digests and listings carry the rank of each state; a doubted member always answers with its present state. Both cases stand as examples of the property. Conclusion: states converge by repair as members do.

--- a/packages/membership/src/gossip-message.ts
+++ b/packages/membership/src/gossip-message.ts
@@ -27,11 +27,14 @@
 /** A reference to a known record and its number of refutations. */
 export type RefCount = readonly [ref: string, refutations: number];
 
+/** A reference to a known record and the rank of its state. */
+export type RefRank = readonly [ref: string, rank: number];
+
 /** Digest of the part of the table whose references begin with the given bits. */
 export interface BucketDigest {
   readonly bits: number;
   readonly index: number;
-  /** Sum, modulo 2^32, of the first 32 bits of each reference in the bucket. */
+  /** Sum, modulo 2^32, over the references and state ranks in the bucket. */
   readonly digest: number;
 }
 
@@ -40,7 +43,7 @@
   readonly bits: number;
   readonly index: number;
   readonly complete: boolean;
-  readonly entries: readonly RefCount[];
+  readonly entries: readonly RefRank[];
 }
 
 /** One datagram. */
--- a/packages/membership/src/measure/fleet-speaker.ts
+++ b/packages/membership/src/measure/fleet-speaker.ts
@@ -124,7 +124,7 @@
     if (listing === undefined) return reply;
     const plan = this.repair.plan(listing);
     reply.records.push(...plan.unlisted);
-    reply.states.push(...plan.dead);
+    reply.states.push(...plan.ahead);
     return reply;
   }
 
--- a/packages/membership/src/member-record.ts
+++ b/packages/membership/src/member-record.ts
@@ -1,4 +1,5 @@
 import type { Member, MemberView, ReachabilityName } from '@daisyferry/model/member';
+import { Reachability } from '@daisyferry/model/member';
 import { memberRef } from './member-ref';
 
 /** One known member; the table alone changes it. */
@@ -30,6 +31,23 @@
   };
 }
 
+/**
+ * Position of a live state in the order in which states replace each other: alive, suspect, then
+ * alive again after the next refutation.
+ */
+export function stateRank({
+  refutations,
+  reachability,
+}: Pick<MemberRecord, 'refutations' | 'reachability'>): number {
+  return 2 * refutations + (reachability === Reachability.alive ? 0 : 1);
+}
+
+/** The live state at a rank. */
+export function stateAtRank(rank: number): Pick<MemberRecord, 'refutations' | 'reachability'> {
+  const reachability = rank % 2 === 0 ? Reachability.alive : Reachability.suspect;
+  return { refutations: Math.floor(rank / 2), reachability };
+}
+
 /**
  * Order of two records with one name: the greater version, then the greater incarnation. A new run
  * starts its versions at the wall clock and raises them above any record of its name that it hears
--- a/packages/membership/src/member-table.ts
+++ b/packages/membership/src/member-table.ts
@@ -6,7 +6,7 @@
 } from '@daisyferry/model/member';
 import { Reachability } from '@daisyferry/model/member';
 import type { MemberRecord } from './member-record';
-import { newRecord } from './member-record';
+import { newRecord, stateRank } from './member-record';
 import { TableDigest } from './table-digest';
 
 /** Members in one data centre, by reachability; the dead are not counted. */
@@ -119,9 +119,12 @@
     nowMs: number,
   ): void {
     const changed = record;
-    changed.refutations = refutations;
-    if (record.reachability === reachability) return;
+    if (record.reachability === reachability) {
+      this.raise(record, refutations);
+      return;
+    }
     this.unlink(record);
+    changed.refutations = refutations;
     changed.reachability = reachability;
     changed.changedAtMs = nowMs;
     changed.view = { member: record.member, reachability };
@@ -135,6 +138,14 @@
     this.refs.delete(record.ref);
   }
 
+  private raise(record: MemberRecord, refutations: number): void {
+    const raised = record;
+    const isLive = record.reachability !== Reachability.dead;
+    if (isLive) this.digest.remove(record.ref, stateRank(record));
+    raised.refutations = refutations;
+    if (isLive) this.digest.add(record.ref, stateRank(record));
+  }
+
   private link(record: MemberRecord): void {
     this.epoch += 1;
     if (record.reachability === Reachability.dead) {
@@ -144,7 +155,7 @@
     const { service, dataCentre } = record.member;
     this.serviceSet(service).add(record);
     this.sorted.delete(service);
-    this.digest.add(record.ref);
+    this.digest.add(record.ref, stateRank(record));
     const group = this.groups.get(dataCentre) ?? { members: 0, suspects: 0 };
     this.groups.set(dataCentre, group);
     group.members += 1;
@@ -159,7 +170,7 @@
     const { service, dataCentre } = record.member;
     this.removeFromService(service, record);
     this.sorted.delete(service);
-    this.digest.remove(record.ref);
+    this.digest.remove(record.ref, stateRank(record));
     const group = this.groups.get(dataCentre);
     if (group === undefined) return;
     group.members -= 1;
--- a/packages/membership/src/member-updates.ts
+++ b/packages/membership/src/member-updates.ts
@@ -21,6 +21,9 @@
   /** Another run of this daemon's own name. */
   | { readonly kind: 'namesake' };
 
+/** What became of a received state; `contradicted` is doubt of this daemon itself. */
+export type StateVerdict = 'known' | 'unknown' | 'contradicted';
+
 /** Receives each record whose public view changed. */
 export type ChangeListener = (record: MemberRecord, isNew: boolean) => void;
 
@@ -47,18 +50,15 @@
     return { kind: 'known' };
   }
 
-  /** Applies a state known by reference; false when the reference is unknown. */
+  /** Applies a state known by reference. */
   applyState(
     [ref, refutations]: RefCount,
     reachability: MemberFact['reachability'],
     nowMs: number,
-  ): boolean {
-    if (this.self.owns(ref)) {
-      this.applyToSelf(ref, refutations, reachability, nowMs);
-      return true;
-    }
+  ): StateVerdict {
+    if (this.self.owns(ref)) return this.applyToSelf(ref, refutations, reachability, nowMs);
     const record = this.table.recordByRef(ref);
-    if (record === undefined) return false;
+    if (record === undefined) return 'unknown';
     switch (reachability) {
       case Reachability.alive:
         this.alive(record, refutations, nowMs);
@@ -71,7 +71,7 @@
         break;
       default:
     }
-    return true;
+    return 'known';
   }
 
   /** Suspects a member that did not answer. */
@@ -79,12 +79,6 @@
     this.suspect(record, record.refutations, nowMs);
   }
 
-  /** Takes a dead member whose greater count was heard of back as a suspect. */
-  reconsider(record: MemberRecord, refutations: number, nowMs: number): void {
-    if (refutations <= record.refutations) return;
-    this.change(record, Reachability.suspect, refutations, 'suspect', nowMs);
-  }
-
   /** Declares the suspects dead whose time is over, and forgets the long dead. */
   expire(nowMs: number): void {
     for (const record of [...this.table.suspects()]) {
@@ -174,11 +168,12 @@
     refutations: number,
     reachability: MemberFact['reachability'],
     nowMs: number,
-  ): void {
-    if (ref !== this.self.record.ref) return;
+  ): StateVerdict {
+    if (ref !== this.self.record.ref) return 'contradicted';
     const isDoubted = reachability !== Reachability.alive;
     if (isDoubted || refutations > this.self.record.refutations) {
       this.self.refute(refutations, nowMs);
     }
+    return isDoubted ? 'contradicted' : 'known';
   }
 }
--- a/packages/membership/src/message-intake.ts
+++ b/packages/membership/src/message-intake.ts
@@ -4,6 +4,7 @@
 import { GossipMethod } from './gossip-message';
 import type { Reply } from './gossip-reply';
 import { emptyReply, isEmptyReply } from './gossip-reply';
+import { stateAtRank } from './member-record';
 import { memberRef } from './member-ref';
 import type { MemberFact } from './member-row';
 import { fromMemberRow } from './member-row';
@@ -67,12 +68,20 @@
   private applyStates(message: GossipMessage, reply: Reply, nowMs: number): void {
     for (const state of STATES) {
       for (const entry of message[state]) {
-        const isKnown = this.parts.updates.applyState(entry, state, nowMs);
-        if (!isKnown && state === Reachability.alive) reply.needs.push(entry[0]);
+        const verdict = this.parts.updates.applyState(entry, state, nowMs);
+        if (verdict === 'unknown' && state === Reachability.alive) reply.needs.push(entry[0]);
+        if (verdict === 'contradicted') this.contradict(entry[0], reply);
       }
     }
   }
 
+  /** Tells a sender that doubts this daemon its present state; or its record, if that is newer. */
+  private contradict(doubtedRef: string, reply: Reply): void {
+    const { record } = this.parts.self;
+    if (doubtedRef === record.ref) reply.states.push(record);
+    else reply.records.push(record);
+  }
+
   /** Asks an unknown sender for its record, and tells a doubted one that it is doubted. */
   private greet({ from }: GossipMessage, reply: Reply): void {
     const sender = this.parts.table.recordByRef(from);
@@ -89,18 +98,18 @@
   }
 
   private compare({ digest, listing }: GossipMessage, reply: Reply, nowMs: number): void {
-    const { repair, table, updates, outbox } = this.parts;
+    const { repair, updates, outbox } = this.parts;
     if (digest && repair.compareSize(digest) === 'behind') outbox.emit({ kind: 'tableBehind' });
     const entries = digest && repair.listFor(digest, nowMs);
     if (digest && entries) reply.listings.push({ ...digest, entries });
     if (listing === undefined) return;
     const plan = repair.plan(listing);
     reply.needs.push(...plan.needs);
-    reply.states.push(...plan.dead);
+    reply.states.push(...plan.ahead);
     reply.records.push(...plan.unlisted);
-    for (const [ref, refutations] of plan.contradicted) {
-      const record = table.recordByRef(ref);
-      if (record !== undefined) updates.reconsider(record, refutations, nowMs);
+    for (const [ref, rank] of plan.behind) {
+      const { refutations, reachability } = stateAtRank(rank);
+      updates.applyState([ref, refutations], reachability, nowMs);
     }
   }
 
--- a/packages/membership/src/table-repair.ts
+++ b/packages/membership/src/table-repair.ts
@@ -1,7 +1,8 @@
 import { Reachability } from '@daisyferry/model/member';
 import type { RandomSource } from '@daisyferry/model/scheduler';
-import type { BucketDigest, BucketListing, RefCount } from './gossip-message';
+import type { BucketDigest, BucketListing, RefRank } from './gossip-message';
 import type { MemberRecord } from './member-record';
+import { stateAtRank, stateRank } from './member-record';
 import type { MemberTable } from './member-table';
 import { bucketOf, MAX_DIGEST_BITS, TableDigest } from './table-digest';
 
@@ -12,14 +13,19 @@
 export interface RepairPlan {
   /** References that are unknown here. */
   readonly needs: readonly string[];
-  /** Members that are dead here and listed there. */
-  readonly dead: readonly MemberRecord[];
-  /** Members that are dead here, but contradicted that there. */
-  readonly contradicted: readonly RefCount[];
+  /** Members whose state is greater there. */
+  readonly behind: readonly RefRank[];
+  /** Members whose state is greater here. */
+  readonly ahead: readonly MemberRecord[];
   /** Members that the peer does not list. */
   readonly unlisted: readonly MemberRecord[];
 }
 
+function compareRank(record: MemberRecord, rank: number): number {
+  if (record.reachability !== Reachability.dead) return stateRank(record) - rank;
+  return stateAtRank(rank).refutations > record.refutations ? -1 : 1;
+}
+
 /** Finds and mends differences between two tables, one bucket at a time. */
 export class TableRepair {
   private listedAtMs = Number.NEGATIVE_INFINITY;
@@ -50,34 +56,36 @@
   }
 
   /** The entries of a bucket whose digest differs at a peer, unless one was listed just now. */
-  listFor(theirs: BucketDigest, nowMs: number): readonly RefCount[] | undefined {
+  listFor(theirs: BucketDigest, nowMs: number): readonly RefRank[] | undefined {
     if (nowMs - this.listedAtMs < this.periodMs) return undefined;
     if (this.compareSize(theirs) !== 'similar') return undefined;
     const mine = this.table.digest.of(theirs.bits, theirs.index);
     if (mine.digest === theirs.digest) return undefined;
     this.listedAtMs = nowMs;
-    return this.table.digest
-      .refsOf(theirs.bits, theirs.index)
-      .map((ref) => [ref, this.table.recordByRef(ref)?.refutations ?? 0]);
+    const entries: RefRank[] = [];
+    for (const ref of this.table.digest.refsOf(theirs.bits, theirs.index)) {
+      const record = this.table.recordByRef(ref);
+      if (record !== undefined) entries.push([ref, stateRank(record)]);
+    }
+    return entries;
   }
 
   /** Compares a listing of a peer with the table. */
   plan({ bits, index, complete, entries }: BucketListing): RepairPlan {
     const needs: string[] = [];
-    const dead: MemberRecord[] = [];
-    const contradicted: RefCount[] = [];
+    const behind: RefRank[] = [];
+    const ahead: MemberRecord[] = [];
     const listed = new Set<string>();
-    for (const [ref, refutations] of entries) {
+    for (const [ref, rank] of entries) {
       listed.add(ref);
       const record = this.table.recordByRef(ref);
+      const order = record === undefined ? 0 : compareRank(record, rank);
       if (record === undefined) needs.push(ref);
-      else if (record.reachability === Reachability.dead) {
-        if (refutations > record.refutations) contradicted.push([ref, refutations]);
-        else dead.push(record);
-      }
+      else if (order < 0) behind.push([ref, rank]);
+      else if (order > 0) ahead.push(record);
     }
     const unlisted = complete ? this.unlisted(bits, index, listed) : [];
-    return { needs, dead, contradicted, unlisted };
+    return { needs, behind, ahead, unlisted };
   }
 
   private unlisted(bits: number, index: number, listed: ReadonlySet<string>): MemberRecord[] {
--- a/packages/membership/tests/gossip-properties.test.ts
+++ b/packages/membership/tests/gossip-properties.test.ts
@@ -2,7 +2,7 @@
 import { Reachability } from '@daisyferry/model/member';
 import fc from 'fast-check';
 import { describe, expect, it } from 'vitest';
-import type { FakeNetwork } from './fake-network';
+import type { FakeNetwork, NetworkFaults } from './fake-network';
 import { joinedNetwork, testMember } from './fake-network';
 
 const SECOND_MS = 1_000;
@@ -73,6 +73,27 @@
   }
 }
 
+/** Cases that failed once. */
+const FOUND: [number, NetworkFaults, Step[]][] = [
+  [
+    0,
+    { lossRatio: 0, duplicateRatio: 0, maxDelayMs: 1 },
+    [
+      { kind: 'kill', node: 11 },
+      { kind: 'pause', node: 0, forMs: 6_262 },
+      { kind: 'restart', node: 11, clockBackMs: 3_600_000 },
+    ],
+  ],
+  [
+    0,
+    { lossRatio: 0.003944685449823738, duplicateRatio: 0, maxDelayMs: 7 },
+    [
+      { kind: 'part', sides: 3, forMs: 9_953 },
+      { kind: 'kill', node: 1 },
+    ],
+  ],
+];
+
 describe('gossip under faults', () => {
   it('converges to exactly the running members after any faults', () => {
     fc.assert(
@@ -86,7 +107,7 @@
         const expected = [...running.values()];
         expect(network.runFor(3 * MINUTE_MS, () => network.allSeeAlive(expected))).toBe(true);
       }),
-      RUNS,
+      { ...RUNS, examples: FOUND },
     );
   });
 
