--- a/packages/membership/src/measure/subject.ts
+++ b/packages/membership/src/measure/subject.ts
@@ -1,5 +1,6 @@
 import type { Member } from '@daisyferry/model/member';
 import { JSONRPCServer } from 'json-rpc-2.0';
+import { LocalPolicies } from '@daisyferry/policies/policy-replica';
 import { MemberFetch } from '../member-fetch';
 import type { MembershipListener } from '../membership-task';
 import { MembershipTask } from '../membership-task';
@@ -12,7 +13,6 @@
 import { measureClock, measureRandom } from './measure-clock';
 import type { FleetPorts, ScalePlan } from './scale-plan';
 import { SCALE_CLUSTER, SCALE_SUBJECT, scaleMember } from './scale-plan';
-import { SubjectReplica } from './subject-replica';
 
 const LOOPBACK = '127.0.0.1';
 const NO_STORE = { ok: false, kind: 'refused', detail: 'no store' } as const;
@@ -20,7 +20,7 @@
 /** One daemon's control parts on real sockets. */
 export interface Subject {
   readonly task: MembershipTask;
-  readonly replica: SubjectReplica;
+  readonly replica: LocalPolicies;
   readonly rpcBytes: ByteCount;
   /** Joins the fleet; resolves when the daemon would admit calls. */
   join(): Promise<void>;
@@ -54,7 +54,7 @@
   const random = measureRandom(plan.seed + 1);
   const rpcBytes = new ByteCount();
   const rpc = new HttpPeerRpc(rpcBytes);
-  const replica = new SubjectReplica();
+  const replica = new LocalPolicies();
   const methods = new JSONRPCServer();
   const { port } = await servePeerRpc(methods, LOOPBACK, rpcBytes);
   const hooks = new SubjectHooks();
