Tell a new policy revision to eight members at once

Cause: with four, one daemon in 55 hears of a revision only by a later ping; the bound for 100 daemons is a second.

--- a/packages/membership/src/gossip-engine.ts
+++ b/packages/membership/src/gossip-engine.ts
@@ -133,7 +133,7 @@
   announcePolicyRevision(revision: number, nowMs: number): readonly GossipEffect[] {
     if (revision <= this.outbox.revision) return [];
     this.outbox.revision = revision;
-    this.spread(this.tuning.fanout + 1, nowMs);
+    this.spread(this.tuning.policyFanout, nowMs);
     return this.takeEffects(nowMs);
   }
 
--- a/packages/membership/src/gossip-options.ts
+++ b/packages/membership/src/gossip-options.ts
@@ -25,6 +25,8 @@
   readonly flushDelayMs: number;
   /** Members that a fresh update is sent to out of turn. */
   readonly fanout: number;
+  /** Members that a new policy revision is told to at once; all but e^-fanout hear of it so. */
+  readonly policyFanout: number;
   /** Bytes that gossip may send, headers included. */
   readonly bytesPerSecond: number;
   readonly burstBytes: number;
@@ -48,6 +50,7 @@
   deadRetentionMs: 7_200_000,
   flushDelayMs: 20,
   fanout: 3,
+  policyFanout: 8,
   bytesPerSecond: 2_500,
   burstBytes: 4_000,
   repairPeriodMs: 500,
--- a/packages/membership/src/measure/fleet-speaker.ts
+++ b/packages/membership/src/measure/fleet-speaker.ts
@@ -74,7 +74,7 @@
 
   /** Pushes that tell a new policy revision. */
   rumor(): void {
-    for (let copy = 0; copy <= DEFAULT_GOSSIP_TUNING.fanout; copy += 1) this.pushLater();
+    for (let copy = 0; copy < DEFAULT_GOSSIP_TUNING.policyFanout; copy += 1) this.pushLater();
   }
 
   private pushLater(): void {
--- a/packages/membership/src/probe-order.ts
+++ b/packages/membership/src/probe-order.ts
@@ -7,7 +7,7 @@
 /** One of so many probes goes to another data centre. */
 const FAR_EVERY = 4;
 
-const MAX_PICK_ATTEMPTS = 24;
+const PICK_ATTEMPTS_PER_MEMBER = 8;
 
 function shuffled<Item>(items: Iterable<Item>, random: RandomSource): Item[] {
   const result: Item[] = [];
@@ -55,7 +55,11 @@
   pick(count: number, accept: (record: MemberRecord) => boolean): MemberRecord[] {
     const chosen = new Set<MemberRecord>();
     const names = [this.near, this.far];
-    for (let attempt = 0; attempt < MAX_PICK_ATTEMPTS && chosen.size < count; attempt += 1) {
+    for (
+      let attempt = 0;
+      attempt < count * PICK_ATTEMPTS_PER_MEMBER && chosen.size < count;
+      attempt += 1
+    ) {
       const list = names[attempt % names.length] ?? [];
       const name = list[Math.floor(this.random() * list.length)];
       const record = name === undefined ? undefined : this.table.recordNamed(name);
