Announce policy revisions also while the byte budget is used up

Cause: with changes in quick succession the budget held the announcements back. Change: announcements go out over the budget; other gossip waits until it is made up. Conclusion: the announcements no longer wait for the budget.

--- a/packages/membership/src/gossip-engine.ts
+++ b/packages/membership/src/gossip-engine.ts
@@ -133,7 +133,10 @@
   announcePolicyRevision(revision: number, nowMs: number): readonly GossipEffect[] {
     if (revision <= this.outbox.revision) return [];
     this.outbox.revision = revision;
-    this.spread(this.tuning.policyFanout, nowMs);
+    // Revisions go out also over the byte budget: changes are rare, and the budget makes up for it.
+    for (const { member } of this.randomMembers(this.tuning.policyFanout)) {
+      this.outbox.send(GossipMethod.push, addressOf(member), nowMs, {});
+    }
     return this.takeEffects(nowMs);
   }
 
@@ -192,11 +195,15 @@
 
   /** Pushes to random live members, of the own and of other data centres. */
   private spread(count: number, nowMs: number): void {
-    for (const { member } of this.order.pick(count, (record) => record !== this.self.record)) {
+    for (const { member } of this.randomMembers(count)) {
       this.outbox.push(addressOf(member), nowMs);
     }
   }
 
+  private randomMembers(count: number): readonly MemberRecord[] {
+    return this.order.pick(count, (record) => record !== this.self.record);
+  }
+
   private changed(record: MemberRecord, isNew: boolean): void {
     if (isNew) this.order.add(record);
     this.outbox.emit({ kind: 'memberChanged', view: record.view });
