Test the limit only when concurrency rose, and prove admission under overload

Cause: every slowdown cost one period at 85 % of the limit, and a limit that sheds had lowered to 1 needed 7 s to grow back. Change: a slowdown without a rise of concurrency becomes the baseline at once; growth of 25 % a period, careful near a concurrency at which the target shed; a floor for the queueing delay aimed at.

--- a/packages/admission/src/admission-controller.ts
+++ b/packages/admission/src/admission-controller.ts
@@ -30,6 +30,8 @@
 
 /** Service time assumed before the first answer. */
 const ASSUMED_SERVICE_MS = 10;
+/** Least queueing delay aimed at, as a share of the mean service time. */
+const LEAST_TARGET_SHARE = 0.5;
 /** Calls of a class that are compared for the next free slot. */
 const CANDIDATES = 8;
 
@@ -71,19 +73,25 @@
 
   private slots: number;
 
+  /** Latest time given to any method. */
+  private lastSeenMs: number;
+
   constructor(
     private readonly options: AdmissionOptions,
     nowMs: number,
   ) {
+    this.lastSeenMs = nowMs;
     this.limits = options.limits;
     this.slots = options.slots;
     this.disabled = options.disabled ?? new Set();
     this.patience = options.patience ?? new PatienceBook();
     this.limit = new ConcurrencyLimit(
-      options.slots,
-      options.limits.warmUpMs,
-      this.isEnabled(Mechanism.adaptiveLimit),
-      this.isEnabled(Mechanism.warmUp),
+      {
+        slots: options.slots,
+        warmUpMs: options.limits.warmUpMs,
+        isAdaptive: this.isEnabled(Mechanism.adaptiveLimit),
+        ramps: this.isEnabled(Mechanism.warmUp),
+      },
       nowMs,
     );
     this.control = new ThresholdControl(nowMs);
@@ -164,9 +172,8 @@
   }
 
   /** Calls in flight and queued divided by the limit. */
-  load(nowMs?: number): number {
-    const atMs = nowMs ?? Number.POSITIVE_INFINITY;
-    return (this.runningById.size + this.queue.length) / this.limit.current(atMs);
+  load(): number {
+    return (this.runningById.size + this.queue.length) / this.limit.current(this.lastSeenMs);
   }
 
   /** Applies another policy and another number of slots; calls in flight are left to finish. */
@@ -219,12 +226,17 @@
     return this.drainMs(this.queue.length, nowMs);
   }
 
+  /** The queueing delay aimed at; a shorter one than the floor would leave slots idle. */
+  private targetMs(): number {
+    return Math.max(this.limits.queueDelayTargetMs, LEAST_TARGET_SHARE * this.meanServiceMs());
+  }
+
   private rollThreshold(nowMs: number): void {
     if (!this.control.isDue(nowMs)) return;
     this.control.roll(nowMs, {
       backlogMs: this.backlogMs(nowMs),
       capacityPerMs: this.limit.current(nowMs) / this.meanServiceMs(),
-      targetMs: this.limits.queueDelayTargetMs,
+      targetMs: this.targetMs(),
     });
   }
 
@@ -232,7 +244,7 @@
     if (request.deadlineAtMs <= nowMs) return RefusalReason.deadlinePassed;
     if (nowMs >= this.lastStartMs(request)) return RefusalReason.doomed;
     if (!this.isEnabled(Mechanism.threshold)) return undefined;
-    const isQueueShort = this.backlogMs(nowMs) < this.limits.queueDelayTargetMs;
+    const isQueueShort = this.backlogMs(nowMs) < this.targetMs();
     const passes = this.control.passes(request.rank, request.rootHash, isQueueShort);
     return passes ? undefined : RefusalReason.shed;
   }
@@ -276,6 +288,7 @@
   }
 
   private expire(nowMs: number, decisions: AdmissionDecision[]): void {
+    this.lastSeenMs = nowMs;
     if (nowMs < this.wakeAtMs) return;
     let wakeAtMs = Number.POSITIVE_INFINITY;
     const expired = this.queue.removeWhere((call) => {
@@ -343,7 +356,7 @@
   private servesNewestFirst(rank: number, nowMs: number): boolean {
     if (!this.isEnabled(Mechanism.newestFirst)) return false;
     const delayMs = this.drainMs(this.queue.lengthUpTo(rank), nowMs);
-    return delayMs > this.limits.queueDelayTargetMs;
+    return delayMs > this.targetMs();
   }
 
   private learn(call: RunningCall, report: FinishReport, nowMs: number): void {
--- a/packages/admission/src/concurrency-limit.ts
+++ b/packages/admission/src/concurrency-limit.ts
@@ -1,17 +1,30 @@
+import { LoadPeriod } from './load-period';
+import type { PeriodMeans } from './load-period';
+
 /** Least length of a measuring period. */
 const MIN_PERIOD_MS = 250;
-/** Answers that a measuring period must hold. */
-const MIN_PERIOD_ANSWERS = 64;
 /** Longest measuring period, for slow methods. */
 const MAX_PERIOD_MS = 2_000;
-/** Service time relative to its baseline above which the limit is put to the test. */
+/** Answers that a measuring period must hold: so many for each call of the limit, within bounds. */
+const ANSWERS_PER_SLOT = 4;
+const MIN_PERIOD_ANSWERS = 8;
+const MAX_PERIOD_ANSWERS = 64;
+/** Service time relative to its baseline above which the limit may be put to the test. */
 const INFLATION_TO_TEST = 1.3;
+/** Concurrency relative to that of the baseline below which it cannot be the cause. */
+const CONCURRENCY_TO_TEST = 1.3;
+/** Service time relative to its baseline that still counts as the same. */
+const SAME_SERVICE_RATIO = 1.1;
 /** Factor by which a test lowers the limit. */
 const TEST_FACTOR = 0.85;
 /** Change of throughput per change of concurrency, both logarithmic, below which there is no gain. */
 const NO_GAIN_ELASTICITY = 0.35;
 /** Factor per period by which a limit below its ceiling grows. */
-const GROWTH_FACTOR = 1.1;
+const GROWTH_FACTOR = 1.25;
+/** Factor per period close to a concurrency at which the target shed calls. */
+const CAREFUL_GROWTH_FACTOR = 1.02;
+const CAREFUL_SHARE = 0.9;
+const CAREFUL_FOR_MS = 5_000;
 /** Factor by which an answer that the target shed lowers the limit, once per hold time. */
 const SHED_FACTOR = 0.85;
 const SHED_HOLD_MS = 100;
@@ -22,53 +35,64 @@
 /** Share of its capacity with which a cold target starts. */
 const COLD_SHARE = 0.1;
 
-interface Period {
-  startMs: number;
-  answers: number;
-  heldSumMs: number;
-  inFlightSumMs: number;
+/** Service time of an uncrowded target, and the greatest concurrency at which it was seen. */
+interface Baseline {
+  readonly heldMs: number;
+  readonly inFlight: number;
 }
 
 interface Test {
   readonly restoreLimit: number;
-  readonly throughputPerMs: number;
-  readonly inFlight: number;
+  readonly before: PeriodMeans;
+}
+
+export interface ConcurrencyLimitOptions {
+  readonly slots: number;
+  readonly warmUpMs: number;
+  /** False fixes the limit at the slots. */
+  readonly isAdaptive: boolean;
+  /** False gives a cold target its full limit at once. */
+  readonly ramps: boolean;
 }
 
 /**
  * The concurrency limit of one target: at most its slots, less where concurrency brings no
- * throughput. When the service time rises well above its baseline while the limit is in use, the
- * limit is lowered for one period. If the throughput holds, the lower limit stays and is tested
+ * throughput. When the service time rises well above its baseline and the concurrency has risen too,
+ * the limit is lowered for one period. If the throughput holds, the lower limit stays and is tested
  * further; if the throughput falls with it, the target is slow for another reason, and the limit
- * returns with the present service time as its baseline.
+ * returns with the present service time as its baseline. A target that sheds calls lowers the limit
+ * at once; it grows back quickly, and with care near the concurrency at which calls were shed.
  */
 export class ConcurrencyLimit {
+  private slots: number;
+
+  private warmUpMs: number;
+
   private limit: number;
 
-  private baselineMs: number | undefined;
+  private baseline: Baseline | undefined;
 
   private test: Test | undefined;
 
-  private period: Period;
+  private period: LoadPeriod;
 
   private inFlight = 0;
 
-  private changedAtMs: number;
+  /** Concurrency at which the target last shed a call. */
+  private shedInFlight = Number.POSITIVE_INFINITY;
 
-  private shedUntilMs = Number.NEGATIVE_INFINITY;
+  private shedAtMs = Number.NEGATIVE_INFINITY;
 
   private warmUpStartMs = Number.NEGATIVE_INFINITY;
 
   constructor(
-    private slots: number,
-    private warmUpMs: number,
-    private readonly isAdaptive: boolean,
-    private readonly ramps: boolean,
+    private readonly options: ConcurrencyLimitOptions,
     nowMs: number,
   ) {
-    this.limit = slots;
-    this.changedAtMs = nowMs;
-    this.period = { startMs: nowMs, answers: 0, heldSumMs: 0, inFlightSumMs: 0 };
+    this.slots = options.slots;
+    this.warmUpMs = options.warmUpMs;
+    this.limit = options.slots;
+    this.period = new LoadPeriod(0, nowMs);
   }
 
   /** Calls that may be in flight now; a whole number of at least 1. */
@@ -87,123 +111,112 @@
   beginWarmUp(nowMs: number): void {
     this.warmUpStartMs = nowMs;
     this.limit = this.slots;
-    this.baselineMs = undefined;
+    this.baseline = undefined;
     this.test = undefined;
-    this.beginPeriod(nowMs);
+    this.shedAtMs = Number.NEGATIVE_INFINITY;
+    this.period = this.period.next(nowMs);
   }
 
   /** Notes the number of calls in flight after it has changed. */
   noteInFlight(inFlight: number, nowMs: number): void {
-    this.period.inFlightSumMs += this.inFlight * (nowMs - this.changedAtMs);
-    this.changedAtMs = nowMs;
     this.inFlight = inFlight;
+    this.period.noteInFlight(inFlight, nowMs);
   }
 
   /** Notes an answer of the target and how long the call held its slot. */
   noteAnswer(heldMs: number, nowMs: number): void {
-    this.period.answers++;
-    this.period.heldSumMs += heldMs;
+    this.period.noteAnswer(heldMs);
     if (this.isPeriodOver(nowMs)) this.closePeriod(nowMs);
   }
 
   /** Notes that the target itself refused a call. */
   noteShed(nowMs: number): void {
-    if (!this.isAdaptive || nowMs < this.shedUntilMs) return;
-    this.shedUntilMs = nowMs + SHED_HOLD_MS;
+    if (!this.options.isAdaptive || nowMs - this.shedAtMs < SHED_HOLD_MS) return;
+    this.shedAtMs = nowMs;
+    this.shedInFlight = this.inFlight;
     this.limit = Math.max(1, Math.min(this.limit, this.inFlight) * SHED_FACTOR);
     this.test = undefined;
-    this.beginPeriod(nowMs);
+    this.period = this.period.next(nowMs);
   }
 
   private warmShare(nowMs: number): number {
-    if (!this.ramps || this.warmUpMs <= 0) return 1;
+    if (!this.options.ramps || this.warmUpMs <= 0) return 1;
     const elapsedShare = (nowMs - this.warmUpStartMs) / this.warmUpMs;
     if (elapsedShare >= 1) return 1;
     return COLD_SHARE + (1 - COLD_SHARE) * Math.max(0, elapsedShare);
   }
 
   private isPeriodOver(nowMs: number): boolean {
-    const lengthMs = nowMs - this.period.startMs;
+    const lengthMs = this.period.lengthMs(nowMs);
     if (lengthMs >= MAX_PERIOD_MS) return true;
-    return lengthMs >= MIN_PERIOD_MS && this.period.answers >= MIN_PERIOD_ANSWERS;
-  }
-
-  private beginPeriod(nowMs: number): void {
-    this.changedAtMs = nowMs;
-    this.period = { startMs: nowMs, answers: 0, heldSumMs: 0, inFlightSumMs: 0 };
+    const wanted = Math.max(MIN_PERIOD_ANSWERS, ANSWERS_PER_SLOT * this.limit);
+    return lengthMs >= MIN_PERIOD_MS && this.period.answers >= Math.min(MAX_PERIOD_ANSWERS, wanted);
   }
 
   private closePeriod(nowMs: number): void {
-    this.noteInFlight(this.inFlight, nowMs);
-    const { startMs, answers, heldSumMs, inFlightSumMs } = this.period;
-    const lengthMs = nowMs - startMs;
-    const meanInFlight = inFlightSumMs / lengthMs;
-    const meanHeldMs = heldSumMs / answers;
-    const isSaturated = meanInFlight >= SATURATED_SHARE * this.current(nowMs);
-    this.beginPeriod(nowMs);
-    if (!this.isAdaptive || this.warmShare(nowMs) < 1) return;
-    this.adapt(isSaturated, meanInFlight, meanHeldMs, answers / lengthMs);
-  }
-
-  private adapt(
-    isSaturated: boolean,
-    meanInFlight: number,
-    meanHeldMs: number,
-    throughputPerMs: number,
-  ): void {
-    const inflation = this.inflationOf(meanHeldMs);
-    if (!isSaturated) {
-      this.abandonTest();
-      if (inflation < INFLATION_TO_TEST)
-        this.limit = Math.min(this.slots, this.limit * GROWTH_FACTOR);
-      return;
-    }
-    if (this.test !== undefined) {
-      this.judge(this.test, meanInFlight, meanHeldMs, throughputPerMs);
-      return;
-    }
-    if (inflation < INFLATION_TO_TEST) {
-      this.limit = Math.min(this.slots, this.limit * GROWTH_FACTOR);
-      return;
+    const means = this.period.means(nowMs);
+    this.period = this.period.next(nowMs);
+    if (!this.options.isAdaptive || this.warmShare(nowMs) < 1) return;
+    const isSaturated = means.inFlight >= SATURATED_SHARE * this.current(nowMs);
+    const isInflated = this.compare(means) >= INFLATION_TO_TEST;
+    if (this.test !== undefined && isSaturated) {
+      this.judge(this.test, means, isInflated);
+    } else if (this.test !== undefined) {
+      this.limit = this.test.restoreLimit;
+      this.test = undefined;
+    } else if (!isInflated) {
+      this.grow(nowMs);
+    } else if (isSaturated) {
+      this.examine(means);
     }
-    this.beginTest(meanInFlight, throughputPerMs);
   }
 
   /** Service time relative to the baseline, which follows lower service times. */
-  private inflationOf(meanHeldMs: number): number {
-    if (this.baselineMs === undefined) {
-      this.baselineMs = meanHeldMs;
+  private compare(means: PeriodMeans): number {
+    const { heldMs, inFlight } = means;
+    if (this.baseline === undefined) {
+      this.baseline = { heldMs, inFlight };
       return 1;
     }
-    const inflation = meanHeldMs / this.baselineMs;
-    if (inflation < 1) this.baselineMs += (meanHeldMs - this.baselineMs) * BASELINE_WEIGHT;
+    const known = this.baseline;
+    const inflation = heldMs / known.heldMs;
+    if (inflation > SAME_SERVICE_RATIO) return inflation;
+    const loweredMs = known.heldMs + Math.min(0, heldMs - known.heldMs) * BASELINE_WEIGHT;
+    this.baseline = { heldMs: loweredMs, inFlight: Math.max(known.inFlight, inFlight) };
     return inflation;
   }
 
-  private beginTest(inFlight: number, throughputPerMs: number): void {
-    this.test = { restoreLimit: this.limit, throughputPerMs, inFlight };
-    this.limit = Math.max(1, this.limit * TEST_FACTOR);
+  private grow(nowMs: number): void {
+    const isCareful =
+      nowMs - this.shedAtMs < CAREFUL_FOR_MS && this.limit >= CAREFUL_SHARE * this.shedInFlight;
+    const factor = isCareful ? CAREFUL_GROWTH_FACTOR : GROWTH_FACTOR;
+    this.limit = Math.min(this.slots, this.limit * factor);
   }
 
-  private abandonTest(): void {
-    if (this.test === undefined) return;
-    this.limit = this.test.restoreLimit;
-    this.test = undefined;
+  /** Tests the limit, unless the concurrency is no greater than when the target was fast. */
+  private examine(means: PeriodMeans): void {
+    const knownInFlight = this.baseline?.inFlight ?? means.inFlight;
+    if (means.inFlight < CONCURRENCY_TO_TEST * knownInFlight) {
+      this.baseline = means;
+      return;
+    }
+    this.beginTest(means);
   }
 
-  private judge(test: Test, inFlight: number, meanHeldMs: number, throughputPerMs: number): void {
-    const concurrencyChange = Math.log(inFlight / test.inFlight);
-    const throughputChange = Math.log(throughputPerMs / test.throughputPerMs);
-    const hasGain =
-      concurrencyChange < 0 && throughputChange < concurrencyChange * NO_GAIN_ELASTICITY;
-    if (hasGain) {
+  private beginTest(before: PeriodMeans): void {
+    this.test = { restoreLimit: this.limit, before };
+    this.limit = Math.max(1, this.limit * TEST_FACTOR);
+  }
+
+  private judge(test: Test, means: PeriodMeans, isInflated: boolean): void {
+    const concurrencyChange = Math.log(means.inFlight / test.before.inFlight);
+    const throughputChange = Math.log(means.throughputPerMs / test.before.throughputPerMs);
+    this.test = undefined;
+    if (throughputChange < concurrencyChange * NO_GAIN_ELASTICITY) {
       this.limit = test.restoreLimit;
-      this.test = undefined;
-      this.baselineMs = meanHeldMs;
+      this.baseline = { heldMs: means.heldMs, inFlight: test.before.inFlight };
       return;
     }
-    this.test = undefined;
-    if (this.inflationOf(meanHeldMs) >= INFLATION_TO_TEST)
-      this.beginTest(inFlight, throughputPerMs);
+    if (isInflated) this.beginTest(means);
   }
 }
--- a/packages/admission/tests/admission-controller.test.ts
+++ b/packages/admission/tests/admission-controller.test.ts
@@ -1,15 +1,33 @@
 import { describe, expect, it } from 'vitest';
 import { AdmissionController } from '@daisyferry/admission/admission-controller';
-import type { AdmissionRequest } from '@daisyferry/admission/admission-controller';
+import type {
+  AdmissionOptions,
+  AdmissionRequest,
+} from '@daisyferry/admission/admission-controller';
+import { AdmissionError } from '@daisyferry/admission/admission-error';
 
 const limits = { queueDelayTargetMs: 20, maxQueueMs: 100, warmUpMs: 1_000 };
 
 function request(callId: string, changes: Partial<AdmissionRequest> = {}): AdmissionRequest {
-  return { callId, method: 'quote', rank: 1, rootHash: 0.5, deadlineAtMs: 1_000, ...changes };
+  return { callId, method: 'quote', rank: 1, rootHash: 0.5, deadlineAtMs: 60_000, ...changes };
 }
 
-function controllerWith(slots: number): AdmissionController {
-  return new AdmissionController({ slots, limits, random: () => 0.5 }, 0);
+function controllerWith(slots: number, options: Partial<AdmissionOptions> = {}) {
+  return new AdmissionController({ slots, limits, random: () => 0.5, ...options }, 0);
+}
+
+/** Serves calls one after the other, so that the service time is known; returns the time after. */
+function serve(controller: AdmissionController, calls: number, serviceMs: number, startMs = 0) {
+  for (let call = 0; call < calls; call++) {
+    const atMs = startMs + call * serviceMs;
+    controller.offer(request(`warm-${atMs}`), atMs);
+    controller.finish(`warm-${atMs}`, { kind: 'completed' }, atMs + serviceMs);
+  }
+  return startMs + calls * serviceMs;
+}
+
+function idsOf(decisions: readonly { readonly callId: string }[]): readonly string[] {
+  return decisions.map(({ callId }) => callId);
 }
 
 describe('AdmissionController', () => {
@@ -23,6 +41,8 @@
     expect(controller.finish('a', { kind: 'completed' }, 11)).toEqual([
       { kind: 'admitted', callId: 'b', queuedMs: 10 },
     ]);
+    expect(controller.finish('a', { kind: 'completed' }, 11)).toEqual([]);
+    expect(controller.snapshot(11)).toMatchObject({ inFlight: 1, queued: 0, admitted: 2 });
   });
 
   it('refuses a queued call at the bound of the queue time', () => {
@@ -46,5 +66,119 @@
       { callId: 'b', refusal: { reason: 'caller-gone' } },
     ]);
     expect(controller.cancel('a', 2)).toMatchObject([{ kind: 'admitted', callId: 'c' }]);
+    expect(controller.cancel('a', 3)).toEqual([]);
+  });
+
+  it('refuses a second unfinished call with the same identifier as a broken invariant', () => {
+    const controller = controllerWith(1);
+    controller.offer(request('a'), 0);
+    expect(() => controller.offer(request('a'), 1)).toThrow(AdmissionError);
+  });
+
+  it('serves the more critical class first whatever the order of arrival', () => {
+    const controller = controllerWith(1);
+    controller.offer(request('running'), 0);
+    for (const rank of [3, 2, 1, 0] as const) controller.offer(request(`r${rank}`, { rank }), 0);
+    const served: string[] = [];
+    for (let last = 'running', atMs = 1; last !== ''; atMs++) {
+      last = idsOf(controller.finish(last, { kind: 'completed' }, atMs))[0] ?? '';
+      served.push(last);
+    }
+    expect(served).toEqual(['r0', 'r1', 'r2', 'r3', '']);
+  });
+
+  it('serves the newest first while the wait exceeds the target, the oldest first otherwise', () => {
+    const controller = controllerWith(1);
+    const startMs = serve(controller, 20, 10);
+    const ids = ['running', 'q1', 'q2', 'q3'];
+    for (const id of ids) controller.offer(request(id), startMs);
+    expect(idsOf(controller.finish('running', { kind: 'completed' }, startMs + 10))).toEqual([
+      'q3',
+    ]);
+    expect(idsOf(controller.finish('q3', { kind: 'completed' }, startMs + 20))).toEqual(['q1']);
+  });
+
+  it('refuses at once a call that cannot finish, and a queued call when it no longer can', () => {
+    const controller = controllerWith(1);
+    const startMs = serve(controller, 100, 10);
+    const expectedMs = controller.expectedServiceMs('quote') ?? 0;
+    expect(expectedMs).toBeGreaterThan(8);
+    expect(expectedMs).toBeLessThan(10.5);
+    expect(controller.offer(request('late', { deadlineAtMs: startMs + 5 }), startMs)).toMatchObject(
+      [{ callId: 'late', refusal: { reason: 'doomed' } }],
+    );
+    controller.offer(request('running'), startMs);
+    controller.offer(request('tight', { deadlineAtMs: startMs + 30 }), startMs);
+    expect(controller.nextWakeAtMs()).toBeCloseTo(startMs + 30 - expectedMs);
+    expect(controller.tick(startMs + 23)).toMatchObject([
+      { callId: 'tight', refusal: { reason: 'doomed' } },
+    ]);
+  });
+
+  it('holds a doomed call until its deadline only when the mechanism is switched off', () => {
+    const controller = controllerWith(1, { disabled: new Set(['doomed']) });
+    const startMs = serve(controller, 100, 10);
+    controller.offer(request('running'), startMs);
+    expect(controller.offer(request('late', { deadlineAtMs: startMs + 5 }), startMs)).toEqual([]);
+    expect(controller.tick(startMs + 5)).toMatchObject([
+      { callId: 'late', refusal: { reason: 'deadline-passed' } },
+    ]);
+  });
+
+  it('evicts the least important call from a full queue and never a money call', () => {
+    const controller = controllerWith(1);
+    const startMs = serve(controller, 100, 25);
+    controller.offer(request('running'), startMs);
+    const fill = ['f1', 'f2', 'f3', 'f4'];
+    for (const id of fill) controller.offer(request(id, { rank: 2 }), startMs);
+    const evicted = ['m1', 'm2', 'm3', 'm4', 'm5', 'm6'].map((id) =>
+      idsOf(controller.offer(request(id, { rank: 0 }), startMs)),
+    );
+    expect(evicted.flat().toSorted()).toEqual(fill);
+    expect(controller.offer(request('more', { rank: 1 }), startMs)).toMatchObject([
+      { callId: 'more', refusal: { reason: 'queue-full' } },
+    ]);
+  });
+
+  it('prefers the caller who is more likely still there', () => {
+    const controller = controllerWith(1);
+    let atMs = serve(controller, 20, 10);
+    for (let call = 0; call < 64; call++, atMs += 30) {
+      controller.offer(request(`hasty-${call}`, { method: 'hasty' }), atMs);
+      controller.finish(`hasty-${call}`, { kind: 'abandoned' }, atMs + 15);
+    }
+    atMs = serve(controller, 64, 10, atMs);
+    controller.offer(request('running'), atMs);
+    controller.offer(request('hasty', { method: 'hasty' }), atMs);
+    controller.offer(request('patient'), atMs);
+    expect(idsOf(controller.finish('running', { kind: 'completed' }, atMs + 14))).toEqual([
+      'patient',
+    ]);
+  });
+
+  it('ramps a cold target and follows a change of slots', () => {
+    const controller = controllerWith(100);
+    controller.beginWarmUp(0);
+    const limitAt = (atMs: number) => controller.snapshot(atMs).limit;
+    expect([0, 500, 1_000].map(limitAt)).toEqual([10, 55, 100]);
+    controller.configure(limits, 40, 1_000);
+    expect(limitAt(1_000)).toBe(40);
+    const unramped = controllerWith(100, { disabled: new Set(['warmUp']) });
+    unramped.beginWarmUp(0);
+    expect(unramped.snapshot(0).limit).toBe(100);
+  });
+
+  it('tells refused callers a later time the longer the backlog is', () => {
+    const controller = controllerWith(1);
+    const startMs = serve(controller, 100, 25);
+    controller.offer(request('running'), startMs);
+    const retryAfterMs = (id: string): number => {
+      const [decision] = controller.offer(request(id, { deadlineAtMs: startMs + 1 }), startMs);
+      return decision?.kind === 'refused' ? decision.refusal.retryAfterMs : Number.NaN;
+    };
+    const first = retryAfterMs('x1');
+    controller.offer(request('q1'), startMs);
+    controller.offer(request('q2'), startMs);
+    expect(retryAfterMs('x2')).toBeGreaterThan(first + 40);
   });
 });
--- /dev/null
+++ b/packages/admission/tests/overload.test.ts
@@ -0,0 +1,48 @@
+import { describe, expect, it } from 'vitest';
+import { BUCKET_MS, RUN_END_MS, SURGE_END_MS, runSurge } from './support/surge';
+
+const cases = [
+  { name: 'three hops of 1 ms', options: {}, leastGoodput: 0.95 },
+  { name: 'forty entries, 3 ms', options: { entries: 40, latencyMs: 3 }, leastGoodput: 0.95 },
+  { name: 'scarce upper slots', options: { upperSlots: 50 }, leastGoodput: 0.95 },
+  { name: 'a knee at half the slots', options: { kneeAt: 8 }, leastGoodput: 0.92 },
+  {
+    name: 'a long delay target',
+    options: { limits: { queueDelayTargetMs: 50, maxQueueMs: 200 } },
+    leastGoodput: 0.95,
+  },
+];
+
+describe('a surge of three times the demand with the deep service at half speed', () => {
+  it.each(cases)('is carried with $name', ({ options, leastGoodput }) => {
+    const report = runSurge({ seed: 3, ...options });
+    expect(report.goodputRatio).toBeGreaterThanOrEqual(leastGoodput);
+    expect(report.moneyCompleted / report.moneyOffered).toBeGreaterThanOrEqual(0.999);
+    expect(report.recoveryMs).toBeLessThanOrEqual(1_000);
+    expect(report.wastedShare).toBeLessThan(0.1);
+  });
+
+  it('collapses a first in, first out queue with retries at every hop, which does not recover', () => {
+    const report = runSurge({ isBaseline: true });
+    expect(report.goodputRatio).toBeLessThan(0.3);
+    expect(report.moneyCompleted / report.moneyOffered).toBeLessThan(0.5);
+    expect(report.recoveryMs).toBeUndefined();
+  });
+
+  it('wastes most of the slot time once the threshold is switched off', () => {
+    const report = runSurge({ disabled: ['threshold'] });
+    expect(report.wastedShare).toBeGreaterThan(0.4);
+  });
+
+  it('starves no class after the surge and passes every call again', () => {
+    const report = runSurge({ seed: 5 });
+    const afterMs = SURGE_END_MS + 2_000;
+    const after = (series: readonly number[]): number =>
+      series.slice(afterMs / BUCKET_MS, RUN_END_MS / BUCKET_MS).reduce((sum, n) => sum + n, 0);
+    expect(after(report.completed)).toBeGreaterThan(0.97 * after(report.offered));
+    for (const home of report.chain.homes.flat()) {
+      expect(home.admission.threshold(RUN_END_MS + 10_000)).toBe(4);
+      expect(home.admission.load()).toBe(0);
+    }
+  });
+});
--- /dev/null
+++ b/packages/admission/tests/support/pending-call.ts
@@ -0,0 +1,35 @@
+import type { CallResult, RootRequest } from './chain';
+import type { Home } from './home';
+
+/** A call at its home, from arrival to its end. */
+export class PendingCall {
+  state: 'queued' | 'running' | 'ended' = 'queued';
+
+  startMs = 0;
+
+  /** Leaves the nested call in progress, if there is one. */
+  cancelNested: () => void = () => undefined;
+
+  constructor(
+    readonly id: string,
+    readonly root: RootRequest,
+    readonly home: Home,
+    readonly onEnd: (result: CallResult, threshold: number) => void,
+  ) {}
+
+  begin(nowMs: number): void {
+    this.state = 'running';
+    this.startMs = nowMs;
+    this.home.inProgress++;
+  }
+
+  /** Ends the call and returns how long it held a slot. */
+  end(nowMs: number): number {
+    const wasRunning = this.state === 'running';
+    this.state = 'ended';
+    this.home.calls.delete(this.id);
+    if (!wasRunning) return 0;
+    this.home.inProgress--;
+    return nowMs - this.startMs;
+  }
+}
--- /dev/null
+++ b/packages/admission/tests/support/surge.ts
@@ -0,0 +1,189 @@
+import type { CallClassRank } from '@daisyferry/model/call-class';
+import { xoroshiro128plus } from 'pure-rand/generator/XoroShiro';
+import { Caller } from './caller';
+import { Chain } from './chain';
+import type { ServiceSpec } from './chain';
+import { EventLoop } from './event-loop';
+
+export interface SurgeOptions {
+  readonly isBaseline?: boolean;
+  readonly disabled?: readonly string[];
+  readonly seed?: number;
+  readonly latencyMs?: number;
+  readonly limits?: Partial<Chain['options']['limits']>;
+  /** Concurrency at which the deep service has its knee, if it has one below its slots. */
+  readonly kneeAt?: number;
+  readonly entries?: number;
+  /** Slots of each target in front of the deep service. */
+  readonly upperSlots?: number;
+  readonly surgeFactor?: number;
+  readonly slowFactor?: number;
+  readonly onBucket?: (report: SurgeReport, chain: Chain) => void;
+}
+
+export interface SurgeReport {
+  /** Whole requests completed in each bucket of `BUCKET_MS`. */
+  readonly completed: number[];
+  readonly offered: number[];
+  moneyOffered: number;
+  moneyCompleted: number;
+  /** Completed during the surge, divided by what the deep service can carry in it. */
+  goodputRatio: number;
+  /** Time from the end of the surge to the first bucket of lasting normal goodput. */
+  recoveryMs: number | undefined;
+  /** Share of the slot time of all services spent on requests that did not complete. */
+  wastedShare: number;
+  readonly chain: Chain;
+}
+
+export const BUCKET_MS = 100;
+export const SURGE_START_MS = 2_000;
+export const SURGE_END_MS = 7_000;
+export const RUN_END_MS = 11_000;
+/** Time after the last arrival in which the last requests end. */
+const SETTLE_MS = 6_000;
+const DEEP_SLOTS = 15;
+const DEEP_HOMES = 2;
+const DEEP_SERVICE_MS = 20;
+const NORMAL_SHARE = 0.8;
+const DEADLINE_MS = 1_000;
+const MEAN_PATIENCE_MS = 400;
+const CALLER_RETRIES = 3;
+const CALLER_RETRY_MS = 50;
+const CLASS_SHARES: readonly number[] = [0.1, 0.6, 0.2, 0.1];
+
+function sum(series: readonly number[], fromMs: number, toMs: number): number {
+  const part = series.slice(fromMs / BUCKET_MS, toMs / BUCKET_MS);
+  return part.reduce((total, value) => total + value, 0);
+}
+
+/** First half second after the surge with 95 % of the normal goodput. */
+function recoveryOf(completed: readonly number[], normalPerMs: number): number | undefined {
+  const spanMs = 500;
+  for (let fromMs = SURGE_END_MS; fromMs + spanMs <= RUN_END_MS; fromMs += BUCKET_MS) {
+    const goodput = sum(completed, fromMs, fromMs + spanMs);
+    if (goodput >= 0.95 * normalPerMs * spanMs) return fromMs - SURGE_END_MS;
+  }
+  return undefined;
+}
+
+/** A surge of demand with the deep service slowed at the same time; callers give up and retry. */
+export function runSurge(options: SurgeOptions = {}): SurgeReport {
+  const {
+    isBaseline = false,
+    latencyMs = 1,
+    surgeFactor = 3,
+    slowFactor = 2,
+    upperSlots = 170,
+  } = options;
+  const generator = xoroshiro128plus(options.seed ?? 1);
+  const random = (): number => (generator.unsafeNext() + 0x8000_0000) / 0x1_0000_0000;
+  const exponential = (mean: number): number => -Math.log(1 - random()) * mean;
+  const loop = new EventLoop();
+  const isSurge = (nowMs: number): boolean => nowMs >= SURGE_START_MS && nowMs < SURGE_END_MS;
+  const spread = (): number => 0.5 + random();
+  const services: ServiceSpec[] = [
+    { name: 'teller', homes: 2, slots: upperSlots, serviceMs: () => 4 * spread() },
+    { name: 'archive', homes: 2, slots: upperSlots, serviceMs: () => 6 * spread() },
+    {
+      name: 'pricing',
+      homes: DEEP_HOMES,
+      slots: DEEP_SLOTS,
+      serviceMs: (inProgress, nowMs) => {
+        const slow = isSurge(nowMs) ? slowFactor : 1;
+        const crowding = Math.max(1, inProgress / (options.kneeAt ?? DEEP_SLOTS));
+        return DEEP_SERVICE_MS * slow * crowding * spread();
+      },
+    },
+  ];
+  const chain = new Chain({
+    loop,
+    services,
+    latencyMs,
+    random,
+    isBaseline,
+    disabled: new Set(options.disabled ?? []),
+    limits: { queueDelayTargetMs: 20, maxQueueMs: 100, warmUpMs: 0, ...options.limits },
+    retriesPerHop: 3,
+  });
+  const capacityPerMs =
+    (DEEP_HOMES * Math.min(DEEP_SLOTS, options.kneeAt ?? DEEP_SLOTS)) / DEEP_SERVICE_MS;
+  const callers = Array.from({ length: options.entries ?? 4 }, () => new Caller());
+  const buckets = RUN_END_MS / BUCKET_MS;
+  const report: SurgeReport = {
+    completed: new Array<number>(buckets).fill(0),
+    offered: new Array<number>(buckets).fill(0),
+    moneyOffered: 0,
+    moneyCompleted: 0,
+    goodputRatio: 0,
+    recoveryMs: undefined,
+    wastedShare: 0,
+    chain,
+  };
+  const count = (series: number[]): void => {
+    const bucket = Math.floor(loop.nowMs / BUCKET_MS);
+    series.splice(bucket, 1, (series[bucket] ?? 0) + 1);
+  };
+
+  const drawRank = (): CallClassRank => {
+    let left = random();
+    for (const rank of [0, 1, 2] as const) {
+      left -= CLASS_SHARES[rank] ?? 0;
+      if (left < 0) return rank;
+    }
+    return 3;
+  };
+
+  let usefulMs = 0;
+  let roots = 0;
+  const request = (): void => {
+    const id = `root-${options.seed ?? 1}-${roots++}`;
+    const rank = drawRank();
+    count(report.offered);
+    if (rank === 0) report.moneyOffered++;
+    const attempt = (retriesLeft: number): void => {
+      const caller = callers[Math.floor(random() * callers.length)];
+      if (caller === undefined) return;
+      const deadlineAtMs = loop.nowMs + DEADLINE_MS;
+      let isOver = false;
+      const end = (isCompleted: boolean): void => {
+        if (isOver) return;
+        isOver = true;
+        if (isCompleted) {
+          count(report.completed);
+          usefulMs += chain.heldMsByRoot.get(id) ?? 0;
+          if (rank === 0) report.moneyCompleted++;
+        } else if (retriesLeft > 0) {
+          loop.after(CALLER_RETRY_MS, () => attempt(retriesLeft - 1));
+        }
+      };
+      const leave = chain.call(caller, 0, { id, rank, deadlineAtMs }, (result) =>
+        end(result === 'completed'),
+      );
+      loop.after(Math.min(DEADLINE_MS, 100 + exponential(MEAN_PATIENCE_MS)), () => {
+        if (isOver) return;
+        leave();
+        end(false);
+      });
+    };
+    attempt(CALLER_RETRIES);
+  };
+  const arrive = (): void => {
+    if (loop.nowMs >= RUN_END_MS) return;
+    request();
+    const ratePerMs = capacityPerMs * NORMAL_SHARE * (isSurge(loop.nowMs) ? surgeFactor : 1);
+    loop.after(exponential(1 / ratePerMs), arrive);
+  };
+  arrive();
+  for (let atMs = BUCKET_MS; atMs <= RUN_END_MS; atMs += BUCKET_MS) {
+    loop.runUntil(atMs);
+    options.onBucket?.(report, chain);
+  }
+  loop.runUntil(RUN_END_MS + SETTLE_MS);
+  const surgeMs = SURGE_END_MS - SURGE_START_MS;
+  const carried = (capacityPerMs / slowFactor) * surgeMs;
+  report.goodputRatio = sum(report.completed, SURGE_START_MS, SURGE_END_MS) / carried;
+  report.wastedShare = 1 - usefulMs / chain.heldMs;
+  report.recoveryMs = recoveryOf(report.completed, capacityPerMs * NORMAL_SHARE);
+  return report;
+}
