Find the knee without ratcheting, and regrow a limit that sheds lowered

Cause: two new checks failed: the limit of a target that loses throughput beyond 10 calls stood at 19 (each small rise of concurrency was taken into the baseline), and a limit lowered to 6 by a second of shed calls was still 6 after 2.9 s. Change: a slowdown becomes the baseline only when it exceeds what the rise of concurrency can explain; regrowth of 60 % a period towards the limit before the series of shed calls.

--- a/packages/admission/src/concurrency-limit.ts
+++ b/packages/admission/src/concurrency-limit.ts
@@ -11,8 +11,8 @@
 const MAX_PERIOD_ANSWERS = 64;
 /** Service time relative to its baseline above which the limit may be put to the test. */
 const INFLATION_TO_TEST = 1.3;
-/** Concurrency relative to that of the baseline below which it cannot be the cause. */
-const CONCURRENCY_TO_TEST = 1.3;
+/** Crowding raises the service time by at most this power of the rise of concurrency. */
+const CROWDING_EXPONENT = 2.5;
 /** Service time relative to its baseline that still counts as the same. */
 const SAME_SERVICE_RATIO = 1.1;
 /** Factor by which a test lowers the limit. */
@@ -21,10 +21,13 @@
 const NO_GAIN_ELASTICITY = 0.35;
 /** Factor per period by which a limit below its ceiling grows. */
 const GROWTH_FACTOR = 1.25;
-/** Factor per period close to a concurrency at which the target shed calls. */
-const CAREFUL_GROWTH_FACTOR = 1.02;
+/** Factor per period while the limit is far below the one before the target began to shed. */
+const REGROWTH_FACTOR = 1.6;
+const REGROWTH_SHARE = 0.7;
+/** Factor per period for a time after the target shed a call, near that concurrency. */
+const CAREFUL_GROWTH_FACTOR = 1.05;
 const CAREFUL_SHARE = 0.9;
-const CAREFUL_FOR_MS = 5_000;
+const CAREFUL_FOR_MS = 1_000;
 /** Factor by which an answer that the target shed lowers the limit, once per hold time. */
 const SHED_FACTOR = 0.85;
 const SHED_HOLD_MS = 100;
@@ -57,8 +60,8 @@
 
 /**
  * The concurrency limit of one target: at most its slots, less where concurrency brings no
- * throughput. When the service time rises well above its baseline and the concurrency has risen too,
- * the limit is lowered for one period. If the throughput holds, the lower limit stays and is tested
+ * throughput. When the service time rises well above its baseline and a rise of concurrency may explain
+ * it, the limit is lowered for one period. If the throughput holds, the lower limit stays and is tested
  * further; if the throughput falls with it, the target is slow for another reason, and the limit
  * returns with the present service time as its baseline. A target that sheds calls lowers the limit
  * at once; it grows back quickly, and with care near the concurrency at which calls were shed.
@@ -81,6 +84,9 @@
   /** Concurrency at which the target last shed a call. */
   private shedInFlight = Number.POSITIVE_INFINITY;
 
+  /** Limit before the present series of shed calls. */
+  private limitBeforeShed = 0;
+
   private shedAtMs = Number.NEGATIVE_INFINITY;
 
   private warmUpStartMs = Number.NEGATIVE_INFINITY;
@@ -132,6 +138,7 @@
   /** Notes that the target itself refused a call. */
   noteShed(nowMs: number): void {
     if (!this.options.isAdaptive || nowMs - this.shedAtMs < SHED_HOLD_MS) return;
+    if (!this.hasShedLately(nowMs)) this.limitBeforeShed = this.limit;
     this.shedAtMs = nowMs;
     this.shedInFlight = this.inFlight;
     this.limit = Math.max(1, Math.min(this.limit, this.inFlight) * SHED_FACTOR);
@@ -187,16 +194,24 @@
   }
 
   private grow(nowMs: number): void {
-    const isCareful =
-      nowMs - this.shedAtMs < CAREFUL_FOR_MS && this.limit >= CAREFUL_SHARE * this.shedInFlight;
-    const factor = isCareful ? CAREFUL_GROWTH_FACTOR : GROWTH_FACTOR;
-    this.limit = Math.min(this.slots, this.limit * factor);
+    this.limit = Math.min(this.slots, this.limit * this.growthFactor(nowMs));
+  }
+
+  private growthFactor(nowMs: number): number {
+    const isNearShedding = this.limit >= CAREFUL_SHARE * this.shedInFlight;
+    if (isNearShedding && this.hasShedLately(nowMs)) return CAREFUL_GROWTH_FACTOR;
+    return this.limit < REGROWTH_SHARE * this.limitBeforeShed ? REGROWTH_FACTOR : GROWTH_FACTOR;
+  }
+
+  private hasShedLately(nowMs: number): boolean {
+    return nowMs - this.shedAtMs < CAREFUL_FOR_MS;
   }
 
-  /** Tests the limit, unless the concurrency is no greater than when the target was fast. */
+  /** Tests the limit, unless the rise of concurrency is too small to explain the slowdown. */
   private examine(means: PeriodMeans): void {
-    const knownInFlight = this.baseline?.inFlight ?? means.inFlight;
-    if (means.inFlight < CONCURRENCY_TO_TEST * knownInFlight) {
+    const { heldMs, inFlight } = this.baseline ?? means;
+    const concurrencyRise = Math.max(1, means.inFlight / inFlight);
+    if (means.heldMs / heldMs > concurrencyRise ** CROWDING_EXPONENT) {
       this.baseline = means;
       return;
     }
