Admit without queueing while a slot is free; keep nested thresholds by key

Cause: each call of an idle target went through the queue; a method that calls two services let the threshold of one hide that of the other, because the daemon passed no key. Change: a fast path in offer; the daemon passes the key of the nested call.

--- a/packages/admission/src/admission-controller.ts
+++ b/packages/admission/src/admission-controller.ts
@@ -111,10 +111,12 @@
     this.rollThreshold(nowMs);
     this.control.noteArrival(request.rank, request.rootHash, this.backlogMs(nowMs));
     const reason = this.refusalOf(request, nowMs);
-    if (reason === undefined) {
-      this.enqueue(request, nowMs, decisions);
-    } else {
+    if (reason !== undefined) {
       decisions.push(this.refuse(request.callId, reason, nowMs));
+    } else if (this.queue.length === 0 && this.hasFreeSlot(nowMs)) {
+      decisions.push(this.admit({ request, offeredAtMs: nowMs }, nowMs));
+    } else {
+      this.enqueue(request, nowMs, decisions);
     }
     this.admitWaiting(nowMs, decisions);
     return decisions;
@@ -260,7 +262,7 @@
     this.queue.push(call);
     this.queuedById.set(request.callId, call);
     this.wakeAtMs = Math.min(this.wakeAtMs, this.expiryMs(call));
-    if (this.runningById.size < this.limit.current(nowMs)) return;
+    if (this.hasFreeSlot(nowMs)) return;
     while (this.queue.length > this.maxQueued(nowMs)) {
       const evicted = this.evict(nowMs);
       if (evicted === undefined) return;
@@ -310,18 +312,26 @@
   }
 
   private admitWaiting(nowMs: number, decisions: AdmissionDecision[]): void {
-    while (this.queue.length > 0 && this.runningById.size < this.limit.current(nowMs)) {
+    while (this.queue.length > 0 && this.hasFreeSlot(nowMs)) {
       const call = this.takeNext(nowMs);
       if (call === undefined) return;
-      const { callId } = call.request;
-      this.queuedById.delete(callId);
-      this.runningById.set(callId, { ...call, admittedAtMs: nowMs });
-      this.limit.noteInFlight(this.runningById.size, nowMs);
-      this.counters.admitted++;
-      decisions.push({ kind: 'admitted', callId, queuedMs: nowMs - call.offeredAtMs });
+      this.queuedById.delete(call.request.callId);
+      decisions.push(this.admit(call, nowMs));
     }
   }
 
+  private hasFreeSlot(nowMs: number): boolean {
+    return this.runningById.size < this.limit.current(nowMs);
+  }
+
+  private admit({ request, offeredAtMs }: QueuedCall, nowMs: number): AdmissionDecision {
+    const { callId } = request;
+    this.runningById.set(callId, { request, offeredAtMs, admittedAtMs: nowMs });
+    this.limit.noteInFlight(this.runningById.size, nowMs);
+    this.counters.admitted++;
+    return { kind: 'admitted', callId, queuedMs: nowMs - offeredAtMs };
+  }
+
   /** Takes out the call to serve next: by class, then by the likelihood of its caller's presence. */
   private takeNext(nowMs: number): QueuedCall | undefined {
     const rank = this.queue.firstRank();
--- a/packages/daemon/src/call-path-parts.ts
+++ b/packages/daemon/src/call-path-parts.ts
@@ -138,6 +138,7 @@
       origin.parent.method,
       thresholds.threshold(entry.thresholdKey, at),
       at,
+      entry.thresholdKey,
     );
   };
   const entry: EntryPoint =
