--- /dev/null
+++ b/packages/admission/src/downstream-thresholds.ts
@@ -0,0 +1,41 @@
+import { MAX_THRESHOLD, MIN_THRESHOLD } from './priority';
+import { THRESHOLD_FORGET_MS, recoveredThreshold } from './threshold-recovery';
+
+interface NestedThreshold {
+  readonly threshold: number;
+  readonly heardAtMs: number;
+}
+
+/**
+ * Thresholds that the nested calls of a method met, at the home of that method, by the key of the
+ * nested call. The least over the keys counts, since a request completes only if all of its nested
+ * calls do. Pass the threshold of the nested key as the book of this daemon gives it
+ * (`ThresholdBook.threshold`): a mean over homes, and thus steadier than a single answer.
+ */
+export class DownstreamThresholds {
+  private readonly byMethod = new Map<string, Map<string, NestedThreshold>>();
+
+  /**
+   * Notes the threshold that a nested call of a method met. `nestedKey` is the key of the nested call
+   * (`service/method`); it keeps the services that one method calls apart.
+   */
+  observeNested(method: string, threshold: number, nowMs: number, nestedKey = ''): void {
+    const bounded = Math.min(MAX_THRESHOLD, Math.max(MIN_THRESHOLD, threshold));
+    const nested = this.byMethod.get(method) ?? new Map<string, NestedThreshold>();
+    this.byMethod.set(method, nested);
+    nested.set(nestedKey, { threshold: bounded, heardAtMs: nowMs });
+  }
+
+  /** The threshold to publish for a method: the least of its own and of what nested calls met. */
+  fold(method: string, own: number, nowMs: number): number {
+    const nested = this.byMethod.get(method);
+    if (nested === undefined) return own;
+    let least = own;
+    for (const [key, { threshold, heardAtMs }] of nested) {
+      const ageMs = nowMs - heardAtMs;
+      if (ageMs >= THRESHOLD_FORGET_MS) nested.delete(key);
+      else least = Math.min(least, recoveredThreshold(threshold, ageMs));
+    }
+    return least;
+  }
+}
