--- /dev/null
+++ b/packages/client/src/system-scheduler.ts
@@ -0,0 +1,13 @@
+import type { Scheduler, Timer } from '@daisyferry/model/scheduler';
+
+/** The timers and the monotonic clock of the process. */
+export class SystemScheduler implements Scheduler {
+  nowMs(): number {
+    return performance.now();
+  }
+
+  after(delayMs: number, action: () => void): Timer {
+    const timer = setTimeout(action, delayMs);
+    return { cancel: () => clearTimeout(timer) };
+  }
+}
--- a/packages/execution/src/claim-of-fact.ts
+++ b/packages/execution/src/claim-of-fact.ts
@@ -36,7 +36,7 @@
   const reason = UnknownReason.answerNotHeld;
   const body = Buffer.from(JSON.stringify({ outcome, reason, targetStatusCode: statusCode }));
   const headers = [
-    ['content-type', 'application/json'],
+    ['content-type', 'application/problem+json'],
     [Header.reason, reason],
   ] as const;
   return { statusCode: GONE_STATUS, headers, body, outcome, reason };
