Add the time line collector

Cause: what several daemons do for one request can only be read on one line, and their clocks differ. Change: daisyferry-timeline collects events by ReadTimeline, merges them by cause and else by clock, and writes JSON lines, a readable view or a Chrome trace. Conclusion: order needs the sender's own report of a reply; a retry alone does not name the attempt it follows.

--- /dev/null
+++ b/packages/timeline/src/readable-view.ts
@@ -0,0 +1,69 @@
+import type { TimelineEvent } from '@daisyferry/model/timeline-event';
+import type { MergedEvent } from './merge-timelines';
+
+const TIME_WIDTH = 11;
+const MS_DIGITS = 3;
+const SHORT_IDENTIFIER = 8;
+const INDENT = '  ';
+
+function shortened(identifier: string | undefined): string | undefined {
+  return identifier?.slice(0, SHORT_IDENTIFIER);
+}
+
+/** Depth of each call below the root request, from its parents. */
+class CallDepths {
+  private readonly parents = new Map<string, string>();
+
+  constructor(merged: readonly MergedEvent[]) {
+    for (const { event } of merged) {
+      if (event.call !== undefined && event.parentCall !== undefined) {
+        this.parents.set(event.call, event.parentCall);
+      }
+    }
+  }
+
+  of(event: TimelineEvent): number {
+    let depth = event.parentCall === undefined ? 0 : 1;
+    const seen = new Set<string>();
+    let call = event.parentCall;
+    while (call !== undefined && !seen.has(call)) {
+      seen.add(call);
+      call = this.parents.get(call);
+      if (call !== undefined) depth += 1;
+    }
+    return depth;
+  }
+}
+
+function partsOf(event: TimelineEvent): string[] {
+  const method = event.method === undefined ? event.service : `${event.service}/${event.method}`;
+  const parts = [
+    method,
+    event.call === undefined ? undefined : `call=${shortened(event.call)}`,
+    event.durationMs === undefined ? undefined : `${event.durationMs.toFixed(MS_DIGITS)} ms`,
+    event.detail,
+  ];
+  return parts.filter((part) => part !== undefined && part !== '') as string[];
+}
+
+/**
+ * One line for each event: ms since the first, daemon, kind, what it is about. Nested calls are
+ * indented below the call that they belong to.
+ */
+export function writeReadableView(merged: readonly MergedEvent[]): string {
+  const startMs = merged[0]?.atMs ?? 0;
+  const depths = new CallDepths(merged);
+  const daemonWidth = Math.max(0, ...merged.map(({ event }) => event.daemon.length));
+  const lines = merged.map(({ event, atMs }) => {
+    const time = `+${(atMs - startMs).toFixed(MS_DIGITS)}`.padStart(TIME_WIDTH);
+    const daemon = event.daemon.padEnd(daemonWidth);
+    const indent = INDENT.repeat(depths.of(event));
+    return `${time}  ${daemon}  ${indent}${event.kind}  ${partsOf(event).join('  ')}`.trimEnd();
+  });
+  const first = merged[0];
+  if (first === undefined) return 'no events\n';
+  const roots = new Set(merged.map(({ event }) => event.root));
+  const [root] = roots.size === 1 ? roots : [];
+  const head = new Date(first.atMs).toISOString();
+  return `${[root === undefined ? head : `${head}  root ${root}`, ...lines].join('\n')}\n`;
+}
--- /dev/null
+++ b/packages/timeline/tests/session.ts
@@ -0,0 +1,118 @@
+import type { TimelineEvent, TimelineKindName } from '@daisyferry/model/timeline-event';
+
+const START_MS = 1_800_000_000_000;
+
+interface Step {
+  readonly daemon: string;
+  /** Virtual time at which it happens. */
+  readonly atMs: number;
+  readonly kind: TimelineKindName;
+  readonly call?: string;
+  readonly parentCall?: string;
+  readonly service?: string;
+  readonly method?: string;
+  readonly detail?: string;
+  readonly durationMs?: number;
+  readonly root?: string;
+}
+
+const PAYOUT = { root: 'root-payout', service: 'vault', method: 'payout' };
+const QUOTE = { root: 'root-payout', service: 'pricing', method: 'rate' };
+
+/** A payout whose target asks for a rate; one attempt of that finds a full queue. */
+const STEPS: readonly Step[] = [
+  { daemon: 'pricing-1', atMs: 0, kind: 'target.state', service: 'pricing', detail: 'serving' },
+  { daemon: 'teller-1', atMs: 10, kind: 'call.received', ...PAYOUT },
+  { daemon: 'teller-1', atMs: 11, kind: 'call.sent', ...PAYOUT, call: 'c-1', detail: 'vault-1' },
+  { daemon: 'vault-1', atMs: 12, kind: 'call.ticketed', ...PAYOUT, call: 'c-1' },
+  { daemon: 'vault-1', atMs: 13, kind: 'call.admitted', ...PAYOUT, call: 'c-1', durationMs: 0.5 },
+  { daemon: 'vault-1', atMs: 14, kind: 'call.handed-over', ...PAYOUT, call: 'c-1' },
+  { daemon: 'vault-1', atMs: 20, kind: 'call.received', ...QUOTE, parentCall: 'c-1' },
+  {
+    daemon: 'vault-1',
+    atMs: 21,
+    kind: 'call.sent',
+    ...QUOTE,
+    parentCall: 'c-1',
+    call: 'c-2',
+    detail: 'pricing-1',
+  },
+  {
+    daemon: 'pricing-1',
+    atMs: 22,
+    kind: 'call.refused',
+    ...QUOTE,
+    parentCall: 'c-1',
+    call: 'c-2',
+    detail: 'queue-full',
+  },
+  {
+    daemon: 'vault-1',
+    atMs: 23,
+    kind: 'call.refused',
+    ...QUOTE,
+    parentCall: 'c-1',
+    call: 'c-2',
+    detail: 'queue-full',
+  },
+  {
+    daemon: 'vault-1',
+    atMs: 23,
+    kind: 'call.retried',
+    ...QUOTE,
+    parentCall: 'c-1',
+    detail: 'pricing-1',
+  },
+  {
+    daemon: 'vault-1',
+    atMs: 24,
+    kind: 'call.sent',
+    ...QUOTE,
+    parentCall: 'c-1',
+    call: 'c-3',
+    detail: 'pricing-2',
+  },
+  {
+    daemon: 'pricing-2',
+    atMs: 25,
+    kind: 'call.admitted',
+    ...QUOTE,
+    parentCall: 'c-1',
+    call: 'c-3',
+  },
+  {
+    daemon: 'pricing-2',
+    atMs: 26,
+    kind: 'call.handed-over',
+    ...QUOTE,
+    parentCall: 'c-1',
+    call: 'c-3',
+  },
+  {
+    daemon: 'pricing-2',
+    atMs: 30,
+    kind: 'call.answered',
+    ...QUOTE,
+    parentCall: 'c-1',
+    call: 'c-3',
+    durationMs: 5,
+  },
+  { daemon: 'vault-1', atMs: 31, kind: 'call.answered', ...QUOTE, parentCall: 'c-1', call: 'c-3' },
+  { daemon: 'vault-1', atMs: 40, kind: 'call.answered', ...PAYOUT, call: 'c-1', durationMs: 28 },
+  { daemon: 'teller-1', atMs: 41, kind: 'call.answered', ...PAYOUT, call: 'c-1' },
+  { daemon: 'pricing-1', atMs: 50, kind: 'threshold.state', service: 'pricing', detail: '2.5' },
+];
+
+/** Clocks of the daemons, in ms from the true time. */
+export type ClockErrors = Readonly<Record<string, number>>;
+
+/** The session as its daemons record it, in the true order. */
+export function sessionEvents(clockErrors: ClockErrors = {}): TimelineEvent[] {
+  const sequences = new Map<string, number>();
+  return STEPS.map(({ atMs, daemon, ...step }) => {
+    const sequence = (sequences.get(daemon) ?? 0) + 1;
+    sequences.set(daemon, sequence);
+    const wallMs = START_MS + atMs + (clockErrors[daemon] ?? 0);
+    return { daemon, incarnation: '00000000000000aa', sequence, wallMs, ...step };
+  });
+}
