Split records and picker, state no outcome that is not known

Cause: an answer too large to keep was recorded as completed when its outcome was not stated, which may be false for a failed one; two files had grown large. Change: without a stated outcome repeats are told unknown, answer-not-held; SettledCalls and TargetBook stand in files of their own.

--- a/packages/execution/src/claim-of-fact.ts
+++ b/packages/execution/src/claim-of-fact.ts
@@ -1,5 +1,6 @@
 import { Header } from '@daisyferry/model/headers';
 import {
+  Outcome,
   RefusalReason,
   UnknownReason,
   type OutcomeName,
@@ -57,6 +58,9 @@
     return { kind: 'refused', reason: known ? reason : RefusalReason.ticketRefused };
   }
   if (state === CallState.answered || state === CallState.answerDropped) {
+    if (answer === undefined && fact.outcome === Outcome.unknown) {
+      return { kind: 'unknown', reason: UnknownReason.answerNotHeld };
+    }
     return { kind: 'answered', answer: answer ?? ranAnswer(fact) };
   }
   const known = reason !== undefined && isUnknown(reason);
--- a/packages/execution/src/execution-records.ts
+++ b/packages/execution/src/execution-records.ts
@@ -10,10 +10,10 @@
 import { CallEvent, loadCallChart, type CallEventName } from './call-chart';
 import type { Claim, RecordedAnswer } from './claim';
 import { claimOfFact, type RanFact } from './claim-of-fact';
-import { FactCodec, type Fact } from './fact';
+import type { Fact } from './fact';
 import { nonceWords, type NonceWords } from './nonce';
-import { answerBytes, type RecordSlice } from './record-slice';
-import { RecordSlices } from './record-slices';
+import type { RecordSlice } from './record-slice';
+import { SettledCalls } from './settled-calls';
 import type { Ticket } from './ticket';
 
 export interface ExecutionRecordsOptions {
@@ -66,9 +66,7 @@
 export class ExecutionRecords {
   private readonly live = new Map<string, LiveCall>();
 
-  private readonly slices: RecordSlices;
-
-  private readonly codec: FactCodec;
+  private readonly settled: SettledCalls;
 
   private readonly liveStates: ReadonlySet<string>;
 
@@ -76,12 +74,6 @@
 
   private latestMs = Number.NEGATIVE_INFINITY;
 
-  private factBytes = 0;
-
-  private heldAnswerBytes = 0;
-
-  private answersDropped = 0;
-
   private refusedFull = 0;
 
   private ignoredEvents = 0;
@@ -93,10 +85,8 @@
     private readonly chart: Chart = loadCallChart(),
   ) {
     this.acceptedAheadMs = options.maxLifetimeMs + options.maxClockSkewMs;
-    this.slices = new RecordSlices(
-      Math.max(1, Math.ceil(this.acceptedAheadMs / SLICES_PER_LIFETIME)),
-    );
-    this.codec = new FactCodec(chart.states);
+    const sliceMs = Math.max(1, Math.ceil(this.acceptedAheadMs / SLICES_PER_LIFETIME));
+    this.settled = new SettledCalls(chart, sliceMs);
     this.liveStates = new Set(chart.states.filter((state) => this.isLive(state)));
   }
 
@@ -111,9 +101,8 @@
     if (!this.isOwn(ticket)) return { kind: 'unknown', reason: UnknownReason.otherIncarnation };
     if (this.live.has(ticket.nonce)) return { kind: 'join' };
     const words = nonceWords(ticket.nonce);
-    const settled = this.settledClaim(this.slices.find(ticket.expiresAtMs), ticket.nonce, words);
-    if (settled !== undefined) return settled;
-    return this.claimNew(ticket, words, time);
+    const settled = this.settled.claimOf(ticket.expiresAtMs, ticket.nonce, words);
+    return settled ?? this.claimNew(ticket, words, time);
   }
 
   /**
@@ -123,7 +112,7 @@
   onSettled(nonce: string, listener: (settled: Claim) => void): () => void {
     const call = this.live.get(nonce);
     if (call === undefined) {
-      listener(this.settledAnywhere(nonce));
+      listener(this.settled.claimAnywhere(nonce));
       return () => undefined;
     }
     call.listeners.push(listener);
@@ -159,13 +148,13 @@
   /**
    * Records the answer of a running call.
    * @param answer The whole answer, or undefined when it is too large to be kept.
-   * @param ran What to state of an answer that is not kept.
+   * @param ran What to state of an answer that is not kept; without it repeats are told `unknown`.
    */
   answered(
     nonce: string,
     answer: RecordedAnswer | undefined,
     nowMs: number,
-    ran: RanFact = { statusCode: 0, outcome: Outcome.completed },
+    ran: RanFact = { statusCode: 0, outcome: Outcome.unknown },
   ): void {
     this.advance(nowMs);
     const { statusCode, outcome } = answer ?? ran;
@@ -193,26 +182,16 @@
     for (const call of [...this.live.values()]) {
       if (time >= call.expiresAtMs) this.refuse(call.nonce, RefusalReason.deadlinePassed, time);
     }
-    let forgotten = 0;
-    for (const slice of this.slices.dropEnded(time)) {
-      forgotten += slice.size;
-      this.factBytes -= slice.factBytes;
-      this.heldAnswerBytes -= slice.answerBytes;
-    }
-    return forgotten;
+    return this.settled.dropEnded(time);
   }
 
   stats(): ExecutionStats {
-    const slices = [...this.slices.all()];
-    const settled = slices.reduce((sum, slice) => sum + slice.size, 0);
+    const { settled, ...sizes } = this.settled.stats();
     return {
+      ...sizes,
       records: this.live.size + settled,
       inProgress: this.live.size,
-      bytes: this.usedBytes(),
-      factBytes: this.factBytes,
-      answerBytes: this.heldAnswerBytes,
-      answersHeld: slices.reduce((sum, slice) => sum + slice.answersHeld, 0),
-      answersDropped: this.answersDropped,
+      bytes: this.liveBytes() + this.settled.bytes,
       refusedFull: this.refusedFull,
       ignoredEvents: this.ignoredEvents,
     };
@@ -223,7 +202,7 @@
     if (!(aheadMs > 0) || aheadMs > REMEMBERED_BOUNDS * this.acceptedAheadMs) {
       return { kind: 'unknown', reason: UnknownReason.ticketExpired };
     }
-    const slice = this.slices.open(ticket.expiresAtMs);
+    const slice = this.settled.sliceOf(ticket.expiresAtMs);
     if (slice.isRefused(words)) return { kind: 'refused', reason: RefusalReason.ticketRefused };
     const refusal = this.refusalOfNew(aheadMs, slice);
     if (refusal !== undefined) {
@@ -237,14 +216,14 @@
   private refusalOfNew(aheadMs: number, slice: RecordSlice): RefusalReasonName | undefined {
     if (aheadMs > this.acceptedAheadMs) return RefusalReason.ticketInvalid;
     if (this.leaving) return RefusalReason.leaving;
-    if (this.makeRoom(LIVE_CALL_BYTES + slice.growthBytes())) return undefined;
+    const neededBytes = this.liveBytes() + LIVE_CALL_BYTES + slice.growthBytes();
+    if (this.settled.shrinkTo(this.options.byteBudget - neededBytes)) return undefined;
     this.refusedFull += 1;
     return RefusalReason.recordsFull;
   }
 
   private start(ticket: Ticket, words: NonceWords, slice: RecordSlice): void {
-    this.factBytes += slice.growthBytes();
-    slice.reserve();
+    this.settled.reserve(slice);
     this.live.set(ticket.nonce, {
       nonce: ticket.nonce,
       words,
@@ -271,69 +250,15 @@
     if (this.liveStates.has(state)) return true;
     this.live.delete(nonce);
     const whole = { statusCode: 0, outcome: Outcome.unknown, ...fact, state };
-    call.slice.setFact(call.words, this.codec.encode(whole));
-    if (answer !== undefined) this.hold(call, answer);
+    this.settled.record(call.slice, call.words, whole);
+    if (answer !== undefined) {
+      this.settled.hold(call, call.slice, answer, this.options.byteBudget - this.liveBytes());
+    }
     const settled = claimOfFact(whole, answer, 'first');
     for (const listener of call.listeners) listener(settled);
     return true;
   }
 
-  private hold(call: LiveCall, answer: RecordedAnswer): void {
-    const stillKept = this.slices.find(call.expiresAtMs) === call.slice;
-    if (!stillKept) return;
-    if (!this.makeRoom(answerBytes(answer))) {
-      this.markDropped(call.slice, call.words);
-      return;
-    }
-    call.slice.holdAnswer(call.nonce, answer);
-    this.heldAnswerBytes += answerBytes(answer);
-  }
-
-  private makeRoom(neededBytes: number): boolean {
-    while (this.usedBytes() + neededBytes > this.options.byteBudget) {
-      if (!this.dropOldestAnswer()) return false;
-    }
-    return true;
-  }
-
-  private dropOldestAnswer(): boolean {
-    const slice = this.slices.oldestWithAnswers();
-    if (slice === undefined) return false;
-    const before = slice.answerBytes;
-    const nonce = slice.dropOldestAnswer();
-    this.heldAnswerBytes -= before - slice.answerBytes;
-    if (nonce !== undefined) this.markDropped(slice, nonceWords(nonce));
-    return true;
-  }
-
-  private markDropped(slice: RecordSlice, words: NonceWords): void {
-    this.answersDropped += 1;
-    const value = slice.factOf(words);
-    if (value === undefined) return;
-    const fact = this.codec.decode(value);
-    const state = this.chart.next(fact.state, CallEvent.dropAnswer);
-    if (state !== undefined) slice.setFact(words, this.codec.encode({ ...fact, state }));
-  }
-
-  private settledClaim(
-    slice: RecordSlice | undefined,
-    nonce: string,
-    words: NonceWords,
-  ): Claim | undefined {
-    const value = slice?.factOf(words);
-    if (value === undefined) return undefined;
-    return claimOfFact(this.codec.decode(value), slice?.answerOf(nonce), 'repeat');
-  }
-
-  private settledAnywhere(nonce: string): Claim {
-    const words = nonceWords(nonce);
-    for (const slice of this.slices.all()) {
-      const settled = this.settledClaim(slice, nonce, words);
-      if (settled !== undefined) return settled;
-    }
-    return { kind: 'unknown', reason: UnknownReason.ticketExpired };
-  }
-
   private isOwn(ticket: Ticket): boolean {
     const { self } = this.options;
     return ticket.home.name === self.name && ticket.home.incarnation === self.incarnation;
@@ -345,8 +270,8 @@
     return leaving.some((event) => this.chart.next(state, event) !== undefined);
   }
 
-  private usedBytes(): number {
-    return this.live.size * LIVE_CALL_BYTES + this.factBytes + this.heldAnswerBytes;
+  private liveBytes(): number {
+    return this.live.size * LIVE_CALL_BYTES;
   }
 
   /** Time never steps back, whatever is passed in. */
--- a/packages/execution/tests/execution-records.test.ts
+++ b/packages/execution/tests/execution-records.test.ts
@@ -218,6 +218,14 @@
     expect(JSON.parse(body)).toMatchObject({ targetStatusCode: 503, outcome: 'failed' });
   });
 
+  it('does not state an outcome that it was not told', () => {
+    const records = recordsWith();
+    running(records);
+    records.answered(NONCE, undefined, 1);
+    const claim = records.claim(ticketOf(), 2);
+    expect(claim).toEqual({ kind: 'unknown', reason: 'answer-not-held' });
+  });
+
   it('drops the oldest answers for room, never facts, and refuses new calls when facts fill it', () => {
     const records = recordsWith({ byteBudget: 12_000 });
     const body = Buffer.alloc(3_000);
--- a/packages/routing/src/target-picker.ts
+++ b/packages/routing/src/target-picker.ts
@@ -1,7 +1,8 @@
 import type { DaemonId, Member, MemberDirectory } from '@daisyferry/model/member';
 import type { RandomSource } from '@daisyferry/model/scheduler';
 import { groupCandidates, type Candidate, type CandidateGroups } from './candidates';
-import { TargetHealth, type TargetResult } from './target-health';
+import { TargetBook, type TargetSnapshot } from './target-book';
+import type { TargetResult } from './target-health';
 
 /** Mechanisms that can be switched off, to measure what each earns. */
 export const RoutingMechanism = {
@@ -27,21 +28,6 @@
   readonly mayBeTrial?: boolean;
 }
 
-/** State of one target as this daemon sees it. */
-export interface TargetSnapshot {
-  readonly name: string;
-  readonly inFlight: number;
-  readonly load: number;
-  readonly consecutiveFailures: number;
-  /** Remaining time for which the target is avoided; 0 when it is not. */
-  readonly avoidedForMs: number;
-}
-
-interface KnownTarget {
-  readonly incarnation: string;
-  readonly health: TargetHealth;
-}
-
 interface CachedGroups extends CandidateGroups {
   readonly epoch: number;
 }
@@ -56,11 +42,13 @@
  * nearest first, leaving out those that failed shortly before.
  */
 export class TargetPicker {
-  private readonly targets = new Map<string, KnownTarget>();
+  private readonly targets: TargetBook;
 
   private readonly cache = new Map<string, CachedGroups>();
 
-  constructor(private readonly options: TargetPickerOptions) {}
+  constructor(private readonly options: TargetPickerOptions) {
+    this.targets = new TargetBook(options.directory);
+  }
 
   /**
    * The target for one attempt, or undefined when no target outside `excluded` takes work.
@@ -93,17 +81,17 @@
 
   /** Counts an attempt on its way to a target. */
   started(name: string, _nowMs: number): void {
-    this.healthOf(name).started();
+    this.targets.healthOf(name).started();
   }
 
   /** Counts the end of an attempt; failures make the target avoided at once. */
   finished(name: string, result: TargetResult, nowMs: number): void {
-    this.healthOf(name).finished(result, nowMs, this.options.random());
+    this.targets.healthOf(name).finished(result, nowMs, this.options.random());
   }
 
   /** Notes the load that a target's daemon published on an answer. */
   observeLoad(name: string, load: number, nowMs: number): void {
-    this.healthOf(name).observeLoad(load, nowMs);
+    this.targets.healthOf(name).observeLoad(load, nowMs);
   }
 
   /**
@@ -119,13 +107,7 @@
   }
 
   snapshot(nowMs: number): readonly TargetSnapshot[] {
-    return [...this.targets].map(([name, { health }]) => ({
-      name,
-      inFlight: health.inFlight,
-      load: health.loadAt(nowMs),
-      consecutiveFailures: health.consecutiveFailures,
-      avoidedForMs: health.consecutiveFailures === 0 ? 0 : Math.max(0, health.avoidedUntil - nowMs),
-    }));
+    return this.targets.snapshot(nowMs);
   }
 
   private nearest(
@@ -160,7 +142,7 @@
 
   private firstToRecover(candidates: readonly Candidate[], nowMs: number): Candidate | undefined {
     const waitMs = ({ member }: Candidate) => {
-      const health = this.knownHealth(member);
+      const health = this.targets.known(member);
       return health?.isAvoided(nowMs) === true ? health.avoidedUntil : 0;
     };
     return candidates.reduce<Candidate | undefined>(
@@ -175,25 +157,19 @@
 
   /** Published load and own calls in flight, both as shares of the target's capacity. */
   private scoreOf({ member }: Candidate, nowMs: number): number {
-    const health = this.knownHealth(member);
+    const health = this.targets.known(member);
     if (health === undefined) return 0;
     return health.loadAt(nowMs) + health.inFlight / Math.max(1, member.slots);
   }
 
   private isUsable({ member }: Candidate, nowMs: number, mayBeTrial: boolean): boolean {
     if (this.isDisabled(RoutingMechanism.avoidance)) return true;
-    const health = this.knownHealth(member);
+    const health = this.targets.known(member);
     if (health === undefined) return true;
     if (health.isAvoided(nowMs)) return false;
     return mayBeTrial || !health.isTrial(nowMs);
   }
 
-  /** What is known of this run of the target's daemon; nothing of earlier runs. */
-  private knownHealth({ id }: Member): TargetHealth | undefined {
-    const known = this.targets.get(id.name);
-    return known?.incarnation === id.incarnation ? known.health : undefined;
-  }
-
   private candidatesOf(service: string): CandidateGroups {
     const { directory, self, dataCentre, region } = this.options;
     const cached = this.cache.get(service);
@@ -204,28 +180,10 @@
     const groups = groupCandidates(directory.membersOf(service), peers, place);
     const entry = { ...groups, epoch: directory.epoch };
     this.cache.set(service, entry);
-    this.forgetRemoved();
+    this.targets.forgetRemoved();
     return entry;
   }
 
-  private healthOf(name: string): TargetHealth {
-    const incarnation = this.options.directory.memberNamed(name)?.member.id.incarnation ?? '';
-    const known = this.targets.get(name);
-    if (known !== undefined && (incarnation === '' || known.incarnation === incarnation)) {
-      return known.health;
-    }
-    const health = new TargetHealth();
-    this.targets.set(name, { incarnation, health });
-    return health;
-  }
-
-  private forgetRemoved(): void {
-    for (const [name, { health }] of this.targets) {
-      if (health.inFlight > 0) continue;
-      if (this.options.directory.memberNamed(name) === undefined) this.targets.delete(name);
-    }
-  }
-
   private subsetSize(): number {
     if (this.isDisabled(RoutingMechanism.subset)) return Number.MAX_SAFE_INTEGER;
     return this.options.subsetSize;
