Test routing against targets that lie about their load

Cause: published load may be false in both directions. Change: two cases: no load while failing, full load while alone. Conclusion: evidence of the data path decides.

--- a/packages/routing/tests/target-picker.test.ts
+++ b/packages/routing/tests/target-picker.test.ts
@@ -95,6 +95,21 @@
     expect(picks(picker, 202).has('a')).toBe(true);
   });
 
+  it('avoids a target that publishes no load but fails', () => {
+    const picker = pickerFor(new FakeDirectory(THREE));
+    picker.observeLoad('b', 1, 0);
+    picker.observeLoad('c', 1, 0);
+    picker.observeLoad('a', 0, 0);
+    fail(picker, 'a', 0);
+    expect(picks(picker, 1).has('a')).toBe(false);
+  });
+
+  it('uses a target that publishes a full load when there is no other', () => {
+    const picker = pickerFor(new FakeDirectory([{ name: 'a' }]));
+    picker.observeLoad('a', 1e9, 0);
+    expect([...picks(picker, 0).keys()]).toEqual(['a']);
+  });
+
   it('makes no trial with a call that may not be one while there is another choice', () => {
     const picker = pickerFor(new FakeDirectory([{ name: 'a' }, { name: 'b' }]));
     fail(picker, 'a', 0);
