Add the command line and the settings reference

Cause: operators drive the administration API; wrong input must name its field. Conclusion: the whole administration path runs from the shell.

--- a/packages/admin-api/tests/admin-plugin.test.ts
+++ b/packages/admin-api/tests/admin-plugin.test.ts
@@ -110,7 +110,7 @@
       appliedRevision: () => replica.revision,
     });
     const policies = new StorePolicyAdmin(changes, policyStore, replica);
-    app = fastify();
+    app = fastify({ forceCloseConnections: true });
     await registerAdminApi(app, { policies, fleet: FLEET }, { tls, operators: [] });
     url = await app.listen({ host: '127.0.0.1', port: 0 });
   }
--- /dev/null
+++ b/packages/cli/src/commands/fleet.ts
@@ -0,0 +1,122 @@
+import {
+  DrainResponseSchema,
+  ExplainResponseSchema,
+  ListMembersResponseSchema,
+  StatusResponseSchema,
+  type ExplainResponse,
+  type StatusResponse,
+} from '@daisyferry/admin-api/gen/daisyferry/admin/v1/administration_pb';
+import type { CommandContext } from '../command-context';
+import { ExitCode } from '../exit-code';
+import { formatFields, formatTable } from '../table';
+
+/** `members` */
+export async function listMembers(
+  context: CommandContext,
+  service: string | undefined,
+): Promise<void> {
+  const response = await context.client().listMembers({ service: service ?? '' });
+  const rows = response.members.map((member) => [
+    member.name,
+    member.service,
+    member.dataCentre,
+    member.targetState,
+    member.reachability,
+    `${member.address}:${member.peerPort}`,
+    String(member.slots),
+    member.incarnation,
+  ]);
+  const header = [
+    'DAEMON',
+    'SERVICE',
+    'DATA CENTRE',
+    'TARGET',
+    'REACHABILITY',
+    'ADDRESS',
+    'SLOTS',
+    'INCARNATION',
+  ];
+  context.answer(ListMembersResponseSchema, response, formatTable(header, rows));
+}
+
+/** `drain` */
+export async function drainTarget(
+  context: CommandContext,
+  daemon: string | undefined,
+  force: boolean,
+): Promise<void> {
+  const response = await context.client().drain({ daemon: daemon ?? '', force });
+  const { outcome, reason, targetState, inFlight } = response;
+  const detail = outcome === 'begun' ? `${targetState}, ${inFlight} in flight` : reason;
+  context.answer(DrainResponseSchema, response, `${outcome}: ${response.daemon}: ${detail}`);
+  if (outcome === 'refused') context.exitCode = ExitCode.refused;
+  if (outcome === 'unknown') context.exitCode = ExitCode.undecided;
+}
+
+function statusText(response: StatusResponse): string {
+  const { headRevision, appliedRevision, lagging, comparedRevision } = response;
+  const fields = formatFields([
+    ['daemon', `${response.daemon} (${response.incarnation})`],
+    ['service', response.service],
+    ['target', response.targetState],
+    ['ready', response.ready ? 'yes' : 'no'],
+    ['members', String(response.members)],
+    ['applied revision', String(appliedRevision)],
+    ['store revision', headRevision === undefined ? 'store does not answer' : String(headRevision)],
+    ['store regressions', String(response.storeRegressions)],
+  ]);
+  if (lagging.length === 0) return `${fields}\n\nall daemons apply revision ${comparedRevision}`;
+  const rows = lagging.map((daemon) => [
+    daemon.daemon,
+    daemon.service,
+    daemon.appliedRevision === undefined ? 'no answer' : String(daemon.appliedRevision),
+  ]);
+  const table = formatTable(['DAEMON', 'SERVICE', 'REVISION'], rows);
+  return `${fields}\n\nbehind revision ${comparedRevision}:\n${table}`;
+}
+
+/** `status` */
+export async function showStatus(
+  context: CommandContext,
+  revision: number | undefined,
+): Promise<void> {
+  const response = await context.client().status({ revision: BigInt(revision ?? 0) });
+  context.answer(StatusResponseSchema, response, statusText(response));
+}
+
+function explanationText({ refusals, limits }: ExplainResponse): string {
+  const refused = refusals.map((refusal) => [
+    new Date(refusal.wallMs).toISOString(),
+    refusal.call,
+    refusal.root,
+    `${refusal.service}/${refusal.method}`,
+    refusal.class,
+    refusal.reason,
+    refusal.detail,
+  ]);
+  const limitRows = limits.map(({ name, value, unit, detail }) => [
+    name,
+    String(value),
+    unit,
+    detail,
+  ]);
+  const refusalTable = formatTable(
+    ['TIME', 'CALL', 'ROOT', 'METHOD', 'CLASS', 'REASON', 'DETAIL'],
+    refused,
+  );
+  const limitTable = formatTable(['LIMIT', 'VALUE', 'UNIT', 'DETAIL'], limitRows);
+  return `${refusalTable}\n\n${limitTable}`;
+}
+
+/** `explain` */
+export async function explainRefusals(
+  context: CommandContext,
+  id: string | undefined,
+  limit: number,
+): Promise<void> {
+  const response = await context.client().explain({ id: id ?? '', limit });
+  context.answer(ExplainResponseSchema, response, explanationText(response));
+  if (id !== undefined && response.refusals.length === 0) {
+    context.fail(ExitCode.notFound, `this daemon remembers no refusal of ${id}`);
+  }
+}
--- /dev/null
+++ b/packages/cli/src/commands/policy-read.ts
@@ -0,0 +1,108 @@
+import {
+  DiffPolicyResponseSchema,
+  GetPolicyResponseSchema,
+  HistoryResponseSchema,
+  ListPoliciesResponseSchema,
+  type PolicyRecord,
+} from '@daisyferry/admin-api/gen/daisyferry/admin/v1/administration_pb';
+import { differencesText, problemsText } from '../change-report';
+import type { CommandContext } from '../command-context';
+import { ExitCode } from '../exit-code';
+import { InputError } from '../input-error';
+import { readDocument } from '../policy-file';
+import { formatTable } from '../table';
+
+function changeOf({ withdrawn }: PolicyRecord): string {
+  return withdrawn ? 'withdrawn' : 'replaced';
+}
+
+/** `policy get`: prints the document, so that it can be edited and applied again. */
+export async function getPolicy(
+  context: CommandContext,
+  service: string,
+  revision: number | undefined,
+): Promise<void> {
+  const request = { service, revision: BigInt(revision ?? 0) };
+  const response = await context.client().getPolicy(request);
+  const { record } = response;
+  if (record === undefined || (record.withdrawn && revision === undefined)) {
+    const which = revision === undefined ? '' : ` at revision ${revision}`;
+    context.fail(ExitCode.notFound, `no policy of ${service}${which}`);
+    return;
+  }
+  const text = record.withdrawn
+    ? `withdrawn at revision ${record.revision}`
+    : JSON.stringify(JSON.parse(record.document), null, 2);
+  context.answer(GetPolicyResponseSchema, response, text);
+}
+
+/** `policy list` */
+export async function listPolicies(context: CommandContext): Promise<void> {
+  const response = await context.client().listPolicies({});
+  const rows = response.records.map(({ service, revision, author, acceptedAt }) => [
+    service,
+    String(revision),
+    author,
+    acceptedAt,
+  ]);
+  const table = formatTable(['SERVICE', 'REVISION', 'AUTHOR', 'ACCEPTED'], rows);
+  context.answer(ListPoliciesResponseSchema, response, table);
+}
+
+export interface DiffArguments {
+  readonly file: string | undefined;
+  readonly service: string | undefined;
+  readonly revision: number | undefined;
+}
+
+/** `policy diff`: a file, or an older revision, against the policy in force. */
+export async function diffPolicy(
+  context: CommandContext,
+  { file, service, revision }: DiffArguments,
+): Promise<void> {
+  if (file === undefined && (service === undefined || revision === undefined)) {
+    throw new InputError('policy diff: expected FILE, or --service and --revision');
+  }
+  const document = file === undefined ? undefined : readDocument(context.environment, file);
+  const response = await context.client().diffPolicy({
+    service: service ?? document?.service ?? '',
+    document: document?.text ?? '',
+    revision: BigInt(revision ?? 0),
+  });
+  const { problems, differences } = response;
+  const isInvalid = problems.length > 0;
+  const text = isInvalid ? `invalid:\n${problemsText(problems)}` : differencesText(differences);
+  context.answer(DiffPolicyResponseSchema, response, text);
+  if (isInvalid) context.exitCode = ExitCode.badInput;
+}
+
+export interface HistoryArguments {
+  readonly service: string | undefined;
+  readonly before: number | undefined;
+  readonly limit: number;
+}
+
+/** `policy history` */
+export async function policyHistory(
+  context: CommandContext,
+  { service, before, limit }: HistoryArguments,
+): Promise<void> {
+  const response = await context.client().history({
+    service: service ?? '',
+    beforeRevision: BigInt(before ?? 0),
+    limit,
+  });
+  const rows = response.records.map((record) => [
+    String(record.revision),
+    record.service,
+    changeOf(record),
+    record.author,
+    record.acceptedAt,
+    record.operationId,
+  ]);
+  const header = ['REVISION', 'SERVICE', 'CHANGE', 'AUTHOR', 'ACCEPTED', 'OPERATION'];
+  const last = response.records.at(-1);
+  const more =
+    response.more && last !== undefined ? `\nolder changes: --before ${last.revision}` : '';
+  context.answer(HistoryResponseSchema, response, formatTable(header, rows) + more);
+}
--- /dev/null
+++ b/packages/cli/src/commands/settings.ts
@@ -0,0 +1,27 @@
+import { checkDocument, problemText } from '@daisyferry/settings/check-settings';
+import { daemonSettingsSchema } from '@daisyferry/settings/daemon-settings';
+import { z } from 'zod';
+import type { CommandContext } from '../command-context';
+import { ExitCode } from '../exit-code';
+import { readJson } from '../policy-file';
+
+/** `settings check`: names every fault of a daemon's settings by its path. */
+export function checkSettings(context: CommandContext, file: string): void {
+  const checked = checkDocument(daemonSettingsSchema, readJson(context.environment, file));
+  const problems = checked.ok ? [] : checked.problems;
+  const text = checked.ok ? `${file}: good` : problems.map(problemText).join('\n');
+  context.report({ file, ok: checked.ok, problems }, text);
+  if (!checked.ok) context.exitCode = ExitCode.badInput;
+}
+
+/** The JSON Schema of a daemon's settings as they stand in a file. */
+export function settingsSchema(): object {
+  return z.toJSONSchema(daemonSettingsSchema, { io: 'input' });
+}
+
+/** `settings schema` */
+export function printSettingsSchema(context: CommandContext, file: string | undefined): void {
+  const text = JSON.stringify(settingsSchema(), null, 2);
+  if (file === undefined) context.report(settingsSchema(), text);
+  else context.environment.writeFile(file, `${text}\n`);
+}
--- /dev/null
+++ b/packages/cli/src/exit-code.ts
@@ -0,0 +1,18 @@
+/** Exit codes of the command line; `docs/operators/command-line.md` describes each. */
+export const ExitCode = {
+  ok: 0,
+  /** A fault of the program itself. */
+  internal: 1,
+  /** An argument, a file or a document is wrong; the message names the field. */
+  badInput: 2,
+  /** The daemon refused: nothing changed. */
+  refused: 3,
+  /** The change may have been written: ask with `policy settle`. */
+  undecided: 4,
+  /** No daemon answered: nothing was sent. */
+  unreachable: 5,
+  /** What was asked for does not exist. */
+  notFound: 6,
+} as const;
+
+export type ExitCodeNumber = (typeof ExitCode)[keyof typeof ExitCode];
--- /dev/null
+++ b/packages/cli/src/main.ts
@@ -0,0 +1,29 @@
+import { randomUUID } from 'node:crypto';
+import { readFileSync, writeFileSync } from 'node:fs';
+import { userInfo } from 'node:os';
+import { hideBin } from 'yargs/helpers';
+import { connectAdmin } from './admin-connection';
+import { runCommandLine } from './command-line';
+import { InputError } from './input-error';
+
+const STANDARD_INPUT = 0;
+
+function readFile(file: string): string {
+  try {
+    return readFileSync(file === '-' ? STANDARD_INPUT : file, 'utf8');
+  } catch (error) {
+    const detail = error instanceof Error ? error.message : String(error);
+    throw new InputError(`${file}: ${detail}`);
+  }
+}
+
+process.exitCode = await runCommandLine(hideBin(process.argv), {
+  connect: connectAdmin,
+  readFile,
+  writeFile: (file, text) => writeFileSync(file, text),
+  writeOutput: (text) => process.stdout.write(text),
+  writeError: (text) => process.stderr.write(text),
+  newOperationId: () => randomUUID(),
+  userName: userInfo().username,
+  variables: process.env,
+});
--- /dev/null
+++ b/packages/cli/tests/command-line.test.ts
@@ -0,0 +1,133 @@
+import { readFileSync } from 'node:fs';
+import { describe, expect, it } from 'vitest';
+import { FakeCluster } from './fake-cluster';
+
+const EXAMPLE = new URL('../../../examples/dorado/policies/teller.json', import.meta.url);
+
+type Step = string | ((cluster: FakeCluster) => unknown);
+
+const teller = readFileSync(EXAMPLE, 'utf8');
+const fewerRetries = teller.replace('"tokensPerRoot": 3', '"tokensPerRoot": 1');
+const broken = teller.replace('"class": "money"', '"class": "monet"');
+
+function withFaults(mode: 'ok' | 'down' | 'loseAnswers'): Step {
+  return (cluster) => cluster.store.setFaults({ mode, delayMs: 0 });
+}
+
+const SESSIONS: Readonly<Record<string, readonly Step[]>> = {
+  'policy-life': [
+    'policy list',
+    'policy apply teller.json --dry-run',
+    'policy apply teller.json',
+    'policy apply teller.json --expected-revision 0',
+    'policy diff fewer-retries.json',
+    'policy apply fewer-retries.json --author ben',
+    'policy list',
+    'policy get teller',
+    'policy diff --service teller --revision 1',
+    'policy withdraw teller',
+    'policy get teller',
+    'policy get teller --revision 1 --json',
+    'policy history',
+    'policy history teller --limit 1 --json',
+  ],
+  'policy-refused': [
+    'policy apply broken.json',
+    'policy diff broken.json',
+    'policy diff',
+    'policy apply text.json',
+    'policy apply missing.json',
+    'policy apply teller.json --operation-id !',
+    'policy apply teller.json --operation-id once',
+    'policy apply fewer-retries.json --operation-id once',
+    'policy get vault',
+  ],
+  'store-faults': [
+    withFaults('down'),
+    'policy apply teller.json --expected-revision 0 --json',
+    'policy history',
+    withFaults('loseAnswers'),
+    'policy apply teller.json --expected-revision 0',
+    (cluster) =>
+      cluster.store.planFaults(['ok', 'ok', 'ok', 'loseAnswers', ...Array(60).fill('down')]),
+    'policy apply fewer-retries.json --expected-revision 1 --operation-id lost',
+    (cluster) => cluster.store.planFaults([]),
+    withFaults('ok'),
+    'policy settle lost',
+    'policy settle never-sent',
+    'policy apply teller.json --operation-id never-sent',
+  ],
+  fleet: [
+    'members',
+    'members --service vault --json',
+    'drain teller-quiapo-1',
+    'drain teller-quiapo-1 --force',
+    'status',
+    'status --revision 5',
+    'status --json',
+    'explain',
+    'explain unknown',
+  ],
+  settings: [
+    'settings check good.json',
+    'settings check bad.json',
+    'settings check bad.json --json',
+    'settings schema --output schema.json',
+  ],
+  help: [
+    '--help',
+    'policy --help',
+    'policy apply --help',
+    'polici',
+    'policy',
+    'drain --forced',
+    'explain --limit 0',
+  ],
+};
+
+const listener = { address: '127.0.0.1', port: 0 };
+
+const settings = {
+  name: 'vault-quiapo-1',
+  cluster: 'dorado',
+  service: 'vault',
+  dataCentre: 'quiapo',
+  region: 'ncr',
+  slots: 170,
+  connections: 1_100,
+  listeners: {
+    callers: listener,
+    local: listener,
+    peers: listener,
+    gossip: listener,
+    admin: listener,
+  },
+  store: { endpoints: ['http://127.0.0.1:2379'] },
+};
+
+function openCluster(): FakeCluster {
+  const cluster = new FakeCluster();
+  const files = {
+    'teller.json': teller,
+    'fewer-retries.json': fewerRetries,
+    'broken.json': broken,
+    'text.json': 'teller',
+    'good.json': JSON.stringify(settings),
+    'bad.json': JSON.stringify({ ...settings, slots: 'many', zone: 1 }),
+  };
+  for (const [file, text] of Object.entries(files)) cluster.files.set(file, text);
+  return cluster;
+}
+
+describe('command line', () => {
+  it.each(Object.entries(SESSIONS))('session %s', async (name, steps) => {
+    const cluster = openCluster();
+    const transcript: string[] = [];
+    for (const step of steps) {
+      if (typeof step === 'string')
+        transcript.push(await cluster.run(step.split(' ').filter(Boolean)));
+      else step(cluster);
+    }
+    await expect(transcript.join('\n')).toMatchFileSnapshot(`golden/${name}.txt`);
+  });
+});
--- a/packages/model/src/virtual-scheduler.ts
+++ b/packages/model/src/virtual-scheduler.ts
@@ -6,6 +6,9 @@
   readonly action: () => void;
 }
 
+/** Turns of the event loop that a promise may take with nothing scheduled. */
+const MAX_IDLE_ROUNDS = 100;
+
 /** A scheduler for tests, whose time only moves when a test says so. */
 export class VirtualScheduler implements Scheduler {
   private entries: Entry[] = [];
@@ -44,21 +47,23 @@
     this.timeMs = untilMs;
   }
 
-  /** Advances until a promise has settled, for at most the given span. */
-  async settled<Value>(promise: Promise<Value>, spanMs = 3_600_000): Promise<Value> {
+  /** Advances until a promise has settled; it must not wait for anything but this scheduler. */
+  async settled<Value>(promise: Promise<Value>): Promise<Value> {
     let done = false;
     const mark = () => {
       done = true;
     };
     promise.then(mark, mark);
-    const untilMs = this.timeMs + spanMs;
-    await VirtualScheduler.settle();
+    let idleRounds = 0;
     while (!done) {
-      const next = this.takeDue(untilMs);
-      if (next === undefined) throw new Error('the promise waits for nothing that is scheduled');
+      await VirtualScheduler.settle();
+      if (done) break;
+      const next = this.takeDue(Infinity);
+      idleRounds = next === undefined ? idleRounds + 1 : 0;
+      if (idleRounds > MAX_IDLE_ROUNDS) throw new Error('the promise waits for nothing scheduled');
+      if (next === undefined) continue;
       this.timeMs = next.dueMs;
       next.action();
-      await VirtualScheduler.settle();
     }
     return promise;
   }
--- a/packages/policies/src/policy-difference.ts
+++ b/packages/policies/src/policy-difference.ts
@@ -33,11 +33,17 @@
   return value === undefined ? undefined : JSON.stringify(value);
 }
 
+/** True if both sides are lists or objects, or one is and the other is absent. */
+function canDescend(before: unknown, after: unknown): boolean {
+  const sides = [before, after].filter((side) => side !== undefined);
+  return sides.every((side) => isRecord(side) && fieldsOf(side).size > 0);
+}
+
 function collect(path: Path, before: unknown, after: unknown, found: Difference[]): void {
   const beforeText = jsonText(before);
   const afterText = jsonText(after);
   if (beforeText === afterText) return;
-  if (!isRecord(before) || !isRecord(after)) {
+  if (!canDescend(before, after)) {
     found.push({ path: pathText(path), before: beforeText, after: afterText });
     return;
   }
--- a/packages/settings/src/check-settings.ts
+++ b/packages/settings/src/check-settings.ts
@@ -37,6 +37,16 @@
   }, '');
 }
 
+function problemAt(document: unknown, path: readonly PropertyKey[], expected: string): Problem {
+  return { path: pathText(path), value: shown(valueAt(document, path)), expected };
+}
+
+/** One problem for each issue, and one for each field that the schema does not know. */
+function problemsOf(document: unknown, issue: z.core.$ZodIssue): readonly Problem[] {
+  if (issue.code !== 'unrecognized_keys') return [problemAt(document, issue.path, issue.message)];
+  return issue.keys.map((key) => problemAt(document, [...issue.path, key], 'no such field'));
+}
+
 /** Checks a document against its schema and reports every problem by its path. */
 export function checkDocument<Schema extends z.ZodType>(
   schema: Schema,
@@ -44,11 +54,7 @@
 ): Checked<z.output<Schema>> {
   const result = schema.safeParse(document);
   if (result.success) return { ok: true, value: result.data };
-  const problems = result.error.issues.map((issue) => ({
-    path: pathText(issue.path),
-    value: shown(valueAt(document, issue.path)),
-    expected: issue.message,
-  }));
+  const problems = result.error.issues.flatMap((issue) => problemsOf(document, issue));
   return { ok: false, problems };
 }
 
--- a/scripts/generate.mjs
+++ b/scripts/generate.mjs
@@ -18,6 +18,18 @@
       target,
     ],
   },
+  {
+    name: 'reference pages',
+    output: 'docs/reference',
+    command: (target) => [
+      'tsx',
+      'packages/cli/src/main.ts',
+      'settings',
+      'schema',
+      '--output',
+      path.join(target, 'daemon-settings.schema.json'),
+    ],
+  },
 ];
 
 const check = process.argv.includes('--check');
