--- a/packages/policies/src/method-matcher.ts
+++ b/packages/policies/src/method-matcher.ts
@@ -19,6 +19,19 @@
   return query === -1 ? target : target.slice(0, query);
 }
 
+const DOT_SEGMENT_PATTERN = /\/\.{1,2}(\/|$)/;
+const ENCODED_SEPARATOR_PATTERN = /%(2e|2f|5c)/i;
+
+/**
+ * True for a path that a target may read as another one: with empty or dot segments, or with dots
+ * and separators in percent encoding. Such a path matches no rule.
+ */
+function isAmbiguous(path: string): boolean {
+  if (path.includes('//')) return true;
+  if (path.includes('/.') && DOT_SEGMENT_PATTERN.test(path)) return true;
+  return path.includes('%') && ENCODED_SEPARATOR_PATTERN.test(path);
+}
+
 function matchesSegments(prefix: string, path: string): boolean {
   if (!path.startsWith(prefix)) return false;
   return path.length === prefix.length || path.charCodeAt(prefix.length) === SLASH;
@@ -59,7 +72,8 @@
 
 /**
  * Finds the rule of a call: the longest path prefix of whole segments wins, and among equal
- * prefixes the rule that names the HTTP method. A query string in `path` is ignored.
+ * prefixes the rule that names the HTTP method. A query string in `path` is ignored. A path that
+ * targets may read as another one matches no rule.
  */
 export function matchMethod(
   policy: ServicePolicy,
@@ -71,5 +85,6 @@
     compiled = new CompiledPolicy(policy);
     compiledPolicies.set(policy, compiled);
   }
-  return compiled.match(httpMethod, pathOnly(path));
+  const plainPath = pathOnly(path);
+  return isAmbiguous(plainPath) ? undefined : compiled.match(httpMethod, plainPath);
 }
