--- a/packages/policies/src/change-run.ts
+++ b/packages/policies/src/change-run.ts
@@ -145,7 +145,8 @@
   /** The operation identifier was used before: the first outcome holds. */
   private known(operation: StoredOperation, proposal: CheckedProposal): Step {
     if (operation.state === 'cancelled') return this.conflict(ChangeRefusal.cancelled);
-    if (operation.digest !== proposal.digest) return this.conflict(ChangeRefusal.operationReused);
+    const { digest = proposal.digest } = operation;
+    if (digest !== proposal.digest) return this.conflict(ChangeRefusal.operationReused);
     return this.accepted('WRITTEN', operation);
   }
 
--- a/packages/policies/src/policy-reader.ts
+++ b/packages/policies/src/policy-reader.ts
@@ -3,12 +3,14 @@
 import type { RandomSource, Scheduler, Timer } from '@daisyferry/model/scheduler';
 import type { PlatformStore, Watch, WatchEvent } from '@daisyferry/store/platform-store';
 import type { PolicyStore } from './policy-store';
-import { parseStored, storedRecordSchema } from './stored-policies';
+import { RepairResult, StoreRepair } from './store-repair';
+import { parseStored, storedRecordSchema, toPolicyRecord } from './stored-policies';
 
 const FIRST_RETRY_MS = 250;
 const MAX_RETRY_MS = 30_000;
 /** Mean time between two comparisons with the head while the watch is quiet. */
 const CHECK_INTERVAL_MS = 60_000;
+const REPAIR_TIMEOUT_MS = 2_000;
 
 /** What the reader has seen, for metrics and `daisyferry status`. */
 export interface PolicyReaderCounters {
@@ -16,6 +18,8 @@
   applied: number;
   /** Times that the store was behind the replica. */
   regressions: number;
+  /** Times that the reader wrote lost records back to the store. */
+  repairs: number;
   /** Reads or watches that failed. */
   failures: number;
 }
@@ -37,10 +41,11 @@
 /**
  * Task that keeps the replica of one daemon up to date with the store. One watch delivers each
  * changed record, so that in the steady state a change costs no read; a read follows only where
- * the order of revisions has a gap, after a lost watch, and once in a while for comparison.
+ * the order of revisions has a gap, after a lost watch, and once in a while for comparison. A store
+ * that was restored to an older state is never followed back; what it lost is written again.
  */
 export class PolicyReader {
-  readonly counters: PolicyReaderCounters = { applied: 0, regressions: 0, failures: 0 };
+  readonly counters: PolicyReaderCounters = { applied: 0, regressions: 0, repairs: 0, failures: 0 };
 
   private running = false;
 
@@ -55,7 +60,12 @@
 
   private available: boolean | undefined;
 
-  constructor(private readonly dependencies: PolicyReaderDependencies) {}
+  private readonly storeRepair: StoreRepair;
+
+  constructor(private readonly dependencies: PolicyReaderDependencies) {
+    const { store, policyStore, replica } = dependencies;
+    this.storeRepair = new StoreRepair(store, policyStore, replica, REPAIR_TIMEOUT_MS);
+  }
 
   /** Begins to read; does nothing if it reads already. */
   start(): void {
@@ -103,6 +113,7 @@
     if (delta.toRevision < replica.revision) {
       this.counters.regressions += 1;
       onRegressed?.(delta.toRevision, replica.revision);
+      this.repair();
       return;
     }
     if (replica.apply(delta) !== ApplyResult.applied) return;
@@ -110,6 +121,18 @@
     onApplied?.(replica.revision);
   }
 
+  /** Writes back what the store lost; the next comparison tries again after a failure. */
+  private repair(): void {
+    const { run } = this;
+    this.storeRepair.run().then(
+      (result) => {
+        if (result === RepairResult.repaired) this.counters.repairs += 1;
+        if (result === RepairResult.failed && run === this.run) this.retry();
+      },
+      () => undefined,
+    );
+  }
+
   private startWatch(fromRevision: number): void {
     const { run } = this;
     const { store, policyStore, scheduler, random } = this.dependencies;
@@ -133,7 +156,7 @@
     this.failuresInRow = 0;
     for (const event of events) {
       const record = parseStored(storedRecordSchema, event.value);
-      if (record !== undefined && !this.receiveRecord(record)) {
+      if (record !== undefined && !this.receiveRecord(toPolicyRecord(record))) {
         this.read();
         return;
       }
--- a/packages/policies/src/policy-store.ts
+++ b/packages/policies/src/policy-store.ts
@@ -8,6 +8,7 @@
   parseStored,
   storedOperationSchema,
   storedRecordSchema,
+  toPolicyRecord,
   type StoredOperation,
   type StoredRecord,
 } from './stored-policies';
@@ -112,7 +113,7 @@
       const record = await this.readRevision(revision);
       if (!record.ok) return record;
       if (record.value === undefined) return { ok: true, value: undefined };
-      records.push(record.value.value);
+      records.push(toPolicyRecord(record.value.value));
     }
     return { ok: true, value: records };
   }
@@ -154,7 +155,7 @@
       for (const { key, value } of values) {
         const record = parseStored(storedRecordSchema, value);
         if (record === undefined) return refusedCall(`${key}: not a policy record`);
-        records.push(record);
+        records.push(toPolicyRecord(record));
       }
       if (values.length < PAGE_KEYS) return { ok: true, value: records };
       after = values[values.length - 1]?.key;
--- a/packages/policies/src/stored-policies.ts
+++ b/packages/policies/src/stored-policies.ts
@@ -1,4 +1,4 @@
-import { servicePolicySchema } from '@daisyferry/model/policy';
+import { servicePolicySchema, type PolicyRecord } from '@daisyferry/model/policy';
 import { z } from 'zod';
 
 const revision = z.int().min(1);
@@ -19,13 +19,24 @@
 
 /** What became of an operation; a cancelled one can never be accepted any more. */
 export const storedOperationSchema = z.discriminatedUnion('state', [
-  z.object({ state: z.literal('accepted'), revision, service: z.string(), digest: z.string() }),
+  z.object({
+    state: z.literal('accepted'),
+    revision,
+    service: z.string(),
+    /** Absent after a repair of the store: the change that it was is no longer known whole. */
+    digest: z.string().optional(),
+  }),
   z.object({ state: z.literal('cancelled') }),
 ]);
 
 export type StoredRecord = Readonly<z.infer<typeof storedRecordSchema>>;
 export type StoredOperation = Readonly<z.infer<typeof storedOperationSchema>>;
 
+/** The record as daemons pass it on, without what only the store needs. */
+export function toPolicyRecord({ previousRevision, ...record }: StoredRecord): PolicyRecord {
+  return record;
+}
+
 /** Reads a stored value; undefined when it is not what this version writes. */
 export function parseStored<Schema extends z.ZodType>(
   schema: Schema,
