--- a/packages/admin-api/src/store-policy-admin.ts
+++ b/packages/admin-api/src/store-policy-admin.ts
@@ -15,6 +15,9 @@
   PolicyComparison,
 } from './policy-admin';
 
+/** Revisions without a record that end a listing: the history begins after them. */
+const MAX_MISSING = 64;
+
 /** Administration of policies over the platform's store and the daemon's own replica. */
 export class StorePolicyAdmin implements PolicyAdmin {
   constructor(
@@ -83,16 +86,17 @@
     if (!start.ok) return start;
     const records: PolicyRecord[] = [];
     let revision = start.value;
-    while (revision > 0 && records.length < limit) {
+    let missing = 0;
+    while (revision > 0 && records.length < limit && missing < MAX_MISSING) {
       const stored = await this.policyStore.readRevision(revision);
       if (!stored.ok) return stored;
       const record = stored.value?.value;
-      if (record === undefined) return { ok: true, value: { records, more: false } };
-      const isListed = beforeRevision === undefined || record.revision < beforeRevision;
+      const isListed = record !== undefined && record.revision < (beforeRevision ?? Infinity);
       if (isListed) records.push(record);
-      revision = service === undefined ? revision - 1 : record.previousRevision;
+      missing = record === undefined ? missing + 1 : 0;
+      revision = service === undefined ? revision - 1 : (record?.previousRevision ?? 0);
     }
-    return { ok: true, value: { records, more: revision > 0 } };
+    return { ok: true, value: { records, more: revision > 0 && missing === 0 } };
   }
 
   private async startOf(
--- a/packages/policies/src/change-run.ts
+++ b/packages/policies/src/change-run.ts
@@ -35,6 +35,7 @@
   readonly scheduler: Scheduler;
   readonly random: RandomSource;
   readonly appliedRevision: () => number;
+  readonly onWritten?: (record: PolicyRecord) => void;
 }
 
 /** One change on its way through the chart of policy changes. */
@@ -92,7 +93,10 @@
     const written = await this.writer.write(prepared);
     if (!written.ok && written.kind === 'refused') return this.unavailable(written);
     if (!written.ok) return { event: 'ANSWER_LOST', outcome: this.undecided(written.detail) };
-    if (written.value.succeeded) return this.accepted('WRITTEN', prepared.record);
+    if (written.value.succeeded) {
+      this.dependencies.onWritten?.(prepared.record);
+      return this.accepted('WRITTEN', prepared.record);
+    }
     if (this.writes >= this.limits.maxWrites) return this.conflict(ChangeRefusal.contended);
     return { event: 'OTHER_SERVICE_CHANGED', outcome: this.outcome };
   }
--- a/packages/policies/src/policy-changes.ts
+++ b/packages/policies/src/policy-changes.ts
@@ -1,5 +1,6 @@
 import policyChangeChart from '@daisyferry/charts/policy-change.chart.json';
 import { Chart, type ChartDefinition } from '@daisyferry/charts/chart';
+import type { PolicyRecord } from '@daisyferry/model/policy';
 import type { RandomSource, Scheduler } from '@daisyferry/model/scheduler';
 import type { Checked } from '@daisyferry/settings/check-settings';
 import type { PlatformStore } from '@daisyferry/store/platform-store';
@@ -40,6 +41,8 @@
   readonly random: RandomSource;
   /** Greatest revision that this daemon applies. */
   readonly appliedRevision: () => number;
+  /** Called with each record that this daemon wrote, so that it need not wait for the reader. */
+  readonly onWritten?: (record: PolicyRecord) => void;
   readonly limits?: PolicyChangeLimits;
   /** Replaces the chart of the file; for tests. */
   readonly chart?: ChartDefinition;
