--- a/packages/admin-api/tests/admin-plugin.test.ts
+++ b/packages/admin-api/tests/admin-plugin.test.ts
@@ -1,3 +1,5 @@
+import { createClient } from '@connectrpc/connect';
+import { createGrpcTransport, Http2SessionManager } from '@connectrpc/connect-node';
 import fastify, { type FastifyInstance } from 'fastify';
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
 import type { MemberView } from '@daisyferry/model/member';
@@ -8,6 +10,7 @@
 import { MemoryStore } from '@daisyferry/store/memory-store';
 import { registerAdminApi } from '../src/admin-plugin';
 import type { FleetAdmin } from '../src/fleet-admin';
+import { AdministrationService } from '../src/gen/daisyferry/admin/v1/administration_pb';
 import { StorePolicyAdmin } from '../src/store-policy-admin';
 
 const SERVICE = '/daisyferry.admin.v1.AdministrationService';
@@ -97,8 +100,7 @@
   let store: MemoryStore;
   let url: string;
 
-  async function start(tls: boolean): Promise<void> {
-    const scheduler = new VirtualScheduler();
+  function storeParts(scheduler: VirtualScheduler): [PolicyChanges, PolicyStore, LocalPolicies] {
     store = new MemoryStore(scheduler);
     const policyStore = new PolicyStore(store, 'dorado', 1_000);
     const replica = new LocalPolicies();
@@ -109,7 +111,11 @@
       random: () => 0.5,
       appliedRevision: () => replica.revision,
     });
-    const policies = new StorePolicyAdmin(changes, policyStore, replica);
+    return [changes, policyStore, replica];
+  }
+
+  async function start(tls: boolean): Promise<void> {
+    const policies = new StorePolicyAdmin(...storeParts(new VirtualScheduler()));
     app = fastify({ forceCloseConnections: true });
     await registerAdminApi(app, { policies, fleet: FLEET }, { tls, operators: [] });
     url = await app.listen({ host: '127.0.0.1', port: 0 });
@@ -188,6 +194,23 @@
     expect(await call(method, body)).toMatchObject(answer);
   });
 
+  it('serves gRPC over HTTP/2', async () => {
+    const http2 = fastify({ http2: true, forceCloseConnections: true });
+    const unused = new StorePolicyAdmin(...storeParts(new VirtualScheduler()));
+    const backend = { policies: unused, fleet: FLEET };
+    await registerAdminApi(http2 as unknown as FastifyInstance, backend, {
+      tls: false,
+      operators: [],
+    });
+    const baseUrl = await http2.listen({ host: '127.0.0.1', port: 0 });
+    const sessions = new Http2SessionManager(baseUrl);
+    const transport = createGrpcTransport({ baseUrl, sessionManager: sessions });
+    const client = createClient(AdministrationService, transport);
+    expect(await client.status({ revision: 4n })).toMatchObject({ comparedRevision: 4n });
+    sessions.abort();
+    await http2.close();
+  });
+
   it('lets an operator without a certificate change nothing', async () => {
     await app.close();
     await start(true);
