--- a/packages/daemon/src/fleet-start.ts
+++ b/packages/daemon/src/fleet-start.ts
@@ -52,15 +52,19 @@
       nowMs: () => scheduler.nowMs(),
       dataCentreMembers: () => membership.table.groupOf(settings.dataCentre).members,
     });
+    const members = new MemberFetch({
+      selfName: self.name,
+      table: membership.table,
+      rpc,
+      random,
+      learn: (facts) => membership.learn(facts),
+    });
+    membership.whenTableBehind(() => {
+      members.run().catch((error: unknown) => this.report(error));
+    });
     this.newcomer = new Newcomer({
       replica: policies,
-      members: new MemberFetch({
-        selfName: self.name,
-        table: membership.table,
-        rpc,
-        random,
-        learn: (facts) => membership.learn(facts),
-      }),
+      members,
       store: {
         greatestRevision: async () => {
           const head = await policyStore.readHead();
--- a/packages/membership/src/gossip-options.ts
+++ b/packages/membership/src/gossip-options.ts
@@ -48,7 +48,7 @@
   deadRetentionMs: 7_200_000,
   flushDelayMs: 20,
   fanout: 3,
-  bytesPerSecond: 2_400,
+  bytesPerSecond: 2_700,
   burstBytes: 6_000,
   repairPeriodMs: 500,
   pauseThresholdMs: 1_000,
--- a/packages/membership/src/member-fetch.ts
+++ b/packages/membership/src/member-fetch.ts
@@ -13,7 +13,7 @@
 const ROWS_PER_PAGE = 128;
 const PAGE_TIMEOUT_MS = 3_000;
 const ATTEMPTS_PER_PAGE = 4;
-const CONCURRENT_PAGES = 4;
+const CONCURRENT_PAGES = 2;
 
 export interface MemberFetchOptions {
   readonly selfName: string;
@@ -26,10 +26,20 @@
 
 /** Reads the whole member table page by page from several peers. */
 export class MemberFetch {
+  private current: Promise<boolean> | undefined;
+
   constructor(private readonly options: MemberFetchOptions) {}
 
-  /** Fetches all pages; false when a page could not be had from any peer tried. */
+  /** Fetches all pages, or waits for the fetch under way. */
   async run(): Promise<boolean> {
+    this.current ??= this.fetchAll();
+    const isComplete = await this.current;
+    this.current = undefined;
+    return isComplete;
+  }
+
+  /** Resolves to false when a page could not be had from any peer tried. */
+  private async fetchAll(): Promise<boolean> {
     const first = await this.fetchPage(MAX_DIGEST_BITS, 0);
     if (first === undefined) return false;
     const wanted = Math.ceil(Math.log2(Math.max(1, first.total / ROWS_PER_PAGE)));
--- a/packages/membership/src/membership-task.ts
+++ b/packages/membership/src/membership-task.ts
@@ -49,6 +49,9 @@
   };
 }
 
+/** Shortest time between two fetches of the whole table. */
+const FETCH_PERIOD_MS = 10_000;
+
 /** Owns the gossip socket and its timer, and runs the engine on them. */
 export class MembershipTask {
   readonly counters: MembershipCounters = {
@@ -68,6 +71,10 @@
 
   private isRunning = false;
 
+  private nextFetchAtMs = 0;
+
+  private onTableBehind: () => void = () => undefined;
+
   constructor(private readonly options: MembershipTaskOptions) {
     const { bind, gossip, scheduler } = options;
     this.socket = createSocket(isIPv6(bind.address) ? 'udp6' : 'udp4');
@@ -109,6 +116,11 @@
     return port;
   }
 
+  /** Sets what fetches the whole table once a peer is found to know many times the members. */
+  whenTableBehind(fetchTable: () => void): void {
+    this.onTableBehind = fetchTable;
+  }
+
   /** Tells peers that this daemon leaves, and closes the socket once that is sent. */
   async stop(): Promise<void> {
     if (!this.isRunning) return;
@@ -175,6 +187,9 @@
       case 'policyRumor':
         listener.onPolicyRumor(effect.revision, effect.from);
         break;
+      case 'tableBehind':
+        this.fetchTable();
+        break;
       case 'superseded':
         listener.onSuperseded(effect.by);
         break;
@@ -185,6 +200,12 @@
     }
   }
 
+  private fetchTable(): void {
+    if (this.now() < this.nextFetchAtMs) return;
+    this.nextFetchAtMs = this.now() + FETCH_PERIOD_MS;
+    this.onTableBehind();
+  }
+
   private send(payload: Buffer, to: GossipAddress, done: () => void = () => undefined): void {
     this.counters.datagramsOut += 1;
     this.counters.bytesOut += payload.length + DATAGRAM_OVERHEAD_BYTES;
