Add the stand-in targets, the load generator and the accounting of the bench

Cause: the system's outcomes under load must be judged from what targets did, never from its own counters. Change: seeded open-loop arrivals, callers with patience, money tickets, stand-in targets with slots and records that survive a kill, scenarios with timed faults, accounting, report and table; the build takes files of packages as text.

--- /dev/null
+++ b/packages/bench/src/cluster.ts
@@ -0,0 +1,206 @@
+import type { ServicePolicy } from '@daisyferry/model/policy';
+import path from 'node:path';
+import { DaemonProcess } from './daemon-process';
+import type { Deployment } from './deployment';
+import { allInstances, type Instance } from './instance';
+import { waitUntil } from './polling';
+import { probeEntry } from './probe';
+import type { ProcessGroup } from './process-group';
+import type { Programs } from './programs';
+import type { TargetPlan } from './stand-in-target-plan';
+import { StoreProcess } from './store-process';
+import { TargetProcess } from './target-process';
+
+const READY_TIMEOUT_MS = 20_000;
+
+/** What one half of a run starts. */
+export interface ClusterPlan {
+  readonly deployment: Deployment;
+  readonly policies: readonly ServicePolicy[];
+  readonly seed: number;
+  readonly phase: string;
+  readonly mode: 'full' | 'passThrough';
+  readonly disabledMechanisms: readonly string[];
+  /** Instances whose target is stopped or killed and so has a process of its own. */
+  readonly ownProcess: ReadonlySet<string>;
+  readonly folder: string;
+  readonly timelineSampleRatio: number;
+}
+
+/** Store, daemons and stand-in targets of one half of a run, as plain processes. */
+export class Cluster {
+  readonly daemons = new Map<string, DaemonProcess>();
+
+  readonly targetProcesses: TargetProcess[] = [];
+
+  readonly revisions = new Map<string, string>();
+
+  private storeProcess: StoreProcess | undefined;
+
+  constructor(
+    private readonly plan: ClusterPlan,
+    private readonly programs: Programs,
+    private readonly group: ProcessGroup,
+  ) {}
+
+  async start(): Promise<void> {
+    this.storeProcess = await StoreProcess.start(this.programs.storeStandIn, this.group);
+    const instances = allInstances(this.plan.deployment);
+    await Promise.all(instances.map((instance) => this.startDaemon(instance)));
+    await this.applyPolicies();
+    await this.startTargets(instances);
+    await Promise.all(this.entryUrls().map((entry) => this.waitForEntry(entry)));
+  }
+
+  get store(): StoreProcess {
+    if (this.storeProcess === undefined) throw new Error('the cluster has not been started');
+    return this.storeProcess;
+  }
+
+  /** Files with the records of all targets. */
+  get recordFiles(): readonly string[] {
+    return this.targetProcesses.map(({ name }) => this.recordsFile(name));
+  }
+
+  daemon(name: string): DaemonProcess {
+    const daemon = this.daemons.get(name);
+    if (daemon === undefined) throw new Error(`no daemon is named ${name}`);
+    return daemon;
+  }
+
+  targetProcessOf(instance: string): TargetProcess {
+    const found = this.targetProcesses.find(({ targets }) =>
+      targets.some(({ name }) => name === instance),
+    );
+    if (found === undefined) throw new Error(`no target is named ${instance}`);
+    return found;
+  }
+
+  /** Base URLs of the callers' listeners, by service. */
+  entries(): Record<string, string[]> {
+    const entries: Record<string, string[]> = {};
+    for (const { plan, callersUrl } of this.daemons.values()) {
+      entries[plan.service] = [...(entries[plan.service] ?? []), callersUrl];
+    }
+    return entries;
+  }
+
+  /** A daemon that runs and is not paused. */
+  anyDaemon(except: ReadonlySet<string> = new Set()): DaemonProcess {
+    const daemon = [...this.daemons.values()].find(
+      ({ plan, running }) => running && !except.has(plan.name),
+    );
+    if (daemon === undefined) throw new Error('no daemon is running');
+    return daemon;
+  }
+
+  /** Puts a policy in force and remembers its revision; returns the outcome. */
+  async applyPolicy(policy: ServicePolicy, operationId: string): Promise<string> {
+    const { outcome, revision } = await this.anyDaemon().admin.applyPolicy(
+      JSON.stringify(policy),
+      operationId,
+      this.revisions.get(policy.service) ?? '0',
+    );
+    if (outcome === 'accepted') this.revisions.set(policy.service, revision);
+    return outcome;
+  }
+
+  async setSpeed(service: string, speedFactor: number): Promise<void> {
+    const affected = this.targetProcesses.filter(({ targets }) =>
+      targets.some((target) => target.service === service),
+    );
+    await Promise.all(affected.map((process) => process.setSpeed({ service, speedFactor })));
+  }
+
+  private async startDaemon(instance: Instance): Promise<void> {
+    const { deployment } = this.plan;
+    const daemon = new DaemonProcess(
+      {
+        name: instance.name,
+        service: instance.service.name,
+        dataCentre: instance.dataCentre,
+        region: deployment.region,
+        slots: instance.service.slots,
+        connections: instance.service.connections,
+        storeUrls: [this.store.url],
+        mode: this.plan.mode,
+        disabledMechanisms: this.plan.disabledMechanisms,
+        sampleRatio: this.plan.timelineSampleRatio,
+      },
+      this.programs.daemon,
+      this.plan.folder,
+      this.group,
+    );
+    await daemon.start();
+    this.daemons.set(instance.name, daemon);
+  }
+
+  private async applyPolicies(): Promise<void> {
+    for (const policy of this.plan.policies) {
+      const operationId = `${this.plan.phase}-${policy.service}`;
+      await waitUntil(`policy of ${policy.service} accepted`, READY_TIMEOUT_MS, async () => {
+        const outcome = await this.applyPolicy(policy, operationId);
+        return outcome === 'accepted';
+      });
+    }
+  }
+
+  private async startTargets(instances: readonly Instance[]): Promise<void> {
+    const groups = new Map<string, TargetPlan[]>();
+    for (const instance of instances) {
+      const own = this.plan.ownProcess.has(instance.name);
+      const name = own ? `target-${instance.name}` : `targets-${instance.service.name}`;
+      groups.set(name, [...(groups.get(name) ?? []), this.targetPlan(instance)]);
+    }
+    for (const [name, targets] of groups) {
+      const recordsFile = this.recordsFile(name);
+      const { seed, folder } = this.plan;
+      this.targetProcesses.push(
+        new TargetProcess(
+          name,
+          { seed, recordsFile, targets },
+          this.programs.bench,
+          folder,
+          this.group,
+        ),
+      );
+    }
+    await Promise.all(this.targetProcesses.map((process) => process.start()));
+  }
+
+  private targetPlan({ name, service }: Instance): TargetPlan {
+    const { slots, connections, methods } = service;
+    return {
+      name,
+      service: service.name,
+      slots,
+      connections,
+      methods,
+      port: 0,
+      daemonUrl: this.daemon(name).localUrl,
+    };
+  }
+
+  private recordsFile(name: string): string {
+    return path.join(this.plan.folder, `${name}.executions.jsonl`);
+  }
+
+  private entryUrls(): readonly { url: string; call: { path: string } }[] {
+    const entries = this.entries();
+    return this.plan.deployment.requests
+      .filter(({ call }) => call.httpMethod === 'GET')
+      .flatMap(({ call }) => (entries[call.service] ?? []).map((url) => ({ url, call })));
+  }
+
+  private async waitForEntry({
+    url,
+    call,
+  }: {
+    url: string;
+    call: { path: string };
+  }): Promise<void> {
+    await waitUntil(`${url}${call.path} answers`, READY_TIMEOUT_MS, () =>
+      probeEntry(`${url}${call.path}`),
+    );
+  }
+}
--- /dev/null
+++ b/packages/bench/src/daemon-process.ts
@@ -0,0 +1,134 @@
+import type { DaemonSettingsInput } from '@daisyferry/settings/daemon-settings';
+import { LocalPath, type TargetStatus } from '@daisyferry/model/local-api';
+import { writeFileSync } from 'node:fs';
+import path from 'node:path';
+import { request } from 'undici';
+import { AdminClient } from './admin-client';
+import type { ProcessGroup } from './process-group';
+import type { StartedProcess } from './started-process';
+
+/** Ports that a daemon reports once it has bound them. */
+export interface DaemonPorts {
+  readonly callers: number;
+  readonly local: number;
+  readonly peers: number;
+  readonly gossip: number;
+  readonly admin: number;
+}
+
+interface DaemonListening {
+  readonly listening: DaemonPorts;
+}
+
+/** What varies between the daemons of a run. */
+export interface DaemonPlan {
+  readonly name: string;
+  readonly service: string;
+  readonly dataCentre: string;
+  readonly region: string;
+  readonly slots: number;
+  readonly connections: number;
+  readonly storeUrls: readonly string[];
+  readonly mode: 'full' | 'passThrough';
+  readonly disabledMechanisms: readonly string[];
+  readonly sampleRatio: number;
+}
+
+const LOOPBACK = '127.0.0.1';
+const ANY_PORTS: DaemonPorts = { callers: 0, local: 0, peers: 0, gossip: 0, admin: 0 };
+
+function settingsFor(plan: DaemonPlan, ports: DaemonPorts): DaemonSettingsInput {
+  return {
+    name: plan.name,
+    cluster: 'bench',
+    service: plan.service,
+    dataCentre: plan.dataCentre,
+    region: plan.region,
+    slots: plan.slots,
+    connections: plan.connections,
+    listeners: {
+      callers: { address: LOOPBACK, port: ports.callers },
+      local: { address: LOOPBACK, port: ports.local },
+      peers: { address: LOOPBACK, port: ports.peers },
+      gossip: { address: LOOPBACK, port: ports.gossip },
+      admin: { address: LOOPBACK, port: ports.admin },
+    },
+    store: { endpoints: [...plan.storeUrls] },
+    timeline: { sampleRatio: plan.sampleRatio },
+    mode: plan.mode,
+    disabledMechanisms: [...plan.disabledMechanisms],
+    logLevel: 'warn',
+  };
+}
+
+/** One daemon of a run. It keeps its ports when it is started again. */
+export class DaemonProcess {
+  private ports = ANY_PORTS;
+
+  private process: StartedProcess | undefined;
+
+  private starts = 0;
+
+  constructor(
+    readonly plan: DaemonPlan,
+    private readonly program: string,
+    private readonly folder: string,
+    private readonly group: ProcessGroup,
+  ) {}
+
+  async start(): Promise<void> {
+    this.starts += 1;
+    const file = path.join(this.folder, `${this.plan.name}.${this.starts}.settings.json`);
+    writeFileSync(file, JSON.stringify(settingsFor(this.plan, this.ports), null, 2));
+    this.process = this.group.start(this.plan.name, this.program, ['--settings', file]);
+    const { listening } = await this.process.firstLineWith<DaemonListening>('listening');
+    this.ports = listening;
+  }
+
+  get callersUrl(): string {
+    return `http://${LOOPBACK}:${this.ports.callers}`;
+  }
+
+  get localUrl(): string {
+    return `http://${LOOPBACK}:${this.ports.local}`;
+  }
+
+  get adminUrl(): string {
+    return `http://${LOOPBACK}:${this.ports.admin}`;
+  }
+
+  get admin(): AdminClient {
+    return new AdminClient(this.adminUrl);
+  }
+
+  get pid(): number {
+    return this.process?.pid ?? 0;
+  }
+
+  get running(): boolean {
+    return this.process?.running ?? false;
+  }
+
+  get lastErrors(): string {
+    return this.process?.lastErrors ?? '';
+  }
+
+  /** Asks the daemon whether its target has left and nothing is in flight. */
+  async targetHasLeft(): Promise<boolean> {
+    const answer = await request(`${this.localUrl}${LocalPath.state}`);
+    const status = (await answer.body.json()) as TargetStatus;
+    return status.state === 'left';
+  }
+
+  async exited(): Promise<number | null> {
+    return this.process?.exited ?? null;
+  }
+
+  signal(name: NodeJS.Signals): void {
+    this.process?.signal(name);
+  }
+
+  async stop(graceMs?: number): Promise<void> {
+    await this.process?.stop(graceMs);
+  }
+}
--- /dev/null
+++ b/packages/bench/src/dorado.ts
@@ -0,0 +1,117 @@
+import type { Deployment, PatiencePlan } from './deployment';
+
+const CUSTOMER: PatiencePlan = {
+  attemptMeanMs: 1_200,
+  attemptMinMs: 500,
+  sigma: 0.4,
+  totalMs: 4_000,
+  maxAttempts: 4,
+};
+
+const CASHIER: PatiencePlan = {
+  attemptMeanMs: 6_000,
+  attemptMinMs: 3_000,
+  sigma: 0.3,
+  totalMs: 15_000,
+  maxAttempts: 12,
+};
+
+const NIGHTLY_JOB: PatiencePlan = {
+  attemptMeanMs: 5_000,
+  attemptMinMs: 2_000,
+  sigma: 0.3,
+  totalMs: 8_000,
+  maxAttempts: 3,
+};
+
+/** Casa Dorado: branch counters, rate checks through pricing, payouts through the vault. */
+export const dorado: Deployment = {
+  name: 'dorado',
+  region: 'ncr',
+  dataCentres: ['binondo', 'quiapo', 'makati', 'caloocan'],
+  services: [
+    {
+      name: 'teller',
+      instances: 4,
+      slots: 170,
+      connections: 1_100,
+      methods: [
+        {
+          httpMethod: 'GET',
+          path: '/rates',
+          workMeanMs: 10,
+          nested: { service: 'pricing', httpMethod: 'GET', path: '/prices' },
+        },
+        {
+          httpMethod: 'POST',
+          path: '/payouts',
+          workMeanMs: 10,
+          nested: { service: 'vault', httpMethod: 'POST', path: '/entries' },
+        },
+      ],
+    },
+    {
+      name: 'vault',
+      instances: 4,
+      slots: 170,
+      connections: 1_100,
+      methods: [
+        {
+          httpMethod: 'POST',
+          path: '/entries',
+          workMeanMs: 60,
+          nested: { service: 'archive', httpMethod: 'POST', path: '/journal' },
+        },
+      ],
+    },
+    {
+      name: 'pricing',
+      instances: 4,
+      slots: 15,
+      connections: 190,
+      methods: [
+        {
+          httpMethod: 'GET',
+          path: '/prices',
+          workMeanMs: 170,
+          nested: { service: 'archive', httpMethod: 'GET', path: '/records' },
+        },
+      ],
+    },
+    {
+      name: 'archive',
+      instances: 4,
+      slots: 170,
+      connections: 1_100,
+      methods: [
+        { httpMethod: 'GET', path: '/records', workMeanMs: 30 },
+        { httpMethod: 'POST', path: '/journal', workMeanMs: 40 },
+        { httpMethod: 'GET', path: '/nightly', workMeanMs: 100 },
+      ],
+    },
+  ],
+  requests: [
+    {
+      name: 'rate-check',
+      class: 'interactive',
+      call: { service: 'teller', httpMethod: 'GET', path: '/rates' },
+      ratePerSecond: 195,
+      patience: CUSTOMER,
+    },
+    {
+      name: 'payout',
+      class: 'money',
+      call: { service: 'teller', httpMethod: 'POST', path: '/payouts' },
+      ratePerSecond: 25,
+      patience: CASHIER,
+    },
+    {
+      name: 'nightly',
+      class: 'background',
+      call: { service: 'archive', httpMethod: 'GET', path: '/nightly' },
+      ratePerSecond: 20,
+      patience: NIGHTLY_JOB,
+    },
+  ],
+  slowestService: 'pricing',
+};
--- /dev/null
+++ b/packages/bench/src/node-scheduler.ts
@@ -0,0 +1,11 @@
+import type { Scheduler } from '@daisyferry/model/scheduler';
+import { wallClockMs } from './wall-clock';
+
+/** The timers of this process. */
+export const nodeScheduler: Scheduler = {
+  nowMs: wallClockMs,
+  after(delayMs, action) {
+    const timer = setTimeout(action, delayMs);
+    return { cancel: () => clearTimeout(timer) };
+  },
+};
--- /dev/null
+++ b/packages/bench/src/stand-in-target-process.ts
@@ -0,0 +1,76 @@
+import fastify, { type FastifyInstance } from 'fastify';
+import { readFileSync } from 'node:fs';
+import { Agent } from 'undici';
+import { Announcer } from './announcer';
+import { NestedCaller } from './nested-caller';
+import { nodeScheduler } from './node-scheduler';
+import { seededRandom, streamSeed } from './random';
+import { RecordWriter } from './record-writer';
+import { ServiceTime } from './service-time';
+import { StandInTarget } from './stand-in-target';
+import type { SpeedOrder, TargetPlan, TargetProcessPlan } from './stand-in-target-plan';
+
+const LOOPBACK = '127.0.0.1';
+
+function boundPort(server: FastifyInstance): number {
+  const address = server.server.address();
+  return typeof address === 'object' && address !== null ? address.port : 0;
+}
+
+interface RunningTarget {
+  readonly plan: TargetPlan;
+  readonly target: StandInTarget;
+}
+
+function createTarget(
+  plan: TargetPlan,
+  processPlan: TargetProcessPlan,
+  agent: Agent,
+  records: RecordWriter,
+): StandInTarget {
+  const random = seededRandom(streamSeed(processPlan.seed, plan.name));
+  return new StandInTarget(
+    plan,
+    String(process.pid),
+    random,
+    new ServiceTime(random, plan.slots),
+    new NestedCaller(() => plan.daemonUrl, agent),
+    records,
+  );
+}
+
+function setSpeed(targets: readonly RunningTarget[], order: SpeedOrder): void {
+  for (const { plan, target } of targets) {
+    if (plan.service === order.service) target.serviceTime.speedFactor = order.speedFactor;
+  }
+}
+
+/** Runs the stand-in targets of one process until it is told to end. */
+export async function runStandInTargets(planFile: string): Promise<void> {
+  const processPlan = JSON.parse(readFileSync(planFile, 'utf8')) as TargetProcessPlan;
+  const records = new RecordWriter(processPlan.recordsFile);
+  const agent = new Agent({ connections: null, pipelining: 1 });
+  const running: RunningTarget[] = [];
+  const ports: Record<string, number> = {};
+  for (const plan of processPlan.targets) {
+    const target = createTarget(plan, processPlan, agent, records);
+    await target.server.listen({ host: LOOPBACK, port: plan.port });
+    const port = boundPort(target.server);
+    ports[plan.name] = port;
+    running.push({ plan, target });
+    const { slots, connections } = plan;
+    const announcement = { address: LOOPBACK, port, slots, connections };
+    new Announcer(plan.daemonUrl, announcement, agent, nodeScheduler).start();
+  }
+  const control = fastify();
+  control.post<{ Body: SpeedOrder }>('/speed', (request, reply) => {
+    setSpeed(running, request.body);
+    return reply.send({});
+  });
+  await control.listen({ host: LOOPBACK, port: 0 });
+  const controlPort = boundPort(control);
+  process.stdout.write(
+    `${JSON.stringify({ listening: { control: controlPort, targets: ports } })}\n`,
+  );
+  process.on('SIGTERM', () => process.exit(0));
+}
--- /dev/null
+++ b/packages/bench/tests/load-plan.test.ts
@@ -0,0 +1,42 @@
+import { describe, expect, it } from 'vitest';
+import { dorado } from '../src/dorado';
+import { planArrivals, type LoadPlan } from '../src/load-plan';
+
+const plan: LoadPlan = {
+  seed: 7,
+  phase: 'system',
+  startAtMs: 0,
+  durationMs: 30_000,
+  kinds: dorado.requests,
+  spans: [{ fromMs: 10_000, toMs: 20_000, multiplier: 3 }],
+  entries: {},
+  resultsFile: '',
+};
+
+function countBetween(fromMs: number, toMs: number): number {
+  return planArrivals(plan).filter(({ atMs }) => atMs >= fromMs && atMs < toMs).length;
+}
+
+describe('planArrivals', () => {
+  it('repeats exactly for the same seed and differs for another', () => {
+    expect(planArrivals(plan)).toEqual(planArrivals(plan));
+    expect(planArrivals({ ...plan, seed: 8 })).not.toEqual(planArrivals(plan));
+  });
+
+  it('gives both halves of a run the same times under different names', () => {
+    const baseline = planArrivals({ ...plan, phase: 'baseline' });
+    expect(baseline.map(({ atMs }) => atMs)).toEqual(planArrivals(plan).map(({ atMs }) => atMs));
+    expect(baseline[0]?.request).toMatch(/^baseline-/);
+  });
+
+  it('is ordered by time and follows the demand of each span', () => {
+    const times = planArrivals(plan).map(({ atMs }) => atMs);
+    expect(times).toEqual([...times].sort((left, right) => left - right));
+    const calm = countBetween(0, 10_000);
+    const surge = countBetween(10_000, 20_000);
+    const demand = dorado.requests.reduce((sum, kind) => sum + kind.ratePerSecond, 0);
+    expect(calm / (demand * 10)).toBeCloseTo(1, 1);
+    expect(surge / calm).toBeGreaterThan(2.8);
+    expect(surge / calm).toBeLessThan(3.2);
+  });
+});
--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -1,4 +1,5 @@
-import { existsSync } from 'node:fs';
+import { existsSync, readFileSync } from 'node:fs';
+import path from 'node:path';
 import { build } from 'esbuild';
 
 // Each executable is one bundled file in dist/.
@@ -13,7 +14,23 @@
   Object.entries(executables).filter(([, source]) => existsSync(source)),
 );
 
+// `text:PACKAGE/FILE` imports a file of a package as text.
+const textFiles = {
+  name: 'text-files',
+  setup(setup) {
+    setup.onResolve({ filter: /^text:/ }, ({ path: name }) => ({
+      path: path.resolve('node_modules', name.slice('text:'.length)),
+      namespace: 'text-file',
+    }));
+    setup.onLoad({ filter: /.*/, namespace: 'text-file' }, ({ path: file }) => ({
+      contents: readFileSync(file, 'utf8'),
+      loader: 'text',
+    }));
+  },
+};
+
 await build({
+  plugins: [textFiles],
   entryPoints,
   bundle: true,
   platform: 'node',
