Add the latency and fleet scenarios, the demonstration and their command line

Cause: the added latency and the control plane need measurements of their own. Change: paired latency probe, fleet of 100 daemons judged from their time lines, demo command, smoke scenario.

--- a/packages/bench/src/cluster.ts
+++ b/packages/bench/src/cluster.ts
@@ -23,6 +23,8 @@
   readonly disabledMechanisms: readonly string[];
   /** Instances whose target is stopped or killed and so has a process of its own. */
   readonly ownProcess: ReadonlySet<string>;
+  /** Instances whose daemon has no target beside it. */
+  readonly withoutTarget?: ReadonlySet<string>;
   readonly folder: string;
   readonly timelineSampleRatio: number;
 }
@@ -147,7 +149,9 @@
 
   private async startTargets(instances: readonly Instance[]): Promise<void> {
     const groups = new Map<string, TargetPlan[]>();
+    const { withoutTarget = new Set() } = this.plan;
     for (const instance of instances) {
+      if (withoutTarget.has(instance.name)) continue;
       const own = this.plan.ownProcess.has(instance.name);
       const name = own ? `target-${instance.name}` : `targets-${instance.service.name}`;
       groups.set(name, [...(groups.get(name) ?? []), this.targetPlan(instance)]);
--- a/packages/bench/src/command-line.ts
+++ b/packages/bench/src/command-line.ts
@@ -1,5 +1,12 @@
+import { mkdirSync, writeFileSync } from 'node:fs';
 import path from 'node:path';
 import yargs from 'yargs';
+import type { BenchContext, BenchOutcome } from './bench-context';
+import { CONTROL_SCENARIOS } from './control-scenarios';
+import { runDemo } from './demo';
+import { dorado } from './dorado';
+import { runLatencyProbe } from './latency-probe';
+import { readPolicies } from './policy-files';
 import { DEPLOYMENT_NAMES, DEPLOYMENTS } from './deployments';
 import { runLoadGenerator } from './load-generator';
 import { runLoadScenario } from './load-run';
@@ -14,7 +21,11 @@
 
 const EXIT_OK = 0;
 const EXIT_FAILED = 1;
+const EXIT_USAGE = 2;
 const EXIT_INTERRUPTED = 130;
+/** Share of the requests whose events the daemons keep, in measurements and in the demonstration. */
+const SAMPLE_RATIO = 0.01;
+const DEMO_SAMPLE_RATIO = 0.2;
 
 interface RunArguments {
   readonly deployment: string;
@@ -25,6 +36,7 @@
   readonly baseline: boolean;
   readonly policies: string | undefined;
   readonly list: boolean;
+  readonly timelineSampleRatio: number;
 }
 
 function print(text: string): void {
@@ -36,8 +48,11 @@
 }
 
 function printScenarios(): void {
-  const rows = LOAD_SCENARIOS.map(({ name, summary }) => [name, summary]);
-  print(tableText([['scenario', 'what happens'], ...rows]));
+  const rows = [...LOAD_SCENARIOS, ...CONTROL_SCENARIOS].map(({ name, summary }) => [
+    name,
+    summary,
+  ]);
+  print(tableText([['scenario', 'what happens'], ...rows], 'left'));
 }
 
 /** Ends all started processes whatever happens, also on an interrupt from the terminal. */
@@ -59,38 +74,62 @@
   }
 }
 
+/** Finds the scenario of a name; undefined for an unknown one. */
+function scenarioNamed(
+  name: string,
+): ((context: BenchContext) => Promise<BenchOutcome>) | undefined {
+  const control = CONTROL_SCENARIOS.find((scenario) => scenario.name === name);
+  if (control !== undefined) return (context) => control.run(context);
+  const load = loadScenario(name);
+  if (load === undefined) return undefined;
+  return async (context) => {
+    const loadReport = await runLoadScenario(context, load, pageAssets);
+    return { report: loadReport, table: reportTable(loadReport) };
+  };
+}
+
+async function runScenario(
+  scenario: (context: BenchContext) => Promise<BenchOutcome>,
+  args: RunArguments,
+  buildFolder: string,
+): Promise<number> {
+  const deployment = DEPLOYMENTS[args.deployment] ?? dorado;
+  const programs = programsIn(buildFolder);
+  const examples = path.join(buildFolder, '..', 'examples', deployment.name, 'policies');
+  const outFolder = path.resolve(args.out);
+  return withProcesses(async (group) => {
+    requirePrograms([programs.bench, programs.daemon, programs.storeStandIn]);
+    mkdirSync(outFolder, { recursive: true });
+    const outcome = await scenario({
+      deployment,
+      policies: readPolicies(args.policies ?? examples),
+      seed: args.seed,
+      outFolder,
+      disabledMechanisms: args.without,
+      withBaseline: args.baseline,
+      timelineSampleRatio: args.timelineSampleRatio,
+      programs,
+      group,
+      report,
+    });
+    const reportFile = path.join(outFolder, 'report.json');
+    writeFileSync(reportFile, `${JSON.stringify(outcome.report, null, 2)}\n`);
+    print(outcome.table);
+    print(`report: ${reportFile}`);
+  });
+}
+
 async function run(args: RunArguments, buildFolder: string): Promise<number> {
   if (args.list) {
     printScenarios();
     return EXIT_OK;
   }
-  const deployment = DEPLOYMENTS[args.deployment];
-  const scenario = loadScenario(args.scenario ?? '');
-  if (deployment === undefined || scenario === undefined) {
+  const scenario = scenarioNamed(args.scenario ?? '');
+  if (scenario === undefined) {
     report(`unknown scenario '${args.scenario ?? ''}'; --list names all`);
-    return EXIT_FAILED;
+    return EXIT_USAGE;
   }
-  const programs = programsIn(buildFolder);
-  requirePrograms([programs.bench, programs.daemon, programs.storeStandIn]);
-  const examples = path.join(buildFolder, '..', 'examples', deployment.name, 'policies');
-  return withProcesses(async (group) => {
-    const loadReport = await runLoadScenario(
-      {
-        deployment,
-        scenario,
-        seed: args.seed,
-        outFolder: path.resolve(args.out),
-        policyFolder: args.policies ?? examples,
-        disabledMechanisms: args.without,
-        withBaseline: args.baseline,
-        timelineSampleRatio: 0.01,
-      },
-      { programs, group, report },
-      pageAssets,
-    );
-    print(reportTable(loadReport));
-    print(`report: ${path.resolve(args.out, 'report.html')}`);
-  });
+  return runScenario(scenario, args, buildFolder);
 }
 
 /** Runs the command line of the measurement tool and returns the exit code. */
@@ -125,11 +164,46 @@
           .option('list', { type: 'boolean', default: false, describe: 'list the scenarios' }),
       async (args) => {
         exitCode = await run(
-          { ...args, scenario: args.scenario, policies: args.policies },
+          {
+            ...args,
+            scenario: args.scenario,
+            policies: args.policies,
+            timelineSampleRatio: SAMPLE_RATIO,
+          },
+          buildFolder,
+        );
+      },
+    )
+    .command(
+      'demo',
+      'Shows the whole path on a small deployment',
+      (command) =>
+        command
+          .option('out', { type: 'string', default: 'results/demo', describe: 'output folder' })
+          .option('seed', { type: 'number', default: 1, describe: 'seed of all random numbers' }),
+      async (args) => {
+        exitCode = await runScenario(
+          (context) => runDemo(context, pageAssets),
+          {
+            ...args,
+            deployment: dorado.name,
+            scenario: undefined,
+            without: [],
+            baseline: false,
+            policies: undefined,
+            list: false,
+            timelineSampleRatio: DEMO_SAMPLE_RATIO,
+          },
           buildFolder,
         );
       },
     )
+    .command(
+      'latency-probe <plan>',
+      false,
+      (command) => command.positional('plan', { type: 'string', demandOption: true }),
+      async ({ plan }) => runLatencyProbe(plan),
+    )
     .command(
       'stand-in-target <plan>',
       false,
--- /dev/null
+++ b/packages/bench/src/control-scenarios.ts
@@ -0,0 +1,34 @@
+import type { BenchContext, BenchOutcome } from './bench-context';
+import { fleetTable } from './fleet-report';
+import { FleetRun } from './fleet-run';
+import { latencyTable, runLatency } from './latency-run';
+
+/** A scenario that measures something else than a whole deployment under load. */
+export interface ControlScenario {
+  readonly name: string;
+  readonly summary: string;
+  run(context: BenchContext): Promise<BenchOutcome>;
+}
+
+async function measureLatency(context: BenchContext): Promise<BenchOutcome> {
+  const report = await runLatency(context);
+  return { report, table: latencyTable(report) };
+}
+
+async function measureFleet(context: BenchContext): Promise<BenchOutcome> {
+  const report = await new FleetRun(context).run();
+  return { report, table: fleetTable(report) };
+}
+
+export const CONTROL_SCENARIOS: readonly ControlScenario[] = [
+  {
+    name: 'latency',
+    summary: 'the same call direct and through two daemons, interleaved, at 60 and 600 calls/s',
+    run: measureLatency,
+  },
+  {
+    name: 'fleet',
+    summary: '100 daemons without targets: 50 policy changes, then 20 daemons killed at once',
+    run: measureFleet,
+  },
+];
--- /dev/null
+++ b/packages/bench/src/fleet-report.ts
@@ -0,0 +1,52 @@
+import { tableText } from './table';
+
+/** Costs of control for the costliest daemon over one span of a run. */
+export interface ControlCost {
+  readonly controlBytesPerSecond: number;
+  readonly controlCpuRatio: number;
+}
+
+/** Results of the scenarios that load the control plane and make no calls. */
+export interface FleetFigures {
+  readonly daemons: number;
+  readonly members: number;
+  readonly changes: number;
+  readonly changesAccepted: number;
+  /** From the start of the operator's call until the daemon applies the revision. */
+  readonly propagationP50Ms: number;
+  readonly propagationP99Ms: number;
+  readonly propagationMaxMs: number;
+  /** From the kill until the last survivor takes the killed daemon for dead; null if one never. */
+  readonly detectionMaxMs: number | null;
+  /** Times that a daemon applied a lower revision than before. */
+  readonly revertedRevisions: number;
+  readonly storeReads: number;
+  readonly storeWrites: number;
+  /** Sent plus received, of the costliest daemon in the costliest span. */
+  readonly controlBytesPerSecond: number;
+  readonly controlCpuRatio: number;
+  readonly controlMemoryBytes: number;
+  /** The costliest daemon in each span of the run. */
+  readonly spans: Readonly<Record<string, ControlCost>>;
+}
+
+export interface FleetReport {
+  readonly scenario: string;
+  readonly deployment: string;
+  readonly seed: number;
+  readonly fleet: FleetFigures;
+}
+
+/** The figures as people read them on the terminal. */
+export function fleetTable(report: FleetReport): string {
+  const { spans, ...figures } = report.fleet;
+  const rows = Object.entries(figures).map(([name, value]) => [
+    name,
+    typeof value === 'number' && !Number.isInteger(value) ? value.toFixed(4) : String(value),
+  ]);
+  const spanRows = Object.entries(spans).map(([name, cost]) => [
+    `${name}: bytes/s, CPU share`,
+    `${cost.controlBytesPerSecond.toFixed(0)}, ${cost.controlCpuRatio.toFixed(4)}`,
+  ]);
+  return tableText([[report.scenario, 'measured'], ...rows, ...spanRows]);
+}
--- a/packages/bench/src/load-run.ts
+++ b/packages/bench/src/load-run.ts
@@ -1,69 +1,60 @@
-import { mkdirSync, writeFileSync } from 'node:fs';
+import { writeFileSync } from 'node:fs';
 import path from 'node:path';
+import type { BenchContext } from './bench-context';
 import type { Deployment } from './deployment';
 import { runPhase, type PhasePlan, type PhaseTools } from './phase';
-import { readPolicies } from './policy-files';
 import type { LoadReport } from './report';
 import { reportHtml, type PageAssets } from './report-html';
 import { reportTable } from './report-table';
+import { scaledDeployment } from './scaled-deployment';
 import type { Scenario } from './scenario';
 
-/** What the command line asks of a load scenario. */
-export interface LoadRunOptions {
-  readonly deployment: Deployment;
-  readonly scenario: Scenario;
-  readonly seed: number;
-  readonly outFolder: string;
-  readonly policyFolder: string;
-  readonly disabledMechanisms: readonly string[];
-  /** Whether the baseline is measured as well. */
-  readonly withBaseline: boolean;
-  readonly timelineSampleRatio: number;
+function sizedDeployment(deployment: Deployment, scenario: Scenario): Deployment {
+  const { instancesPerService } = scenario;
+  if (instancesPerService === undefined) return deployment;
+  return scaledDeployment(deployment, instancesPerService);
 }
 
-function phasePlan(options: LoadRunOptions, name: PhasePlan['name']): PhasePlan {
-  const { deployment, scenario, seed, disabledMechanisms, timelineSampleRatio } = options;
+function phasePlan(context: BenchContext, scenario: Scenario, name: PhasePlan['name']): PhasePlan {
   return {
     name,
-    deployment,
+    deployment: sizedDeployment(context.deployment, scenario),
     scenario,
-    seed,
-    disabledMechanisms,
-    policies: readPolicies(options.policyFolder),
-    folder: path.join(options.outFolder, name),
-    timelineSampleRatio,
+    seed: context.seed,
+    disabledMechanisms: context.disabledMechanisms,
+    policies: context.policies,
+    folder: path.join(context.outFolder, name),
+    timelineSampleRatio: context.timelineSampleRatio,
   };
 }
 
-function writeJson(outFolder: string, report: LoadReport): void {
-  writeFileSync(path.join(outFolder, 'report.json'), `${JSON.stringify(report, null, 2)}\n`);
-}
-
-/** Runs a load scenario for the system and the baseline, and writes the report. */
+/** Runs a load scenario for the system and the baseline, and writes the page. */
 export async function runLoadScenario(
-  options: LoadRunOptions,
-  tools: PhaseTools,
+  context: BenchContext,
+  scenario: Scenario,
   assets: PageAssets,
+  beforeStop?: PhaseTools['beforeStop'],
 ): Promise<LoadReport> {
-  mkdirSync(options.outFolder, { recursive: true });
-  const system = await runPhase(phasePlan(options, 'system'), tools);
-  const baseline = options.withBaseline
-    ? await runPhase(phasePlan(options, 'baseline'), tools)
+  const { programs, group, report: print } = context;
+  const tools: PhaseTools = { programs, group, report: print };
+  const systemTools = beforeStop === undefined ? tools : { ...tools, beforeStop };
+  const system = await runPhase(phasePlan(context, scenario, 'system'), systemTools);
+  const baseline = context.withBaseline
+    ? await runPhase(phasePlan(context, scenario, 'baseline'), tools)
     : null;
   const report: LoadReport = {
-    deployment: options.deployment.name,
-    scenario: options.scenario.name,
-    seed: options.seed,
-    disabledMechanisms: options.disabledMechanisms,
+    deployment: context.deployment.name,
+    scenario: scenario.name,
+    seed: context.seed,
+    disabledMechanisms: context.disabledMechanisms,
     system: system.report,
     baseline: baseline?.report ?? null,
   };
-  writeJson(options.outFolder, report);
   const page = {
     title: `${report.deployment} ${report.scenario}, seed ${report.seed}`,
     table: reportTable(report),
     groups: [...system.groups, ...(baseline?.groups ?? [])],
   };
-  writeFileSync(path.join(options.outFolder, 'report.html'), reportHtml(page, assets));
+  writeFileSync(path.join(context.outFolder, 'report.html'), reportHtml(page, assets));
   return report;
 }
--- a/packages/bench/src/metric-sampler.ts
+++ b/packages/bench/src/metric-sampler.ts
@@ -11,7 +11,7 @@
 /** Gauges and counters of the daemons that the report shows. */
 const SHOWN_METRICS: readonly { readonly name: string; readonly title: string }[] = [
   { name: 'daisyferry_limit', title: 'concurrency limit' },
-  { name: 'daisyferry_queue_length', title: 'admission queue' },
+  { name: 'daisyferry_queued', title: 'admission queue' },
   { name: 'daisyferry_in_flight', title: 'calls in flight at the targets' },
 ];
 
--- /dev/null
+++ b/packages/bench/src/scaled-deployment.ts
@@ -0,0 +1,15 @@
+import type { Deployment } from './deployment';
+
+/** A smaller copy: fewer instances of each service and demand in proportion. */
+export function scaledDeployment(deployment: Deployment, instances: number): Deployment {
+  const slowest = deployment.services.find(({ name }) => name === deployment.slowestService);
+  const scale = instances / (slowest?.instances ?? 1);
+  return {
+    ...deployment,
+    services: deployment.services.map((service) => ({ ...service, instances })),
+    requests: deployment.requests.map((kind) => ({
+      ...kind,
+      ratePerSecond: kind.ratePerSecond * scale,
+    })),
+  };
+}
--- a/packages/bench/src/scenario.ts
+++ b/packages/bench/src/scenario.ts
@@ -14,6 +14,8 @@
 export interface Scenario {
   readonly name: string;
   readonly summary: string;
+  /** Runs a smaller copy of the deployment with so many instances of each service. */
+  readonly instancesPerService?: number;
   readonly durationMs: number;
   readonly demand: readonly DemandSpan[];
   readonly judged: JudgedSpan;
--- a/packages/bench/src/scenarios.ts
+++ b/packages/bench/src/scenarios.ts
@@ -3,6 +3,7 @@
 import { instancesOf } from './instance';
 import type { DemandSpan } from './load-plan';
 import type { JudgedSpan, Scenario } from './scenario';
+import { smokeScenario } from './small-scenarios';
 
 const CALM_MS = 10_000;
 const TROUBLE_MS = 10_000;
@@ -167,6 +168,7 @@
     demand: [],
     faults: policyFaults,
   },
+  smokeScenario,
 ];
 
 export function loadScenario(name: string): Scenario | undefined {
--- a/packages/bench/src/stand-in-target.ts
+++ b/packages/bench/src/stand-in-target.ts
@@ -133,6 +133,7 @@
 
   /** Works for a time; false when the call was cancelled meanwhile. */
   private async spend(timeMs: number, signal: AbortSignal): Promise<boolean> {
+    if (timeMs === 0) return !signal.aborted;
     const timerMs = this.serviceTime.takeTimerMs(timeMs);
     const startedMs = wallClockMs();
     try {
--- a/packages/bench/src/table.ts
+++ b/packages/bench/src/table.ts
@@ -1,7 +1,11 @@
 const GAP = '  ';
 
-/** Lays out rows of text in columns; the first row is the heading. */
-export function tableText(rows: readonly (readonly string[])[]): string {
+/** Lays out rows of text in columns; the first row is the heading. All columns but the
+ * first are aligned as stated. */
+export function tableText(
+  rows: readonly (readonly string[])[],
+  alignment: 'left' | 'right' = 'right',
+): string {
   const columns = Math.max(0, ...rows.map((row) => row.length));
   const widths = Array.from({ length: columns }, (_, column) =>
     Math.max(...rows.map((row) => row[column]?.length ?? 0)),
@@ -10,7 +14,8 @@
     widths
       .map((width, column) => {
         const text = row[column] ?? '';
-        return column === 0 ? text.padEnd(width) : text.padStart(width);
+        const left = column === 0 || alignment === 'left';
+        return left ? text.padEnd(width) : text.padStart(width);
       })
       .join(GAP)
       .trimEnd();
