--- a/packages/bench/src/nested-caller.ts
+++ b/packages/bench/src/nested-caller.ts
@@ -46,14 +46,15 @@
       });
       await answer.body.arrayBuffer();
       const outcome = toldBy(answer.statusCode, answer.headers[Header.outcome]);
-      return { ok: answer.statusCode === 200, told: { callKey: context.callKey, outcome } };
-    } catch {
-      return this.lost(context);
+      const reason = String(answer.headers[Header.reason] ?? answer.statusCode);
+      return { ok: answer.statusCode === 200, told: { callKey: context.callKey, outcome, reason } };
+    } catch (error) {
+      return this.lost(context, String(error));
     }
   }
 
-  private lost(context: NestedContext): NestedResult {
-    return { ok: false, told: { callKey: context.callKey, outcome: 'lost' } };
+  private lost({ callKey }: NestedContext, reason: string): NestedResult {
+    return { ok: false, told: { callKey, outcome: 'lost', reason } };
   }
 
   private headers(call: NestedCall, context: NestedContext): Record<string, string> {
--- a/packages/bench/src/phase.ts
+++ b/packages/bench/src/phase.ts
@@ -1,5 +1,5 @@
 import type { ServicePolicy } from '@daisyferry/model/policy';
-import { mkdirSync, writeFileSync } from 'node:fs';
+import { mkdirSync, rmSync, writeFileSync } from 'node:fs';
 import path from 'node:path';
 import { accountFor } from './account';
 import { Cluster } from './cluster';
@@ -113,6 +113,8 @@
 
 /** Runs one half: starts the processes, drives the load, and works out the figures. */
 export async function runPhase(plan: PhasePlan, tools: PhaseTools): Promise<PhaseResult> {
+  // The records of an earlier run must not be taken for this run's.
+  rmSync(plan.folder, { recursive: true, force: true });
   mkdirSync(plan.folder, { recursive: true });
   tools.report(`${plan.name}: starting the processes`);
   const cluster = clusterOf(plan, tools);
--- a/packages/bench/src/records.ts
+++ b/packages/bench/src/records.ts
@@ -28,6 +28,7 @@
 export interface NestedTold {
   readonly callKey: string;
   readonly outcome: OutcomeName | 'lost' | 'none';
+  readonly reason: string;
 }
 
 export interface ExecutionEnd {
--- a/packages/bench/tests/account.test.ts
+++ b/packages/bench/tests/account.test.ts
@@ -108,7 +108,7 @@
   });
 
   it('counts a false refusal of a nested call', () => {
-    const nested = { callKey: 'e1>vault', outcome: 'not-run' } as const;
+    const nested = { callKey: 'e1>vault', outcome: 'not-run', reason: 'shed' } as const;
     const records = [started('e1', 'r/1'), ended('e1', { nested }), started('e2', 'e1>vault')];
     expect(account(records, [requested('r', [])]).falseNotRun).toBe(1);
   });
