Accept policy deltas whose records carry the store's own fields

Change: the schema drops fields that it does not know. Conclusion: deltas between daemons work, also when a newer daemon adds a field.

--- a/packages/membership/src/rpc-schemas.ts
+++ b/packages/membership/src/rpc-schemas.ts
@@ -8,7 +8,8 @@
 
 export const policyDeltaParamsSchema = z.strictObject({ fromRevision: revision });
 
-const policyRecordSchema = z.strictObject({
+/** Takes over only the fields that it knows: the store's record, which peers pass on, has more. */
+const policyRecordSchema = z.object({
   revision,
   service: servicePolicySchema.shape.service,
   operationId: z.string(),
