Halve the demand of the bench deployments and count capacity at half speed exactly

Cause: at 300 requests/s the 16 daemons and 4 target processes took over 4 of 10 cores in the steady state, so that nested calls held slots longer than planned (225 ms of 200) and the surge measured the machine. Change: longer service times (350 + 50 ms at pricing, 480 ms at sale-records), half the demand; half speed slows only the slow service's own work.

--- a/packages/bench/src/account.ts
+++ b/packages/bench/src/account.ts
@@ -28,6 +28,7 @@
   readonly injection: InjectionLog;
   readonly retryBound: number;
   readonly storeCounts: Readonly<Record<string, number>>;
+  readonly cpuMs: Readonly<Record<string, number>>;
   readonly generatorDelayP99Ms: number;
 }
 
@@ -86,6 +87,7 @@
     attempts: attemptCounts(requests),
     policyOutcomes: injection.policyOutcomes,
     storeCounts: evidence.storeCounts,
+    cpuMs: evidence.cpuMs,
     generatorDelayP99Ms: evidence.generatorDelayP99Ms,
     problems: injection.problems,
   };
--- a/packages/bench/src/deployment.ts
+++ b/packages/bench/src/deployment.ts
@@ -67,20 +67,35 @@
   );
 }
 
+/** Speed of the services that are slower or faster than their plan; 0.5 is half speed. */
+export type Speeds = Readonly<Record<string, number>>;
+
+const PLANNED_SPEEDS: Speeds = {};
+
 /** Mean time in ms for which a call holds its slot: own work and the nested call. */
-export function heldMeanMs(deployment: Deployment, call: NestedCall): number {
+export function heldMeanMs(
+  deployment: Deployment,
+  call: NestedCall,
+  speeds: Speeds = PLANNED_SPEEDS,
+): number {
   const plan = methodPlan(deployment, call);
   if (plan === undefined) return 0;
-  const nestedMs = plan.nested === undefined ? 0 : heldMeanMs(deployment, plan.nested);
-  return plan.workMeanMs + nestedMs;
+  const nestedMs = plan.nested === undefined ? 0 : heldMeanMs(deployment, plan.nested, speeds);
+  return plan.workMeanMs / (speeds[call.service] ?? 1) + nestedMs;
 }
 
 /** Mean slot time in ms that a whole request spends at a service. */
-export function slotMsAt(deployment: Deployment, service: string, call: NestedCall): number {
+export function slotMsAt(
+  deployment: Deployment,
+  service: string,
+  call: NestedCall,
+  speeds: Speeds = PLANNED_SPEEDS,
+): number {
   const plan = methodPlan(deployment, call);
   if (plan === undefined) return 0;
-  const ownMs = call.service === service ? heldMeanMs(deployment, call) : 0;
-  return ownMs + (plan.nested === undefined ? 0 : slotMsAt(deployment, service, plan.nested));
+  const ownMs = call.service === service ? heldMeanMs(deployment, call, speeds) : 0;
+  const nested = plan.nested === undefined ? 0 : slotMsAt(deployment, service, plan.nested, speeds);
+  return ownMs + nested;
 }
 
 /** The kinds of request that pass through the slowest service. */
@@ -97,12 +112,13 @@
 export function capacityRequestsPerSecond(deployment: Deployment, speedFactor = 1): number {
   const service = deployment.services.find(({ name }) => name === deployment.slowestService);
   if (service === undefined) return 0;
+  const speeds = { [service.name]: speedFactor };
   const kinds = kindsThroughSlowest(deployment);
   const demand = kinds.reduce((sum, kind) => sum + kind.ratePerSecond, 0);
   const slotMs = kinds.reduce(
-    (sum, kind) =>
-      sum + kind.ratePerSecond * slotMsAt(deployment, deployment.slowestService, kind.call),
+    (sum, { ratePerSecond, call }) =>
+      sum + ratePerSecond * slotMsAt(deployment, service.name, call, speeds),
     0,
   );
-  return (service.instances * service.slots * 1_000 * speedFactor * demand) / slotMs;
+  return (service.instances * service.slots * 1_000 * demand) / slotMs;
 }
--- a/packages/bench/src/dorado.ts
+++ b/packages/bench/src/dorado.ts
@@ -1,10 +1,10 @@
 import type { Deployment, PatiencePlan } from './deployment';
 
 const CUSTOMER: PatiencePlan = {
-  attemptMeanMs: 1_200,
-  attemptMinMs: 500,
+  attemptMeanMs: 2_000,
+  attemptMinMs: 900,
   sigma: 0.4,
-  totalMs: 4_000,
+  totalMs: 6_000,
   maxAttempts: 4,
 };
 
@@ -73,7 +73,7 @@
         {
           httpMethod: 'GET',
           path: '/prices',
-          workMeanMs: 170,
+          workMeanMs: 350,
           nested: { service: 'archive', httpMethod: 'GET', path: '/records' },
         },
       ],
@@ -84,7 +84,7 @@
       slots: 170,
       connections: 1_100,
       methods: [
-        { httpMethod: 'GET', path: '/records', workMeanMs: 30 },
+        { httpMethod: 'GET', path: '/records', workMeanMs: 50 },
         { httpMethod: 'POST', path: '/journal', workMeanMs: 40 },
         { httpMethod: 'GET', path: '/nightly', workMeanMs: 100 },
       ],
@@ -95,21 +95,21 @@
       name: 'rate-check',
       class: 'interactive',
       call: { service: 'teller', httpMethod: 'GET', path: '/rates' },
-      ratePerSecond: 195,
+      ratePerSecond: 97,
       patience: CUSTOMER,
     },
     {
       name: 'payout',
       class: 'money',
       call: { service: 'teller', httpMethod: 'POST', path: '/payouts' },
-      ratePerSecond: 25,
+      ratePerSecond: 12,
       patience: CASHIER,
     },
     {
       name: 'nightly',
       class: 'background',
       call: { service: 'archive', httpMethod: 'GET', path: '/nightly' },
-      ratePerSecond: 20,
+      ratePerSecond: 10,
       patience: NIGHTLY_JOB,
     },
   ],
--- a/packages/bench/src/pelletier.ts
+++ b/packages/bench/src/pelletier.ts
@@ -1,10 +1,10 @@
 import type { Deployment, PatiencePlan } from './deployment';
 
 const BROWSER: PatiencePlan = {
-  attemptMeanMs: 1_400,
-  attemptMinMs: 600,
+  attemptMeanMs: 2_400,
+  attemptMinMs: 1_100,
   sigma: 0.4,
-  totalMs: 4_500,
+  totalMs: 7_000,
   maxAttempts: 4,
 };
 
@@ -84,9 +84,9 @@
       slots: 25,
       connections: 250,
       methods: [
-        { httpMethod: 'GET', path: '/sales', workMeanMs: 240 },
-        { httpMethod: 'POST', path: '/sales', workMeanMs: 240 },
-        { httpMethod: 'GET', path: '/history', workMeanMs: 240 },
+        { httpMethod: 'GET', path: '/sales', workMeanMs: 480 },
+        { httpMethod: 'POST', path: '/sales', workMeanMs: 480 },
+        { httpMethod: 'GET', path: '/history', workMeanMs: 480 },
       ],
     },
   ],
@@ -95,21 +95,21 @@
       name: 'browse',
       class: 'interactive',
       call: { service: 'lot-catalog', httpMethod: 'GET', path: '/lots' },
-      ratePerSecond: 165,
+      ratePerSecond: 84,
       patience: BROWSER,
     },
     {
       name: 'bid',
       class: 'money',
       call: { service: 'bid-desk', httpMethod: 'POST', path: '/bids' },
-      ratePerSecond: 20,
+      ratePerSecond: 10,
       patience: BIDDER,
     },
     {
       name: 'history',
       class: 'background',
       call: { service: 'sale-records', httpMethod: 'GET', path: '/history' },
-      ratePerSecond: 18,
+      ratePerSecond: 8,
       patience: ANALYST,
     },
   ],
--- a/packages/bench/src/phase.ts
+++ b/packages/bench/src/phase.ts
@@ -124,6 +124,7 @@
   const load = loadPlanOf(plan, cluster, startAtMs);
   const { done, injection, metrics } = await drive(plan, tools, cluster, load);
   await tools.beforeStop?.(cluster);
+  const cpuMs = tools.group.cpuMsByProcess();
   const storeCounts = await cluster.store.counts();
   await tools.group.stopAll();
   const requests = readJsonLines<RequestRecord>(load.resultsFile);
@@ -137,6 +138,7 @@
     injection,
     retryBound: retryBoundOf(plan.policies),
     storeCounts,
+    cpuMs,
     generatorDelayP99Ms: done.eventLoopDelayP99Ms,
   });
   const { durationMs } = plan.scenario;
--- a/packages/bench/src/process-group.ts
+++ b/packages/bench/src/process-group.ts
@@ -1,4 +1,5 @@
 import { spawn } from 'node:child_process';
+import { processUsage } from './process-usage';
 import { StartedProcess } from './started-process';
 
 /** All processes that this program started; the only ones that it ever signals. */
@@ -23,6 +24,14 @@
     return this.started.filter(({ running }) => running).length;
   }
 
+  /** Processor time in ms that each running process has used so far, by name. */
+  cpuMsByProcess(): Readonly<Record<string, number>> {
+    const running = this.started.filter((started) => started.running);
+    return Object.fromEntries(
+      running.map(({ name, pid }) => [name, processUsage(pid)?.cpuMs ?? 0]),
+    );
+  }
+
   async stopAll(): Promise<void> {
     await Promise.all(this.started.map((started) => started.stop()));
   }
--- a/packages/bench/src/report.ts
+++ b/packages/bench/src/report.ts
@@ -33,6 +33,8 @@
   readonly attempts: Readonly<Record<string, number>>;
   readonly policyOutcomes: readonly string[];
   readonly storeCounts: Readonly<Record<string, number>>;
+  /** Processor time of each process from its start to the end of the load. */
+  readonly cpuMs: Readonly<Record<string, number>>;
   /** Lag of the load generator's own event loop; large values make the latencies doubtful. */
   readonly generatorDelayP99Ms: number;
   readonly problems: readonly string[];
--- a/packages/bench/tests/account.test.ts
+++ b/packages/bench/tests/account.test.ts
@@ -58,6 +58,7 @@
     injection: { drains, killed: [], policyOutcomes: [], problems: [] },
     retryBound: 3,
     storeCounts: {},
+    cpuMs: {},
     generatorDelayP99Ms: 1,
   });
 }
--- a/packages/bench/tests/caller.test.ts
+++ b/packages/bench/tests/caller.test.ts
@@ -94,7 +94,7 @@
   it('gives up and comes back until its patience ends', async () => {
     const { record } = await play('rate-check', Array<Step>(10).fill(['gave-up']));
     expect(record.completed).toBe(false);
-    expect(record.endedMs).toBeLessThanOrEqual(4_000);
+    expect(record.endedMs).toBeLessThanOrEqual(6_000);
     expect(record.attempts.length).toBeGreaterThan(1);
     expect(new Set(record.attempts.map(({ callKey }) => callKey)).size).toBe(
       record.attempts.length,
--- a/packages/bench/tests/deployment.test.ts
+++ b/packages/bench/tests/deployment.test.ts
@@ -21,7 +21,6 @@
       .reduce((sum, { ratePerSecond }) => sum + ratePerSecond, 0);
     expect(demand / capacity).toBeGreaterThan(0.6);
     expect(demand / capacity).toBeLessThan(0.7);
-    expect(capacityRequestsPerSecond(deployment, 0.5)).toBeCloseTo(capacity / 2);
   });
 
   it('names each instance once', () => {
@@ -30,9 +29,16 @@
   });
 });
 
-describe('heldMeanMs', () => {
+describe('capacity of dorado', () => {
+  const deployment = DEPLOYMENTS['dorado'] ?? expect.fail();
+
   it('adds the nested calls', () => {
     const call = { service: 'teller', httpMethod: 'GET', path: '/rates' } as const;
-    expect(heldMeanMs(DEPLOYMENTS['dorado'] ?? expect.fail(), call)).toBe(210);
+    expect(heldMeanMs(deployment, call)).toBe(410);
+  });
+
+  it('slows only the work of the slow service itself', () => {
+    expect(capacityRequestsPerSecond(deployment)).toBe(150);
+    expect(capacityRequestsPerSecond(deployment, 0.5)).toBe(80);
   });
 });
