Wait until all daemons know each other before the load starts

Cause: for the first 4 s a money call whose entry did not know its home yet was told unknown: home-unreachable.

--- a/packages/bench/src/cluster.ts
+++ b/packages/bench/src/cluster.ts
@@ -1,5 +1,6 @@
 import type { ServicePolicy } from '@daisyferry/model/policy';
 import path from 'node:path';
+import { readMetrics } from './control-cost';
 import { DaemonProcess } from './daemon-process';
 import type { Deployment } from './deployment';
 import { allInstances, type Instance } from './instance';
@@ -51,6 +52,7 @@
     await Promise.all(instances.map((instance) => this.startDaemon(instance)));
     await this.applyPolicies();
     await this.startTargets(instances);
+    await this.waitForMembers(instances.length);
     await Promise.all(this.entryUrls().map((entry) => this.waitForEntry(entry)));
   }
 
@@ -137,6 +139,16 @@
     this.daemons.set(instance.name, daemon);
   }
 
+  /** Waits until each daemon knows all others, so that the load meets a settled membership. */
+  private async waitForMembers(members: number): Promise<void> {
+    await waitUntil(`${members} members known`, READY_TIMEOUT_MS, async () => {
+      const metrics = await Promise.all([...this.daemons.values()].map(readMetrics));
+      const known = metrics.map((values) => values.get('daisyferry_members') ?? 0);
+      if (Math.min(...known) < members) throw new Error(`known: ${known.join(' ')}`);
+      return true;
+    });
+  }
+
   private async applyPolicies(): Promise<void> {
     for (const policy of this.plan.policies) {
       const operationId = `${this.plan.phase}-${policy.service}`;
