Keep the connections of calls apart from those of JSON-RPC

Cause: the first use of a pool fixes its number of connections; a daemon that had pulled policies from a peer sent all its calls to that peer over the two connections of JSON-RPC. Calls waited over a second unseen. Change: pools are kept by purpose as well as by address.

--- a/packages/daemon/src/home-http-client.ts
+++ b/packages/daemon/src/home-http-client.ts
@@ -29,7 +29,7 @@
   async send(home: Member, call: PeerCall, cancellation: Cancellation): Promise<SendResult> {
     if (home.id.name === this.options.selfName) return this.sendToSelf(call, cancellation);
     const connections = this.options.connectionsTo(home);
-    const pool = this.pools.poolFor(home.address, home.peerPort, connections);
+    const pool = this.pools.poolFor(home.address, home.peerPort, connections, 'calls');
     const result = await exchange(
       pool,
       {
--- a/packages/daemon/src/pool-book.ts
+++ b/packages/daemon/src/pool-book.ts
@@ -10,17 +10,24 @@
   readonly ca: Buffer;
 }
 
-/** Connection pools by address; each connection carries one request at a time. */
+/** What the connections of a pool carry; each purpose has connections of its own. */
+export type PoolPurpose = 'calls' | 'rpc';
+
+/**
+ * Connection pools by address and purpose; each connection carries one request at a time. The first
+ * use of a pool fixes its number of connections, so purposes with other bounds must not share one.
+ */
 export class PoolBook {
   private readonly pools = new Map<string, Pool>();
 
   constructor(private tls?: PoolTls) {}
 
-  poolFor(address: string, port: number, connections: number): Pool {
+  poolFor(address: string, port: number, connections: number, purpose: PoolPurpose): Pool {
     const host = address.includes(':') ? `[${address}]` : address;
     const scheme = this.tls === undefined ? 'http' : 'https';
     const origin = `${scheme}://${host}:${port}`;
-    const present = this.pools.get(origin);
+    const key = `${purpose} ${origin}`;
+    const present = this.pools.get(key);
     if (present !== undefined) return present;
     const pool = new Pool(origin, {
       connections,
@@ -28,7 +35,7 @@
       keepAliveTimeout: IDLE_CONNECTION_MS,
       connect: { timeout: CONNECT_TIMEOUT_MS, ...this.tls },
     });
-    this.pools.set(origin, pool);
+    this.pools.set(key, pool);
     return pool;
   }
 
--- a/packages/daemon/src/rpc-http.ts
+++ b/packages/daemon/src/rpc-http.ts
@@ -57,7 +57,7 @@
       cancellation.cancel(CancelReason.deadlinePassed),
     );
     const answer = await exchange(
-      pools.poolFor(member.address, member.peerPort, CONNECTIONS),
+      pools.poolFor(member.address, member.peerPort, CONNECTIONS, 'rpc'),
       {
         httpMethod: 'POST',
         path: PEER_RPC_PATH,
--- a/packages/daemon/src/target-http-client.ts
+++ b/packages/daemon/src/target-http-client.ts
@@ -66,6 +66,6 @@
   private pool(): Pool | undefined {
     const { address } = this.target;
     if (address === undefined) return undefined;
-    return this.pools.poolFor(address.address, address.port, this.options.connections);
+    return this.pools.poolFor(address.address, address.port, this.options.connections, 'calls');
   }
 }
--- a/packages/daemon/tests/http-exchange.test.ts
+++ b/packages/daemon/tests/http-exchange.test.ts
@@ -31,7 +31,12 @@
   request = REQUEST,
 ): Promise<ExchangeResult> {
   server = await startRawServer(answer);
-  return exchange(pools.poolFor('127.0.0.1', server.port, 1), request, LIMITS, cancellation);
+  return exchange(
+    pools.poolFor('127.0.0.1', server.port, 1, 'calls'),
+    request,
+    LIMITS,
+    cancellation,
+  );
 }
 
 async function bodyOf(result: ExchangeResult): Promise<string> {
@@ -90,7 +95,7 @@
     const result = await send((socket) => socket.resetAndDestroy());
     expect(result).toEqual({ kind: 'lost' });
     const again = await exchange(
-      pools.poolFor('127.0.0.1', server?.port ?? 0, 1),
+      pools.poolFor('127.0.0.1', server?.port ?? 0, 1, 'calls'),
       { ...REQUEST, httpMethod: 'GET', body: { kind: 'held', bytes: Buffer.alloc(0) } },
       LIMITS,
       new Cancellation(),
@@ -103,7 +108,7 @@
     server = await startRawServer(() => undefined);
     const { port } = server;
     await server.close();
-    const pool = pools.poolFor('127.0.0.1', port, 1);
+    const pool = pools.poolFor('127.0.0.1', port, 1, 'calls');
     expect(await exchange(pool, REQUEST, LIMITS, new Cancellation())).toEqual({ kind: 'not-sent' });
   });
 
@@ -115,7 +120,7 @@
     }, first);
     await expect.poll(() => server?.requests.length).toBe(1);
     const cancellation = new Cancellation();
-    const pool = pools.poolFor('127.0.0.1', server?.port ?? 0, 1);
+    const pool = pools.poolFor('127.0.0.1', server?.port ?? 0, 1, 'calls');
     const waiting = exchange(pool, REQUEST, LIMITS, cancellation);
     cancellation.cancel('caller-gone');
     expect(await waiting).toEqual({ kind: 'lost' });
@@ -152,7 +157,7 @@
     }, cancellation);
     expect(await first).toEqual({ kind: 'lost' });
     const second = await exchange(
-      pools.poolFor('127.0.0.1', server?.port ?? 0, 1),
+      pools.poolFor('127.0.0.1', server?.port ?? 0, 1, 'calls'),
       { ...REQUEST, headers: [['x-request', '2']] },
       LIMITS,
       new Cancellation(),
@@ -168,7 +173,7 @@
     });
     expect(await bodyOf(result)).toBe('first');
     const next = await exchange(
-      pools.poolFor('127.0.0.1', server?.port ?? 0, 1),
+      pools.poolFor('127.0.0.1', server?.port ?? 0, 1, 'calls'),
       REQUEST,
       LIMITS,
       new Cancellation(),
