--- /dev/null
+++ b/packages/bench/src/process-group.ts
@@ -0,0 +1,42 @@
+import { spawn } from 'node:child_process';
+import { processUsage } from './process-usage';
+import { StartedProcess } from './started-process';
+
+/** All processes that this program started; the only ones that it ever signals. */
+export class ProcessGroup {
+  private readonly started: StartedProcess[] = [];
+
+  constructor() {
+    process.once('exit', () => this.killAll());
+  }
+
+  /** Starts a Node program of this project. */
+  start(name: string, file: string, args: readonly string[]): StartedProcess {
+    const child = spawn(process.execPath, ['--max-old-space-size=512', file, ...args], {
+      stdio: ['ignore', 'pipe', 'pipe'],
+    });
+    const started = new StartedProcess(name, child);
+    this.started.push(started);
+    return started;
+  }
+
+  get runningCount(): number {
+    return this.started.filter(({ running }) => running).length;
+  }
+
+  /** Processor time in ms that each running process has used so far, by name. */
+  cpuMsByProcess(): Readonly<Record<string, number>> {
+    const running = this.started.filter((started) => started.running);
+    return Object.fromEntries(
+      running.map(({ name, pid }) => [name, processUsage(pid)?.cpuMs ?? 0]),
+    );
+  }
+
+  async stopAll(): Promise<void> {
+    await Promise.all(this.started.map((started) => started.stop()));
+  }
+
+  private killAll(): void {
+    for (const started of this.started) started.signal('SIGKILL');
+  }
+}
