Keep the retry tokens of idempotent roots, and let the record of a ticket speak first

Cause: a caller that repeats an idempotent request got a fresh set of retry tokens each time. A repeat of a money call whose policy had been withdrawn meanwhile was told not-run while the first try was running (seen with three real daemons). A streamed money answer that was cut counted as answered. Change: the entry named by a root's ticket keeps its tokens and joins repeats; other daemons pass a repeat on to it. A home claims the ticket before any other check may refuse; an entry that cannot ask the home says unknown. Cut streams are recorded as answer-cut, answers too large to keep with their status. Money calls are no trial of a failed target. Senders note replies in the time line. Conclusion: repeats share one bound, and only the home of a ticket says that nothing ran.

--- a/packages/callpath/src/attempts.ts
+++ b/packages/callpath/src/attempts.ts
@@ -1,8 +1,9 @@
 import type { Ticket } from '@daisyferry/execution/ticket';
 import type { Member } from '@daisyferry/model/member';
-import { RefusalReason, UnknownReason } from '@daisyferry/model/outcome';
+import { Outcome, RefusalReason, UnknownReason } from '@daisyferry/model/outcome';
 import type { Scheduler } from '@daisyferry/model/scheduler';
-import type { TimelineSink } from '@daisyferry/model/timeline-event';
+import type { TimelineKindName, TimelineSink } from '@daisyferry/model/timeline-event';
+import { TimelineKind } from '@daisyferry/model/timeline-event';
 import type { RetryShare } from '@daisyferry/retries/retry-share';
 import type { TargetPicker } from '@daisyferry/routing/target-picker';
 import type { ThresholdBook } from '@daisyferry/admission/threshold-book';
@@ -26,6 +27,21 @@
 
 const NO_TARGET_RETRY_MS = 1_000;
 
+/** Kind of the event by which the sender of a call notes its reply. */
+function replyKind(result: CallResult): TimelineKindName {
+  switch (result.outcome) {
+    case Outcome.completed:
+    case Outcome.failed:
+      return TimelineKind.callAnswered;
+    case Outcome.notRun:
+      return TimelineKind.callRefused;
+    case Outcome.unknown:
+      return TimelineKind.callUnknown;
+    default:
+      throw new Error(`unexpected outcome ${String(result satisfies never)}`);
+  }
+}
+
 /** Sends one attempt and books what its reply tells. */
 export async function sendAttempt(
   parts: AttemptParts,
@@ -37,6 +53,7 @@
   const { picker, scheduler, thresholds, timeline } = parts;
   const { name } = home.id;
   const callId = parts.newId();
+  entry.progress.countAttempt();
   const tokens = entry.purse.grant();
   picker.started(name, scheduler.nowMs());
   timeline.emit({ kind: 'call.sent', ...entry.trace, call: callId, detail: name });
@@ -65,6 +82,7 @@
     picker.observeLoad(name, sent.signals.load, nowMs);
     thresholds.observe(entry.thresholdKey, name, sent.signals.threshold, nowMs);
     parts.onNestedThreshold(entry);
+    timeline.emit({ kind: replyKind(sent.result), ...entry.trace, call: callId, detail: name });
   }
   return sent;
 }
@@ -114,7 +132,8 @@
   let result: CallResult = refusal(RefusalReason.noTarget, NO_TARGET_RETRY_MS);
   parts.shareOf(service).attempt(parts.scheduler.nowMs());
   for (let attempt = 1; ; attempt += 1) {
-    const home = parts.picker.pick(service, excluded, parts.scheduler.nowMs());
+    const mayBeTrial = entry.rule.idempotent;
+    const home = parts.picker.pick(service, excluded, parts.scheduler.nowMs(), { mayBeTrial });
     if (home === undefined) return result;
     const ticket = entry.rule.idempotent ? undefined : parts.mint(home, entry);
     const sent = await sendAttempt(parts, entry, home, ticket, attempt);
--- a/packages/callpath/src/call-home.ts
+++ b/packages/callpath/src/call-home.ts
@@ -15,7 +15,7 @@
 import type { CallResult, HomeReply, PeerCall, TargetClient } from './call-message';
 import type { Cancellation } from './cancellation';
 import { CancelReason } from './cancellation';
-import type { HomeCall } from './home-call';
+import type { CallTrace, HomeCall } from './home-call';
 import { executeOnTarget } from './target-execution';
 import type { LocalTarget } from './local-target';
 import { refusal } from './results';
@@ -39,34 +39,49 @@
   readonly timeline: TimelineSink;
 }
 
+function traceOf(call: PeerCall): Omit<CallTrace, 'method'> {
+  return {
+    root: call.rootId,
+    call: call.callId,
+    ...(call.parentCallId === undefined ? {} : { parentCall: call.parentCallId }),
+    service: call.service,
+  };
+}
+
 /** Runs calls on the target beside the daemon: admission, execution record, hand-over. */
 export class CallHome {
   constructor(private readonly parts: CallHomeParts) {}
 
   /** Resolves once the call has its result; a streamed answer goes on after that. */
   async handle(call: PeerCall, cancellation: Cancellation): Promise<HomeReply> {
-    const prepared = this.prepare(call, cancellation);
-    if ('outcome' in prepared) return this.reply(prepared, '', call.tokens);
     const timer = this.parts.scheduler.after(call.remainingMs, () =>
       cancellation.cancel(CancelReason.deadlinePassed),
     );
-    const result = await this.run(prepared);
+    const reply = await this.claimAndRun(call, cancellation);
+    const { result } = reply;
     // A streamed answer is still under way: its deadline stays in force.
     if (!('body' in result) || result.body.kind === 'held') timer.cancel();
-    return this.reply(result, prepared.method, prepared.purse.drain());
+    return reply;
   }
 
-  private async run(home: HomeCall): Promise<CallResult> {
-    if (home.rule.idempotent) return this.admitAndExecute(home);
-    const claim = await claimTicket(this.parts, home);
-    if (claim.kind === 'settled') return claim.result;
-    return this.admitAndExecute(home);
+  /** The record of a ticket answers before anything else may refuse its call. */
+  private async claimAndRun(call: PeerCall, cancellation: Cancellation): Promise<HomeReply> {
+    if (call.ticket !== undefined) {
+      const claim = await claimTicket(this.parts, call.ticket, cancellation);
+      if (claim.kind === 'settled') return this.reply(claim.result, '', call.tokens);
+    }
+    const prepared = this.prepare(call, cancellation);
+    if ('outcome' in prepared) {
+      return this.reply(this.refuse(call, prepared), '', call.tokens);
+    }
+    const result = await this.admitAndExecute(prepared);
+    return this.reply(result, prepared.method, prepared.purse.drain());
   }
 
   private async admitAndExecute(home: HomeCall): Promise<CallResult> {
-    if (!home.takesWork) return this.refuse(home, this.refusalOfTarget());
+    if (!home.takesWork) return this.refuse(home.call, this.refusalOfTarget());
     const decision = await this.parts.gate.admit(home);
-    if (decision.kind === 'refused') return this.refuse(home, decision.refusal);
+    if (decision.kind === 'refused') return this.refuse(home.call, decision.refusal);
     const { timeline } = this.parts;
     timeline.emit({ kind: 'call.admitted', ...home.trace, durationMs: decision.queuedMs });
     return executeOnTarget(this.parts, home);
@@ -81,17 +96,17 @@
   }
 
   /** Records the refusal under the ticket first, so that it stays true for ever. */
-  private refuse(home: HomeCall, refused: Refusal): Refusal {
+  private refuse(call: PeerCall, refused: Refusal): Refusal {
     const { records, scheduler, timeline } = this.parts;
-    if (home.ticket !== undefined) {
-      records.refuse(home.ticket.nonce, refused.reason, scheduler.nowMs());
+    if (call.ticket !== undefined) {
+      records.refuse(call.ticket.nonce, refused.reason, scheduler.nowMs());
     }
-    timeline.emit({ kind: 'call.refused', ...home.trace, detail: refused.reason });
+    timeline.emit({ kind: 'call.refused', ...traceOf(call), detail: refused.reason });
     return refused;
   }
 
   /** Checks everything that needs no waiting. */
-  private prepare(call: PeerCall, cancellation: Cancellation): HomeCall | CallResult {
+  private prepare(call: PeerCall, cancellation: Cancellation): HomeCall | Refusal {
     const { service, policies, target, scheduler } = this.parts;
     const nowMs = scheduler.nowMs();
     if (!policies.ready) return refusal(RefusalReason.notReady, NOT_READY_RETRY_MS);
@@ -112,19 +127,13 @@
       rank,
       className: callClassName(rank) ?? rule.class,
       rootHash: rootHashOf(call.rootId),
-      ticket: rule.idempotent ? undefined : call.ticket,
+      ticket: call.ticket,
       receivedAtMs: nowMs,
       deadlineAtMs: nowMs + Math.min(call.remainingMs, rule.maxDeadlineMs),
       takesWork: target.takesWork(policy.drain.noNewWorkAfterMs, nowMs),
       purse: new RetryPurse(Math.min(call.tokens, policy.retries.tokensPerRoot)),
       cancellation,
-      trace: {
-        root: call.rootId,
-        call: call.callId,
-        ...(call.parentCallId === undefined ? {} : { parentCall: call.parentCallId }),
-        service,
-        method: rule.name,
-      },
+      trace: { ...traceOf(call), method: rule.name },
     };
   }
 
--- a/packages/callpath/src/entry-call.ts
+++ b/packages/callpath/src/entry-call.ts
@@ -21,6 +21,8 @@
 
 export type EntryOrigin =
   | { readonly kind: 'caller' }
+  /** From a caller, through another daemon that took it first. */
+  | { readonly kind: 'forwarded' }
   | { readonly kind: 'nested'; readonly parent: ActiveCall }
   /** From the local target, without a context or with one of a call that has ended. */
   | { readonly kind: 'detached'; readonly context: string | undefined };
@@ -34,6 +36,12 @@
   readonly ticket: string | undefined;
 }
 
+/** Counts the attempts that were sent for a call. */
+export interface EntryProgress {
+  readonly attempts: number;
+  countAttempt(): void;
+}
+
 /** Runs calls for callers. */
 export interface EntryPoint {
   run(request: EntryRequest): Promise<EntryAnswer>;
@@ -52,5 +60,6 @@
   readonly deadlineAtMs: number;
   readonly purse: RetryPurse;
   readonly ticket: Ticket | undefined;
+  readonly progress: EntryProgress;
   readonly trace: Omit<CallTrace, 'call'>;
 }
--- /dev/null
+++ b/packages/callpath/src/root-book.ts
@@ -0,0 +1,80 @@
+import type { PurseBook } from '@daisyferry/retries/purse-book';
+import type { RetryPurse } from '@daisyferry/retries/retry-purse';
+import type { CallResult } from './call-message';
+
+/** Whether a root request may be attempted, and with which tokens. */
+export type RootClaim =
+  | { readonly kind: 'first'; readonly purse: RetryPurse }
+  | { readonly kind: 'repeat'; readonly purse: RetryPurse }
+  /** The same root is in progress at this daemon. */
+  | { readonly kind: 'join'; readonly settled: Promise<CallResult> }
+  /** The retry tokens of the root are used up. */
+  | { readonly kind: 'exhausted' }
+  /** As many roots are kept as fit. */
+  | { readonly kind: 'full' };
+
+interface RootInProgress {
+  readonly settled: Promise<CallResult>;
+  readonly settle: (result: CallResult) => void;
+}
+
+function inProgress(): RootInProgress {
+  let settle: (result: CallResult) => void = () => undefined;
+  const settled = new Promise<CallResult>((resolve) => {
+    settle = resolve;
+  });
+  return { settled, settle };
+}
+
+/**
+ * Idempotent root requests whose ticket names this daemon: their retry tokens are kept here until
+ * the ticket expires, so that a caller that repeats its request shares them with the first try.
+ */
+export class RootBook {
+  private readonly running = new Map<string, RootInProgress>();
+
+  constructor(
+    private readonly purses: PurseBook,
+    private readonly maxRoots: number,
+  ) {}
+
+  get size(): number {
+    return this.purses.size;
+  }
+
+  /** Starts or repeats a root. Every claim of kind `first` or `repeat` is ended by `settle`. */
+  claim(rootId: string, tokens: number, expiresAtMs: number): RootClaim {
+    const running = this.running.get(rootId);
+    if (running !== undefined) return { kind: 'join', settled: running.settled };
+    const kept = this.purses.find(rootId);
+    if (kept === undefined) return this.open(rootId, tokens, expiresAtMs);
+    if (!kept.take()) return { kind: 'exhausted' };
+    this.running.set(rootId, inProgress());
+    return { kind: 'repeat', purse: kept };
+  }
+
+  /** Ends a claimed try of a root. */
+  settle(rootId: string, result: CallResult): void {
+    const running = this.running.get(rootId);
+    this.running.delete(rootId);
+    running?.settle(result);
+  }
+
+  /** Keeps the tokens that a root without a ticket has left; false when it does not fit. */
+  keep(rootId: string, purse: RetryPurse, expiresAtMs: number): boolean {
+    if (this.purses.size >= this.maxRoots) return false;
+    this.purses.open(rootId, purse.drain(), expiresAtMs);
+    return true;
+  }
+
+  /** Drops roots whose ticket has expired. */
+  sweep(nowMs: number): void {
+    this.purses.sweep(nowMs);
+  }
+
+  private open(rootId: string, tokens: number, expiresAtMs: number): RootClaim {
+    if (this.purses.size >= this.maxRoots) return { kind: 'full' };
+    this.running.set(rootId, inProgress());
+    return { kind: 'first', purse: this.purses.open(rootId, tokens, expiresAtMs) };
+  }
+}
--- a/packages/callpath/src/target-execution.ts
+++ b/packages/callpath/src/target-execution.ts
@@ -112,10 +112,29 @@
 function recordAnswer(parts: TargetExecutionParts, home: HomeCall, answer: TargetAnswer): void {
   if (home.ticket === undefined) return;
   const nowMs = parts.scheduler.nowMs();
-  const { body } = answer;
+  const { body, statusCode, outcome } = answer;
   const keep = body.kind === 'held' && body.bytes.length <= home.policy.tickets.maxAnswerBytes;
   const recorded = keep ? { ...answer, body: body.bytes } : undefined;
-  parts.records.answered(home.ticket.nonce, recorded, nowMs);
+  parts.records.answered(home.ticket.nonce, recorded, nowMs, { statusCode, outcome });
+}
+
+/** Settles a streamed answer once it has ended, whole or not. */
+function settleStreamed(
+  parts: TargetExecutionParts,
+  home: HomeCall,
+  execution: Execution,
+  answer: TargetAnswer,
+  end: 'whole' | 'cut',
+): void {
+  if (end === 'whole') {
+    recordAnswer(parts, home, answer);
+    execution.close({ kind: answer.outcome });
+    return;
+  }
+  if (home.ticket !== undefined) {
+    parts.records.lost(home.ticket.nonce, UnknownReason.answerCut, parts.scheduler.nowMs());
+  }
+  execution.close({ kind: 'abandoned' });
 }
 
 function settleAnswer(
@@ -132,17 +151,13 @@
     return refusal(RefusalReason.targetShed, TARGET_SHED_RETRY_MS);
   }
   const answer = answerOf(reply);
-  const report: FinishReport = { kind: answer.outcome === Outcome.failed ? 'failed' : 'completed' };
   if (reply.body.kind === 'held') {
     recordAnswer(parts, home, answer);
-    execution.close(report);
+    execution.close({ kind: answer.outcome });
   } else {
     reply.ended.then(
-      (end) => {
-        recordAnswer(parts, home, answer);
-        execution.close(end === 'whole' ? report : { kind: 'abandoned' });
-      },
-      () => execution.close({ kind: 'abandoned' }),
+      (end) => settleStreamed(parts, home, execution, answer, end),
+      () => settleStreamed(parts, home, execution, answer, 'cut'),
     );
   }
   timeline.emit({
--- a/packages/callpath/src/ticket-claim.ts
+++ b/packages/callpath/src/ticket-claim.ts
@@ -1,8 +1,9 @@
 import type { Claim, ExecutionRecords } from '@daisyferry/execution/execution-records';
+import type { Ticket } from '@daisyferry/execution/ticket';
 import { RefusalReason, UnknownReason } from '@daisyferry/model/outcome';
 import type { Scheduler } from '@daisyferry/model/scheduler';
 import type { CallResult, TargetAnswer } from './call-message';
-import type { HomeCall } from './home-call';
+import type { Cancellation } from './cancellation';
 import { refusal, unknown } from './results';
 
 export type ClaimResult =
@@ -33,7 +34,11 @@
 }
 
 /** Waits for the execution of the same ticket that is in progress, until the caller's own end. */
-async function join(parts: ClaimParts, home: HomeCall, nonce: string): Promise<CallResult> {
+async function join(
+  parts: ClaimParts,
+  nonce: string,
+  cancellation: Cancellation,
+): Promise<CallResult> {
   return new Promise((resolve) => {
     let stopListening = (): void => undefined;
     const unsubscribe = parts.records.onSettled(nonce, (settled) => {
@@ -44,7 +49,7 @@
       }
       resolve(resultOf(settled));
     });
-    stopListening = home.cancellation.onCancel(() => {
+    stopListening = cancellation.onCancel(() => {
       unsubscribe();
       resolve(unknown(UnknownReason.deadlineWhileRunning));
     });
@@ -52,16 +57,17 @@
 }
 
 /** Claims the ticket of a call. Only a granted claim may be offered to admission. */
-export async function claimTicket(parts: ClaimParts, home: HomeCall): Promise<ClaimResult> {
-  const { ticket } = home;
-  if (ticket === undefined)
-    return { kind: 'settled', result: refusal(RefusalReason.ticketRequired, 0) };
+export async function claimTicket(
+  parts: ClaimParts,
+  ticket: Ticket,
+  cancellation: Cancellation,
+): Promise<ClaimResult> {
   const claim = parts.records.claim(ticket, parts.scheduler.nowMs());
   switch (claim.kind) {
     case 'granted':
       return { kind: 'granted' };
     case 'join':
-      return { kind: 'settled', result: await join(parts, home, ticket.nonce) };
+      return { kind: 'settled', result: await join(parts, ticket.nonce, cancellation) };
     case 'answered':
     case 'refused':
     case 'unknown':
--- a/packages/callpath/src/ticket-issuer.ts
+++ b/packages/callpath/src/ticket-issuer.ts
@@ -1,5 +1,6 @@
 import { mintTicket } from '@daisyferry/execution/ticket';
 import type { TicketCodec } from '@daisyferry/execution/ticket-codec';
+import type { DaemonId } from '@daisyferry/model/member';
 import type { TicketsAnswer, TicketsRequest } from '@daisyferry/model/local-api';
 import type { Refusal } from '@daisyferry/model/outcome';
 import { RefusalReason } from '@daisyferry/model/outcome';
@@ -16,12 +17,14 @@
   readonly codec: TicketCodec;
   readonly scheduler: Scheduler;
   readonly newId: () => string;
+  /** Keeps the retry tokens of idempotent roots whose tickets it issues. */
+  readonly self: DaemonId;
 }
 
 const RETRY_LATER_MS = 1_000;
 const NO_HOMES_EXCLUDED: ReadonlySet<string> = new Set();
 
-/** Issues tickets for calls that are not idempotent; nothing is kept for a ticket until its use. */
+/** Issues tickets; nothing is kept for a ticket until its use. */
 export class TicketIssuer {
   constructor(private readonly parts: TicketIssuerParts) {}
 
@@ -29,23 +32,29 @@
   issue(service: string, policy: ServicePolicy): string | undefined {
     const { picker, codec, scheduler, newId } = this.parts;
     const nowMs = scheduler.nowMs();
-    const home = picker.pick(service, NO_HOMES_EXCLUDED, nowMs);
+    const home = picker.pick(service, NO_HOMES_EXCLUDED, nowMs, { mayBeTrial: false });
     if (home === undefined) return undefined;
     return codec.encode(mintTicket(home.id, policy.tickets.lifetimeMs, newId(), nowMs));
   }
 
+  /** One ticket for an idempotent root, which this daemon keeps the retry tokens of. */
+  private issueRoot(policy: ServicePolicy): string {
+    const { self, codec, scheduler, newId } = this.parts;
+    const { lifetimeMs } = policy.tickets;
+    return codec.encode(mintTicket(self, lifetimeMs, newId(), scheduler.nowMs()));
+  }
+
   /** Several tickets for one method, taken ahead. */
   issueAhead(service: string, request: TicketsRequest): TicketsAnswer | Refusal {
     const { policies } = this.parts;
     if (!policies.ready) return refusal(RefusalReason.notReady, RETRY_LATER_MS);
     const policy = policies.policyOf(service)?.policy ?? undefined;
     if (policy === undefined) return refusal(RefusalReason.unknownService, RETRY_LATER_MS);
-    if (matchMethod(policy, request.method, request.path) === undefined) {
-      return refusal(RefusalReason.unknownMethod, RETRY_LATER_MS);
-    }
+    const rule = matchMethod(policy, request.method, request.path);
+    if (rule === undefined) return refusal(RefusalReason.unknownMethod, RETRY_LATER_MS);
     const tickets: string[] = [];
     for (let index = 0; index < request.count; index += 1) {
-      const ticket = this.issue(service, policy);
+      const ticket = rule.idempotent ? this.issueRoot(policy) : this.issue(service, policy);
       if (ticket === undefined) return refusal(RefusalReason.noTarget, RETRY_LATER_MS);
       tickets.push(ticket);
     }
--- a/packages/daemon/src/answer-writer.ts
+++ b/packages/daemon/src/answer-writer.ts
@@ -18,6 +18,7 @@
   [RefusalReason.unknownMethod]: 404,
 };
 
+const BAD_REQUEST_STATUS = 400;
 const UNKNOWN_STATUS = 502;
 const TIMEOUT_STATUS = 504;
 
@@ -26,6 +27,7 @@
   if (result.outcome === Outcome.notRun) {
     return REFUSAL_STATUS[result.reason] ?? DEFAULT_REFUSAL_STATUS;
   }
+  if (result.reason === UnknownReason.ticketInvalid) return BAD_REQUEST_STATUS;
   return result.reason === UnknownReason.deadlineWhileRunning ? TIMEOUT_STATUS : UNKNOWN_STATUS;
 }
 
--- a/packages/daemon/src/call-path-parts.ts
+++ b/packages/daemon/src/call-path-parts.ts
@@ -9,6 +9,7 @@
 import type { LocalTarget } from '@daisyferry/callpath/local-target';
 import { PassThroughEntry } from '@daisyferry/callpath/pass-through-entry';
 import { PassThroughHome } from '@daisyferry/callpath/pass-through-home';
+import { RootBook } from '@daisyferry/callpath/root-book';
 import { TicketIssuer } from '@daisyferry/callpath/ticket-issuer';
 import { ExecutionRecords } from '@daisyferry/execution/execution-records';
 import { mintTicket } from '@daisyferry/execution/ticket';
@@ -18,11 +19,13 @@
 import type { PolicyTable } from '@daisyferry/model/policy-table';
 import type { RandomSource, Scheduler } from '@daisyferry/model/scheduler';
 import type { TimelineSink } from '@daisyferry/model/timeline-event';
+import { PurseBook } from '@daisyferry/retries/purse-book';
 import { RetryShare } from '@daisyferry/retries/retry-share';
 import { TargetPicker } from '@daisyferry/routing/target-picker';
 import type { DaemonSettings } from '@daisyferry/settings/daemon-settings';
 import type { OwnHome } from './home-http-client';
 import { HomeHttpClient } from './home-http-client';
+import { HttpRootForwarder } from './http-root-forwarder';
 import type { PoolBook } from './pool-book';
 import { TargetHttpClient } from './target-http-client';
 
@@ -49,6 +52,7 @@
   readonly gate: AdmissionGate;
   readonly activeCalls: ActiveCalls;
   readonly records: ExecutionRecords;
+  readonly roots: RootBook;
   readonly thresholds: ThresholdBook;
   readonly picker: TargetPicker;
 }
@@ -61,6 +65,8 @@
 };
 
 const SUBSET_SIZE = 12;
+/** Idempotent root requests whose retry tokens are kept. */
+const MAX_KEPT_ROOTS = 20_000;
 const MAX_TICKET_LIFETIME_MS = 600_000;
 const MAX_CLOCK_SKEW_MS = 60_000;
 
@@ -129,7 +135,15 @@
     connectionsTo: (member: Member) =>
       picker.connectionsAllowed(member, Math.max(1, directory.membersOf(settings.service).length)),
   });
-  const issuer = new TicketIssuer({ policies, picker, codec, scheduler, newId: context.newId });
+  const roots = new RootBook(new PurseBook(), MAX_KEPT_ROOTS);
+  const issuer = new TicketIssuer({
+    self,
+    policies,
+    picker,
+    codec,
+    scheduler,
+    newId: context.newId,
+  });
   const onNestedThreshold = (entry: EntryCall): void => {
     const { origin } = entry.request;
     if (origin.kind !== 'nested') return;
@@ -159,6 +173,9 @@
           picker,
           homes,
           thresholds,
+          self,
+          roots,
+          forwarder: new HttpRootForwarder(context.peerPools, settings.limits.maxHeldBodyBytes),
           shareOf: createShares(),
           scheduler,
           timeline,
@@ -172,5 +189,5 @@
             ),
           onNestedThreshold,
         });
-  return { entry, home, issuer, admission, gate, activeCalls, records, thresholds, picker };
+  return { entry, home, issuer, admission, gate, activeCalls, records, roots, thresholds, picker };
 }
--- a/packages/daemon/src/data-listeners.ts
+++ b/packages/daemon/src/data-listeners.ts
@@ -2,7 +2,7 @@
 import type { EntryOrigin, EntryPoint } from '@daisyferry/callpath/entry-call';
 import type { TicketIssuer } from '@daisyferry/callpath/ticket-issuer';
 import type { TicketCodec } from '@daisyferry/execution/ticket-codec';
-import { Header } from '@daisyferry/model/headers';
+import { Header, PeerHeader } from '@daisyferry/model/headers';
 import type { DaemonSettings } from '@daisyferry/settings/daemon-settings';
 import type { FastifyInstance } from 'fastify';
 import type { JSONRPCServer } from 'json-rpc-2.0';
@@ -94,7 +94,16 @@
   const fromPeers = new PeerHandler(home, codec, limits, (field) =>
     parts.countMalformed('peers', field),
   );
-  routeAll(peers, async (request, response) => fromPeers.handle(request, response));
+  const fromOtherEntries = new EntryHandler({
+    entry,
+    ownService,
+    limits,
+    originOf: () => ({ kind: 'forwarded' }),
+  });
+  routeAll(peers, async (request, response) => {
+    const isForwarded = request.headers[PeerHeader.forwarded] !== undefined;
+    return (isForwarded ? fromOtherEntries : fromPeers).handle(request, response);
+  });
 
   return { callers, local, peers };
 }
--- a/packages/daemon/src/peer-wire.ts
+++ b/packages/daemon/src/peer-wire.ts
@@ -135,7 +135,8 @@
   return { statusCode: result.statusCode, headers };
 }
 
-function rawValue(rawHeaders: readonly string[], name: string): string | undefined {
+/** Value of a header in the flat list of an answer, by its name in lower case. */
+export function rawValue(rawHeaders: readonly string[], name: string): string | undefined {
   const index = rawHeaders.indexOf(name);
   return index < 0 ? undefined : rawHeaders[index + 1];
 }
--- a/packages/daemon/src/pool-book.ts
+++ b/packages/daemon/src/pool-book.ts
@@ -11,7 +11,7 @@
 }
 
 /** What the connections of a pool carry; each purpose has connections of its own. */
-export type PoolPurpose = 'calls' | 'rpc';
+export type PoolPurpose = 'calls' | 'forwarded' | 'rpc';
 
 /**
  * Connection pools by address and purpose; each connection carries one request at a time. The first
--- a/packages/daemon/src/start-daemon.ts
+++ b/packages/daemon/src/start-daemon.ts
@@ -198,7 +198,10 @@
   });
   fleet.start();
   targetControl.start();
-  const sweep = setInterval(() => callPath.records.sweep(scheduler.nowMs()), RECORD_SWEEP_MS);
+  const sweep = setInterval(() => {
+    callPath.records.sweep(scheduler.nowMs());
+    callPath.roots.sweep(scheduler.nowMs());
+  }, RECORD_SWEEP_MS);
   const callers = await listen(
     listeners.callers,
     addresses.callers.address,
--- a/packages/model/src/headers.ts
+++ b/packages/model/src/headers.ts
@@ -38,6 +38,8 @@
   threshold: 'daisyferry-peer-threshold',
   /** Load of the callee: in-flight and queued calls divided by its limit. */
   load: 'daisyferry-peer-load',
+  /** Marks a caller's request that another daemon passes on to the one its ticket names. */
+  forwarded: 'daisyferry-peer-forwarded',
   /** Greatest policy revision that the answering daemon applies. */
   revision: 'daisyferry-peer-revision',
 } as const;
--- a/packages/model/src/outcome.ts
+++ b/packages/model/src/outcome.ts
@@ -73,6 +73,10 @@
   deadlineWhileRunning: 'deadline-while-running',
   /** The answer ended before its declared length. */
   answerCut: 'answer-cut',
+  /** The ticket cannot be read here, or its signature is wrong; a call may have run under it. */
+  ticketInvalid: 'ticket-invalid',
+  /** The entry refused the request before it could ask the home that the ticket names. */
+  notAsked: 'not-asked',
   /** The call ran and its answer is no longer held. */
   answerNotHeld: 'answer-not-held',
 } as const;
