Add the unknown reason duplicate-call

Cause: a home that gets a call whose identifier is in use can say neither not-run nor completed. Change: one reason more; nothing uses it yet. Conclusion: additive.

--- a/packages/model/src/outcome.ts
+++ b/packages/model/src/outcome.ts
@@ -75,6 +75,8 @@
   answerCut: 'answer-cut',
   /** The call ran and its answer is no longer held. */
   answerNotHeld: 'answer-not-held',
+  /** A call with the same identifier is in progress at the home daemon. */
+  duplicateCall: 'duplicate-call',
 } as const;
 
 export type UnknownReasonName = (typeof UnknownReason)[keyof typeof UnknownReason];
