--- a/packages/admission/tests/support/surge.ts
+++ b/packages/admission/tests/support/surge.ts
@@ -14,6 +14,10 @@
   /** Concurrency at which the deep service has its knee, if it has one below its slots. */
   readonly kneeAt?: number;
   readonly entries?: number;
+  /** Budget of each request. */
+  readonly deadlineMs?: number;
+  /** Mean time that callers wait beyond the first 100 ms. */
+  readonly meanPatienceMs?: number;
   /** Slots of each target in front of the deep service. */
   readonly upperSlots?: number;
   readonly surgeFactor?: number;
@@ -75,6 +79,8 @@
     surgeFactor = 3,
     slowFactor = 2,
     upperSlots = 170,
+    deadlineMs = DEADLINE_MS,
+    meanPatienceMs = MEAN_PATIENCE_MS,
   } = options;
   const generator = xoroshiro128plus(options.seed ?? 1);
   const random = (): number => (generator.unsafeNext() + 0x8000_0000) / 0x1_0000_0000;
@@ -144,7 +150,7 @@
     const attempt = (retriesLeft: number): void => {
       const caller = callers[Math.floor(random() * callers.length)];
       if (caller === undefined) return;
-      const deadlineAtMs = loop.nowMs + DEADLINE_MS;
+      const deadlineAtMs = loop.nowMs + deadlineMs;
       let isOver = false;
       const end = (isCompleted: boolean): void => {
         if (isOver) return;
@@ -160,7 +166,7 @@
       const leave = chain.call(caller, 0, { id, rank, deadlineAtMs }, (result) =>
         end(result === 'completed'),
       );
-      loop.after(Math.min(DEADLINE_MS, 100 + exponential(MEAN_PATIENCE_MS)), () => {
+      loop.after(Math.min(deadlineMs, 100 + exponential(meanPatienceMs)), () => {
         if (isOver) return;
         leave();
         end(false);
--- a/packages/callpath/src/admission-gate.ts
+++ b/packages/callpath/src/admission-gate.ts
@@ -18,6 +18,9 @@
 export class AdmissionGate {
   private readonly waiters = new Map<string, Waiter>();
 
+  /** Calls that wait or hold a slot. */
+  private readonly held = new Set<string>();
+
   private timer: Timer | undefined;
 
   private timerAtMs = Infinity;
@@ -32,9 +35,15 @@
     return this.waiters.size;
   }
 
+  /** True while a call with this identifier waits or holds a slot. */
+  holds(callId: string): boolean {
+    return this.held.has(callId);
+  }
+
   /** Resolves with the decision; a caller that leaves while waiting is refused as gone. */
   async admit(home: HomeCall): Promise<GateDecision> {
     const { callId } = home.call;
+    this.held.add(callId);
     return new Promise((resolve) => {
       let stopListening = (): void => undefined;
       this.waiters.set(callId, (decision) => {
@@ -49,11 +58,13 @@
 
   /** Gives the slot of an admitted call back. */
   finish(callId: string, report: FinishReport): void {
+    this.held.delete(callId);
     this.dispatch(this.controller.finish(callId, report, this.scheduler.nowMs()));
   }
 
   /** Gives the slot of an admitted call back that was never handed over. */
   release(callId: string): void {
+    this.held.delete(callId);
     this.dispatch(this.controller.cancel(callId, this.scheduler.nowMs()));
   }
 
@@ -85,6 +96,7 @@
     for (const decision of decisions) {
       const waiter = this.waiters.get(decision.callId);
       this.waiters.delete(decision.callId);
+      if (decision.kind === 'refused') this.held.delete(decision.callId);
       waiter?.(decision);
     }
     this.plan();
--- a/packages/callpath/src/call-home.ts
+++ b/packages/callpath/src/call-home.ts
@@ -4,7 +4,7 @@
 import type { ExecutionRecords } from '@daisyferry/execution/execution-records';
 import { callClassName, callClassRank, moreCritical } from '@daisyferry/model/call-class';
 import type { Refusal } from '@daisyferry/model/outcome';
-import { RefusalReason } from '@daisyferry/model/outcome';
+import { RefusalReason, UnknownReason } from '@daisyferry/model/outcome';
 import type { PolicyTable } from '@daisyferry/model/policy-table';
 import type { Scheduler } from '@daisyferry/model/scheduler';
 import type { TimelineSink } from '@daisyferry/model/timeline-event';
@@ -18,7 +18,7 @@
 import type { HomeCall } from './home-call';
 import { executeOnTarget } from './target-execution';
 import type { LocalTarget } from './local-target';
-import { refusal } from './results';
+import { refusal, unknown } from './results';
 import { claimTicket } from './ticket-claim';
 
 /** Time after which a caller may come back to a daemon that cannot serve for want of state. */
@@ -65,6 +65,7 @@
 
   private async admitAndExecute(home: HomeCall): Promise<CallResult> {
     if (!home.takesWork) return this.refuse(home, this.refusalOfTarget());
+    if (this.parts.gate.holds(home.call.callId)) return this.rejectDuplicate(home);
     const decision = await this.parts.gate.admit(home);
     if (decision.kind === 'refused') return this.refuse(home, decision.refusal);
     const { timeline } = this.parts;
@@ -72,6 +73,15 @@
     return executeOnTarget(this.parts, home);
   }
 
+  /**
+   * A message whose call identifier is in use, such as one delivered twice. Without a ticket of its
+   * own it may stand for the call in progress, so it is not said that it did not run.
+   */
+  private rejectDuplicate(home: HomeCall): CallResult {
+    if (home.ticket === undefined) return unknown(UnknownReason.duplicateCall);
+    return this.refuse(home, refusal(RefusalReason.badRequest, 0));
+  }
+
   private refusalOfTarget(): Refusal {
     const { state } = this.parts.target;
     if (state === 'leaving' || state === 'left') {
