--- a/packages/callpath/src/idempotent-root.ts
+++ b/packages/callpath/src/idempotent-root.ts
@@ -2,11 +2,11 @@
 import { mintTicket } from '@daisyferry/execution/ticket';
 import type { TicketCodec } from '@daisyferry/execution/ticket-codec';
 import type { DaemonId, MemberDirectory } from '@daisyferry/model/member';
-import { Outcome, RefusalReason } from '@daisyferry/model/outcome';
+import { Outcome, RefusalReason, UnknownReason } from '@daisyferry/model/outcome';
 import type { Scheduler } from '@daisyferry/model/scheduler';
 import type { CallResult } from './call-message';
 import type { EntryAnswer, EntryCall } from './entry-call';
-import { refusal } from './results';
+import { refusal, unknown } from './results';
 import type { RootBook } from './root-book';
 import type { RootForwarder } from './root-forwarder';
 
@@ -27,6 +27,12 @@
   return result.outcome === Outcome.completed || result.outcome === Outcome.failed;
 }
 
+/** A refusal speaks of all tries of its root, not only of the last one. */
+function truthful(result: CallResult, mayHaveRun: boolean): CallResult {
+  if (!mayHaveRun || result.outcome !== Outcome.notRun) return result;
+  return unknown(UnknownReason.earlierTry);
+}
+
 function shareable(result: CallResult): boolean {
   return !('body' in result) || result.body.kind === 'held';
 }
@@ -54,7 +60,7 @@
     if (!mayRepeat) return this.answer(entry, result, undefined);
     const nowMs = scheduler.nowMs();
     const ticket = mintTicket(self, entry.policy.tickets.lifetimeMs, entry.rootId, nowMs);
-    const kept = roots.keep(entry.rootId, entry.purse, ticket.expiresAtMs);
+    const kept = roots.keep(entry.rootId, entry.purse, result, ticket.expiresAtMs);
     return this.answer(entry, result, kept ? codec.encode(ticket) : undefined);
   }
 
@@ -66,14 +72,15 @@
     switch (claim.kind) {
       case 'first':
       case 'repeat': {
-        const result = await attempt({ ...entry, purse: claim.purse });
+        const tried = await attempt({ ...entry, purse: claim.purse });
+        const result = claim.kind === 'repeat' ? truthful(tried, claim.mayHaveRun) : tried;
         roots.settle(ticket.nonce, result);
         return this.answer(entry, result, ended(result) ? undefined : ticketText);
       }
       case 'join':
         return this.join(entry, ticket, claim.settled);
       case 'exhausted':
-        return this.exhausted(entry);
+        return this.exhausted(entry, claim.mayHaveRun);
       case 'full':
         return this.answer(entry, refusal(RefusalReason.recordsFull, FULL_RETRY_MS), ticketText);
       default:
@@ -103,8 +110,10 @@
     return (await forwarder.forward(member, entry.request)) ?? this.exhausted(entry);
   }
 
-  private exhausted(entry: EntryCall): EntryAnswer {
-    return this.answer(entry, refusal(RefusalReason.retriesExhausted, 0), undefined);
+  /** Without the tokens of its root a repeat is not tried; what earlier tries did may be unknown. */
+  private exhausted(entry: EntryCall, mayHaveRun = true): EntryAnswer {
+    const refused = refusal(RefusalReason.retriesExhausted, 0);
+    return this.answer(entry, truthful(refused, mayHaveRun), undefined);
   }
 
   private answer(entry: EntryCall, result: CallResult, ticket: string | undefined): EntryAnswer {
