--- a/packages/callpath/src/attempts.ts
+++ b/packages/callpath/src/attempts.ts
@@ -1,8 +1,9 @@
 import type { Ticket } from '@daisyferry/execution/ticket';
 import type { Member } from '@daisyferry/model/member';
-import { RefusalReason, UnknownReason } from '@daisyferry/model/outcome';
+import { Outcome, RefusalReason, UnknownReason } from '@daisyferry/model/outcome';
 import type { Scheduler } from '@daisyferry/model/scheduler';
-import type { TimelineSink } from '@daisyferry/model/timeline-event';
+import type { TimelineKindName, TimelineSink } from '@daisyferry/model/timeline-event';
+import { TimelineKind } from '@daisyferry/model/timeline-event';
 import type { RetryShare } from '@daisyferry/retries/retry-share';
 import type { TargetPicker } from '@daisyferry/routing/target-picker';
 import type { ThresholdBook } from '@daisyferry/admission/threshold-book';
@@ -26,6 +27,21 @@
 
 const NO_TARGET_RETRY_MS = 1_000;
 
+/** Kind of the event by which the sender of a call notes its reply. */
+function replyKind(result: CallResult): TimelineKindName {
+  switch (result.outcome) {
+    case Outcome.completed:
+    case Outcome.failed:
+      return TimelineKind.callAnswered;
+    case Outcome.notRun:
+      return TimelineKind.callRefused;
+    case Outcome.unknown:
+      return TimelineKind.callUnknown;
+    default:
+      throw new Error(`unexpected outcome ${String(result satisfies never)}`);
+  }
+}
+
 /** Sends one attempt and books what its reply tells. */
 export async function sendAttempt(
   parts: AttemptParts,
@@ -37,6 +53,7 @@
   const { picker, scheduler, thresholds, timeline } = parts;
   const { name } = home.id;
   const callId = parts.newId();
+  entry.progress.countAttempt();
   const tokens = entry.purse.grant();
   picker.started(name, scheduler.nowMs());
   timeline.emit({ kind: 'call.sent', ...entry.trace, call: callId, detail: name });
@@ -65,6 +82,7 @@
     picker.observeLoad(name, sent.signals.load, nowMs);
     thresholds.observe(entry.thresholdKey, name, sent.signals.threshold, nowMs);
     parts.onNestedThreshold(entry);
+    timeline.emit({ kind: replyKind(sent.result), ...entry.trace, call: callId, detail: name });
   }
   return sent;
 }
@@ -103,6 +121,11 @@
   return entry.request.content.body.kind === 'held';
 }
 
+/** A later refusal does not undo what an earlier attempt may have run. */
+function resultOfAll(result: CallResult, uncertain: CallResult | undefined): CallResult {
+  return result.outcome === Outcome.notRun ? (uncertain ?? result) : result;
+}
+
 /**
  * Sends a call to one home after another until it has a result, within the retry tokens of the
  * root. Each attempt of a call that is not idempotent has a ticket of its own; the next is minted
@@ -112,16 +135,19 @@
   const { service } = entry.request;
   const excluded = new Set<string>();
   let result: CallResult = refusal(RefusalReason.noTarget, NO_TARGET_RETRY_MS);
+  let uncertain: CallResult | undefined;
   parts.shareOf(service).attempt(parts.scheduler.nowMs());
   for (let attempt = 1; ; attempt += 1) {
-    const home = parts.picker.pick(service, excluded, parts.scheduler.nowMs());
-    if (home === undefined) return result;
+    const mayBeTrial = entry.rule.idempotent;
+    const home = parts.picker.pick(service, excluded, parts.scheduler.nowMs(), { mayBeTrial });
+    if (home === undefined) return resultOfAll(result, uncertain);
     const ticket = entry.rule.idempotent ? undefined : parts.mint(home, entry);
     const sent = await sendAttempt(parts, entry, home, ticket, attempt);
     result = lastResult(sent, entry);
+    if (result.outcome === Outcome.unknown) uncertain ??= result;
     const verdict = attemptVerdict(sent, entry.rule.idempotent);
-    if (verdict === 'final' || !canSendAgain(entry)) return result;
-    if (!mayRetry(parts, entry, sent)) return result;
+    const isLast = verdict === 'final' || !canSendAgain(entry) || !mayRetry(parts, entry, sent);
+    if (isLast) return resultOfAll(result, uncertain);
     excluded.add(home.id.name);
     parts.timeline.emit({ kind: 'call.retried', ...entry.trace, detail: home.id.name });
   }
