Leave the first fetch of policies to the start of a daemon

Change: the delivery waits until the daemon is ready; a test for a rolling replacement of every member; the measured policies have a service each. Measured: npx vitest run packages/membership/tests/policy-delivery.test.ts and gossip-properties: all passed. Conclusion: a start fetches the policies once.

--- a/packages/membership/src/measure/scale-plan.ts
+++ b/packages/membership/src/measure/scale-plan.ts
@@ -57,11 +57,6 @@
   };
 }
 
-/** Name of the service with a number. */
-export function scaleServiceName(number: number): string {
-  return `service-${String(number % SERVICES).padStart(3, '0')}`;
-}
-
 function loopbackAddress(number: number): string {
   const high = Math.floor(number / ADDRESSES_PER_BYTE);
   const second = FIRST_SECOND_BYTE + Math.floor(high / ADDRESSES_PER_BYTE);
@@ -71,7 +66,7 @@
 /** A member of the fleet; all share the ports of the process that speaks for them. */
 export function scaleMember(number: number, run: number, ports: FleetPorts): Member {
   const dataCentre = Math.floor(number / SERVICES) % DATA_CENTRES;
-  const service = scaleServiceName(number);
+  const service = `service-${String(number % SERVICES).padStart(3, '0')}`;
   const incarnation = `${number.toString(16).padStart(8, '0')}${run.toString(16).padStart(8, '0')}`;
   return {
     id: { name: `${service}-dc-${dataCentre}-${Math.floor(number / SERVICES)}`, incarnation },
--- a/packages/membership/src/measure/scale-policies.ts
+++ b/packages/membership/src/measure/scale-policies.ts
@@ -1,5 +1,4 @@
 import type { PolicyDelta, PolicyRecord, ServicePolicy } from '@daisyferry/model/policy';
-import { scaleServiceName } from './scale-plan';
 
 const METHODS = 12;
 const ACCEPTED_AT = '2026-01-01T00:00:00.000Z';
@@ -37,7 +36,7 @@
   /** Changes the policy of the service with a number. */
   change(number: number): void {
     this.revision += 1;
-    const service = scaleServiceName(number);
+    const service = `service-${String(number).padStart(3, '0')}`;
     this.records.set(service, {
       revision: this.revision,
       service,
--- a/packages/membership/src/policy-delivery.ts
+++ b/packages/membership/src/policy-delivery.ts
@@ -53,9 +53,10 @@
 
   constructor(private readonly options: PolicyDeliveryOptions) {}
 
-  /** Takes in that a member applies a revision. */
+  /** Takes in that a member applies a revision. Before it is ready a daemon fetches by itself. */
   rumor(revision: number, from: Member): void {
-    if (revision <= this.options.replica.revision) return;
+    const { replica } = this.options;
+    if (!replica.ready || revision <= replica.revision) return;
     if (revision > this.wantedRevision) {
       this.wantedRevision = revision;
       this.sources.clear();
--- a/packages/membership/tests/gossip-properties.test.ts
+++ b/packages/membership/tests/gossip-properties.test.ts
@@ -145,6 +145,26 @@
     );
   });
 
+  it('never empties the table while every member is replaced in turn', () => {
+    const { network, members } = joinedNetwork(SMALL, 10);
+    network.runFor(MINUTE_MS, () => network.allSeeAlive(members));
+    const replaced = members.map((member, number) => {
+      const incarnation = (SMALL + number).toString(16).padStart(16, '0');
+      return { ...member, id: { ...member.id, incarnation } };
+    });
+    for (const member of replaced) {
+      network.kill(member);
+      network.runFor(2 * SECOND_MS);
+      const others = network.live().filter(({ address }) => address !== member.address);
+      network.restart(member, 0);
+      network.runFor(2 * SECOND_MS);
+      for (const { engine } of others) {
+        expect(engine.table.membersOf('vault').length).toBeGreaterThanOrEqual(SMALL - 1);
+      }
+    }
+    expect(network.runFor(MINUTE_MS, () => network.allSeeAlive(replaced))).toBe(true);
+  });
+
   it('does not suspect others for long after a pause of its own', () => {
     const { network, members } = joinedNetwork(SMALL, 9);
     network.runFor(MINUTE_MS, () => network.allSeeAlive(members));
--- a/packages/membership/tests/policy-delivery.test.ts
+++ b/packages/membership/tests/policy-delivery.test.ts
@@ -6,6 +6,7 @@
 
 function newDelivery(peers: FakePeers) {
   const replica = new LocalPolicies();
+  replica.markReady();
   const applied: number[] = [];
   const { scheduler, random } = peers;
   const onApplied = (revision: number): number => applied.push(revision);
@@ -25,6 +26,17 @@
     expect(peers.calls).toHaveLength(1);
   });
 
+  it('leaves the start of a daemon to the newcomer', async () => {
+    const peers = new FakePeers();
+    const replica = new LocalPolicies();
+    const { scheduler, random } = peers;
+    const onApplied = (): void => undefined;
+    const delivery = new PolicyDelivery({ replica, rpc: peers, scheduler, random, onApplied });
+    delivery.rumor(4, peers.add(1, 4).member);
+    await scheduler.advance(10_000);
+    expect(peers.calls).toEqual([]);
+  });
+
   it.each(['busy', 'silent', 'garbage'] as const)(
     'goes to another peer when one is %s',
     async (answer) => {
