--- a/packages/membership/src/measure/mass-event.ts
+++ b/packages/membership/src/measure/mass-event.ts
@@ -19,6 +19,7 @@
 const START_MS = 1_800_000_000_000;
 const STEP_MS = 20;
 const MS_PER_SECOND = 1_000;
+const MICROSECONDS_PER_MS = 1_000;
 const ACK_DELAY_MS = 10;
 const REPLACED_AFTER_MS = 30_000;
 const STATE_INTERVAL_MS = 3_000;
@@ -208,9 +209,10 @@
   }
 
   private perform(action: () => readonly GossipEffect[]): void {
-    const startedAtMs = performance.now();
+    const before = process.cpuUsage();
     const effects = action();
-    this.cpuMs += performance.now() - startedAtMs;
+    const { user, system } = process.cpuUsage(before);
+    this.cpuMs += (user + system) / MICROSECONDS_PER_MS;
     for (const effect of effects) {
       if (effect.kind === 'send') this.take(effect.payload);
     }
