--- a/packages/admission/src/admission-controller.ts
+++ b/packages/admission/src/admission-controller.ts
@@ -18,6 +18,7 @@
 import { PatienceBook } from './patience';
 import { MAX_THRESHOLD } from './priority';
 import { ServiceTimes } from './service-times';
+import { ServingOrder } from './serving-order';
 import { ThresholdControl } from './threshold-control';
 
 export type {
@@ -32,8 +33,6 @@
 const ASSUMED_SERVICE_MS = 10;
 /** Least queueing delay aimed at, as a share of the mean service time. */
 const LEAST_TARGET_SHARE = 0.5;
-/** Calls of a class that are compared for the next free slot. */
-const CANDIDATES = 8;
 
 /** An admitted call that holds a slot. */
 interface RunningCall {
@@ -62,6 +61,8 @@
 
   private readonly queue = new AdmissionQueue();
 
+  private readonly order: ServingOrder;
+
   private readonly queuedById = new Map<string, QueuedCall>();
 
   private readonly runningById = new Map<string, RunningCall>();
@@ -85,6 +86,12 @@
     this.slots = options.slots;
     this.disabled = options.disabled ?? new Set();
     this.patience = options.patience ?? new PatienceBook();
+    this.order = new ServingOrder({
+      queue: this.queue,
+      times: this.times,
+      patience: this.patience,
+      disabled: this.disabled,
+    });
     this.limit = new ConcurrencyLimit(
       {
         slots: options.slots,
@@ -313,7 +320,7 @@
 
   private admitWaiting(nowMs: number, decisions: AdmissionDecision[]): void {
     while (this.queue.length > 0 && this.hasFreeSlot(nowMs)) {
-      const call = this.takeNext(nowMs);
+      const call = this.order.takeNext((rank) => this.servesNewestFirst(rank, nowMs), nowMs);
       if (call === undefined) return;
       this.queuedById.delete(call.request.callId);
       decisions.push(this.admit(call, nowMs));
@@ -332,36 +339,6 @@
     return { kind: 'admitted', callId, queuedMs: nowMs - offeredAtMs };
   }
 
-  /** Takes out the call to serve next: by class, then by the likelihood of its caller's presence. */
-  private takeNext(nowMs: number): QueuedCall | undefined {
-    const rank = this.queue.firstRank();
-    if (rank === undefined) return undefined;
-    const calls = this.queue.ofRank(rank);
-    const isNewestFirst = this.servesNewestFirst(rank, nowMs);
-    const first = isNewestFirst ? calls.length - 1 : 0;
-    if (!this.isEnabled(Mechanism.patience)) return this.queue.takeAt(rank, first);
-    const step = isNewestFirst ? -1 : 1;
-    let best = first;
-    let bestLikelihood = -1;
-    for (let offset = 0; offset < Math.min(CANDIDATES, calls.length); offset++) {
-      const position = first + step * offset;
-      const call = calls[position];
-      if (call === undefined) break;
-      const likelihood = this.presentLikelihood(call, nowMs);
-      if (likelihood > bestLikelihood) {
-        best = position;
-        bestLikelihood = likelihood;
-      }
-    }
-    return this.queue.takeAt(rank, best);
-  }
-
-  private presentLikelihood(call: QueuedCall, nowMs: number): number {
-    const { method } = call.request;
-    const serviceMs = this.times.expectedMs(method) ?? 0;
-    return this.patience.presentLikelihood(method, nowMs - call.offeredAtMs, serviceMs);
-  }
-
   /** Newest first while the calls of a class and above wait longer than the target. */
   private servesNewestFirst(rank: number, nowMs: number): boolean {
     if (!this.isEnabled(Mechanism.newestFirst)) return false;
--- a/packages/admission/src/service-times.ts
+++ b/packages/admission/src/service-times.ts
@@ -10,6 +10,7 @@
 
 interface MethodTimes {
   lowQuantileMs: number;
+  meanMs: number;
   samples: number;
 }
 
@@ -33,10 +34,11 @@
     const sampleMs = Math.max(MIN_SERVICE_MS, serviceMs);
     const times = this.byMethod.get(method);
     if (times === undefined) {
-      this.byMethod.set(method, { lowQuantileMs: sampleMs, samples: 1 });
+      this.byMethod.set(method, { lowQuantileMs: sampleMs, meanMs: sampleMs, samples: 1 });
       return;
     }
     times.samples++;
+    times.meanMs += (sampleMs - times.meanMs) / Math.min(MEAN_SAMPLES, times.samples);
     const isBelow = sampleMs < times.lowQuantileMs;
     times.lowQuantileMs *= Math.exp(QUANTILE_STEP * (LOW_QUANTILE - (isBelow ? 1 : 0)));
   }
@@ -48,6 +50,17 @@
     return times.lowQuantileMs;
   }
 
+  /**
+   * Likelihood in [0, 1] that a call of the method finishes within a time: a straight line from the
+   * low quantile through the mean, which is 1 as long as too few answers are known.
+   */
+  finishLikelihood(method: string, withinMs: number): number {
+    const times = this.byMethod.get(method);
+    if (times === undefined || times.samples < MIN_SAMPLES) return 1;
+    const spanMs = Math.max(MIN_SERVICE_MS, 2 * (times.meanMs - times.lowQuantileMs));
+    return Math.min(1, Math.max(0, (withinMs - times.lowQuantileMs) / spanMs));
+  }
+
   /** Mean time in ms for which a call holds its slot; undefined before the first. */
   meanMs(): number | undefined {
     return this.meanSamples === 0 ? undefined : this.meanServiceMs;
--- a/packages/admission/tests/overload.test.ts
+++ b/packages/admission/tests/overload.test.ts
@@ -6,6 +6,8 @@
   { name: 'forty entries, 3 ms', options: { entries: 40, latencyMs: 3 }, leastGoodput: 0.95 },
   { name: 'scarce upper slots', options: { upperSlots: 50 }, leastGoodput: 0.95 },
   { name: 'a knee at half the slots', options: { kneeAt: 8 }, leastGoodput: 0.92 },
+  { name: 'budgets of 120 ms', options: { deadlineMs: 120 }, leastGoodput: 0.95 },
+  { name: 'hasty callers', options: { meanPatienceMs: 50 }, leastGoodput: 0.95 },
   {
     name: 'a long delay target',
     options: { limits: { queueDelayTargetMs: 50, maxQueueMs: 200 } },
