--- a/packages/client/src/next-try.ts
+++ b/packages/client/src/next-try.ts
@@ -46,6 +46,7 @@
   UnknownReason.targetLost,
   UnknownReason.answerCut,
   UnknownReason.answerNotHeld,
+  UnknownReason.retriesExhausted,
   ClientReason.cancelled,
   ClientReason.noAnswerInTime,
 ]);
--- a/packages/model/src/outcome.ts
+++ b/packages/model/src/outcome.ts
@@ -73,8 +73,16 @@
   deadlineWhileRunning: 'deadline-while-running',
   /** The answer ended before its declared length. */
   answerCut: 'answer-cut',
+  /** The ticket cannot be read here, or its signature is wrong; a call may have run under it. */
+  ticketInvalid: 'ticket-invalid',
+  /** The entry refused the request before it could ask the home that the ticket names. */
+  notAsked: 'not-asked',
   /** The call ran and its answer is no longer held. */
   answerNotHeld: 'answer-not-held',
+  /** An earlier try of the request may have run, and its retry tokens are used up or lost. */
+  retriesExhausted: 'retries-exhausted',
+  /** This try of the request did not run, but an earlier one may have. */
+  earlierTry: 'earlier-try',
   /** A call with the same identifier is in progress at the home daemon. */
   duplicateCall: 'duplicate-call',
 } as const;
