--- a/packages/callpath/src/attempts.ts
+++ b/packages/callpath/src/attempts.ts
@@ -1,6 +1,5 @@
 import type { Ticket } from '@daisyferry/execution/ticket';
 import type { Member } from '@daisyferry/model/member';
-import type { UnknownOutcome } from '@daisyferry/model/outcome';
 import { Outcome, RefusalReason, UnknownReason } from '@daisyferry/model/outcome';
 import type { Scheduler } from '@daisyferry/model/scheduler';
 import type { TimelineKindName, TimelineSink } from '@daisyferry/model/timeline-event';
@@ -122,6 +121,11 @@
   return entry.request.content.body.kind === 'held';
 }
 
+/** A later refusal does not undo what an earlier attempt may have run. */
+function resultOfAll(result: CallResult, uncertain: CallResult | undefined): CallResult {
+  return result.outcome === Outcome.notRun ? (uncertain ?? result) : result;
+}
+
 /**
  * Sends a call to one home after another until it has a result, within the retry tokens of the
  * root. Each attempt of a call that is not idempotent has a ticket of its own; the next is minted
@@ -131,20 +135,19 @@
   const { service } = entry.request;
   const excluded = new Set<string>();
   let result: CallResult = refusal(RefusalReason.noTarget, NO_TARGET_RETRY_MS);
-  let unsettled: UnknownOutcome | undefined;
+  let uncertain: CallResult | undefined;
   parts.shareOf(service).attempt(parts.scheduler.nowMs());
   for (let attempt = 1; ; attempt += 1) {
     const mayBeTrial = entry.rule.idempotent;
     const home = parts.picker.pick(service, excluded, parts.scheduler.nowMs(), { mayBeTrial });
-    if (home === undefined) return unsettled ?? result;
+    if (home === undefined) return resultOfAll(result, uncertain);
     const ticket = entry.rule.idempotent ? undefined : parts.mint(home, entry);
     const sent = await sendAttempt(parts, entry, home, ticket, attempt);
     result = lastResult(sent, entry);
-    if (result.outcome === Outcome.unknown) unsettled = result;
+    if (result.outcome === Outcome.unknown) uncertain ??= result;
     const verdict = attemptVerdict(sent, entry.rule.idempotent);
     const isLast = verdict === 'final' || !canSendAgain(entry) || !mayRetry(parts, entry, sent);
-    // A refusal of this attempt says nothing of an earlier one that may have run.
-    if (isLast) return result.outcome === Outcome.notRun ? (unsettled ?? result) : result;
+    if (isLast) return resultOfAll(result, uncertain);
     excluded.add(home.id.name);
     parts.timeline.emit({ kind: 'call.retried', ...entry.trace, detail: home.id.name });
   }
--- a/packages/callpath/src/idempotent-root.ts
+++ b/packages/callpath/src/idempotent-root.ts
@@ -27,6 +27,12 @@
   return result.outcome === Outcome.completed || result.outcome === Outcome.failed;
 }
 
+/** A refusal speaks of all tries of its root, not only of the last one. */
+function truthful(result: CallResult, mayHaveRun: boolean): CallResult {
+  if (!mayHaveRun || result.outcome !== Outcome.notRun) return result;
+  return unknown(UnknownReason.earlierTry);
+}
+
 function shareable(result: CallResult): boolean {
   return !('body' in result) || result.body.kind === 'held';
 }
@@ -66,17 +72,15 @@
     switch (claim.kind) {
       case 'first':
       case 'repeat': {
-        const last = await attempt({ ...entry, purse: claim.purse });
-        roots.settle(ticket.nonce, last);
-        const isRefusalOfRepeat = claim.kind === 'repeat' && last.outcome === Outcome.notRun;
-        const result =
-          isRefusalOfRepeat && claim.mayHaveRun ? unknown(UnknownReason.earlierTry) : last;
+        const tried = await attempt({ ...entry, purse: claim.purse });
+        const result = claim.kind === 'repeat' ? truthful(tried, claim.mayHaveRun) : tried;
+        roots.settle(ticket.nonce, result);
         return this.answer(entry, result, ended(result) ? undefined : ticketText);
       }
       case 'join':
         return this.join(entry, ticket, claim.settled);
       case 'exhausted':
-        return this.exhausted(entry);
+        return this.exhausted(entry, claim.mayHaveRun);
       case 'full':
         return this.answer(entry, refusal(RefusalReason.recordsFull, FULL_RETRY_MS), ticketText);
       default:
@@ -106,9 +110,10 @@
     return (await forwarder.forward(member, entry.request)) ?? this.exhausted(entry);
   }
 
-  /** The request is not tried again; nothing is said of its earlier tries. */
-  private exhausted(entry: EntryCall): EntryAnswer {
-    return this.answer(entry, unknown(UnknownReason.retriesExhausted), undefined);
+  /** Without the tokens of its root a repeat is not tried; what earlier tries did may be unknown. */
+  private exhausted(entry: EntryCall, mayHaveRun = true): EntryAnswer {
+    const refused = refusal(RefusalReason.retriesExhausted, 0);
+    return this.answer(entry, truthful(refused, mayHaveRun), undefined);
   }
 
   private answer(entry: EntryCall, result: CallResult, ticket: string | undefined): EntryAnswer {
--- a/packages/callpath/src/root-book.ts
+++ b/packages/callpath/src/root-book.ts
@@ -10,22 +10,21 @@
   /** The same root is in progress at this daemon. */
   | { readonly kind: 'join'; readonly settled: Promise<CallResult> }
   /** The retry tokens of the root are used up. */
-  | { readonly kind: 'exhausted' }
+  | { readonly kind: 'exhausted'; readonly mayHaveRun: boolean }
   /** As many roots are kept as fit. */
   | { readonly kind: 'full' };
 
 interface RootInProgress {
-  readonly expiresAtMs: number;
   readonly settled: Promise<CallResult>;
   readonly settle: (result: CallResult) => void;
 }
 
-function inProgress(expiresAtMs: number): RootInProgress {
+function inProgress(): RootInProgress {
   let settle: (result: CallResult) => void = () => undefined;
   const settled = new Promise<CallResult>((resolve) => {
     settle = resolve;
   });
-  return { expiresAtMs, settled, settle };
+  return { settled, settle };
 }
 
 /**
@@ -33,11 +32,11 @@
  * the ticket expires, so that a caller that repeats its request shares them with the first try.
  */
 export class RootBook {
-  /** Roots of which an earlier try may have run, with the expiry of their ticket. */
-  private readonly mayHaveRun = new Map<string, number>();
-
   private readonly running = new Map<string, RootInProgress>();
 
+  /** Roots of which some try may have run. */
+  private readonly uncertain = new Set<string>();
+
   constructor(
     private readonly purses: PurseBook,
     private readonly maxRoots: number,
@@ -53,24 +52,24 @@
     if (running !== undefined) return { kind: 'join', settled: running.settled };
     const kept = this.purses.find(rootId);
     if (kept === undefined) return this.open(rootId, tokens, expiresAtMs);
-    if (!kept.take()) return { kind: 'exhausted' };
-    this.running.set(rootId, inProgress(expiresAtMs));
-    return { kind: 'repeat', purse: kept, mayHaveRun: this.mayHaveRun.has(rootId) };
+    const mayHaveRun = this.uncertain.has(rootId);
+    if (!kept.take()) return { kind: 'exhausted', mayHaveRun };
+    this.running.set(rootId, inProgress());
+    return { kind: 'repeat', purse: kept, mayHaveRun };
   }
 
   /** Ends a claimed try of a root. */
   settle(rootId: string, result: CallResult): void {
     const running = this.running.get(rootId);
     this.running.delete(rootId);
-    if (running === undefined) return;
-    this.noteResult(rootId, result, running.expiresAtMs);
-    running.settle(result);
+    this.note(rootId, result);
+    running?.settle(result);
   }
 
   /** Keeps the tokens that a root without a ticket has left; false when it does not fit. */
   keep(rootId: string, purse: RetryPurse, result: CallResult, expiresAtMs: number): boolean {
     if (this.purses.size >= this.maxRoots) return false;
-    this.noteResult(rootId, result, expiresAtMs);
+    this.note(rootId, result);
     this.purses.open(rootId, purse.drain(), expiresAtMs);
     return true;
   }
@@ -78,18 +77,18 @@
   /** Drops roots whose ticket has expired. */
   sweep(nowMs: number): void {
     this.purses.sweep(nowMs);
-    for (const [rootId, expiresAtMs] of this.mayHaveRun) {
-      if (expiresAtMs <= nowMs) this.mayHaveRun.delete(rootId);
+    for (const rootId of this.uncertain) {
+      if (this.purses.find(rootId) === undefined) this.uncertain.delete(rootId);
     }
   }
 
-  private noteResult(rootId: string, result: CallResult, expiresAtMs: number): void {
-    if (result.outcome !== Outcome.notRun) this.mayHaveRun.set(rootId, expiresAtMs);
+  private note(rootId: string, result: CallResult): void {
+    if (result.outcome !== Outcome.notRun) this.uncertain.add(rootId);
   }
 
   private open(rootId: string, tokens: number, expiresAtMs: number): RootClaim {
     if (this.purses.size >= this.maxRoots) return { kind: 'full' };
-    this.running.set(rootId, inProgress(expiresAtMs));
+    this.running.set(rootId, inProgress());
     return { kind: 'first', purse: this.purses.open(rootId, tokens, expiresAtMs) };
   }
 }
--- a/packages/callpath/tests/support/fake-network.ts
+++ b/packages/callpath/tests/support/fake-network.ts
@@ -18,6 +18,13 @@
 
 const HOP_MS = 1;
 
+function textOf({ result, signals }: HomeReply): string {
+  const reason = 'reason' in result ? ` ${result.reason}` : '';
+  const { threshold, load, tokensReturned } = signals;
+  const shown = `threshold ${threshold.toFixed(2)} load ${load.toFixed(1)} tokens ${tokensReturned}`;
+  return `${result.outcome}${reason} ${shown}`;
+}
+
 /** The connections between daemons, with the faults that they can suffer. */
 export class FakeNetwork {
   readonly homes = new Map<string, ListeningHome>();
@@ -37,6 +44,9 @@
   /** What homes have thrown: a broken invariant each. */
   readonly errors: unknown[] = [];
 
+  /** Called for each message between daemons. */
+  onMessage: (text: string) => void = () => undefined;
+
   private readonly open = new Set<() => void>();
 
   constructor(private readonly base: VirtualScheduler) {}
@@ -68,12 +78,16 @@
       this.base.after(HOP_MS, () => deliver({ kind: 'connect-failed' }));
       return;
     }
+    const path = `${entry.name} -> ${home.id.name}`;
+    const { callId, tokens, attempt, rank } = call;
+    this.onMessage(`${path} call ${callId} rank ${rank} tokens ${tokens} attempt ${attempt}`);
     const atHome = new Cancellation();
     let isOpen = true;
     const close = (): void => {
       if (!isOpen) return;
       isOpen = false;
       this.open.delete(close);
+      this.onMessage(`${path} closed ${callId}`);
       deliver({ kind: 'lost' });
       this.base.after(HOP_MS, () => listening.process.run(() => atHome.cancel('caller-gone')));
     };
@@ -82,6 +96,7 @@
     entry.whenKilled(close);
     listening.process.whenKilled(close);
     const answer = (reply: HomeReply): void => {
+      this.onMessage(`${home.id.name} -> ${entry.name} reply ${callId} ${textOf(reply)}`);
       this.onReply(reply);
       if (this.dropsReplies) close();
       this.base.after(HOP_MS + this.replyDelayMs, () => {
--- a/packages/client/src/next-try.ts
+++ b/packages/client/src/next-try.ts
@@ -46,7 +46,6 @@
   UnknownReason.targetLost,
   UnknownReason.answerCut,
   UnknownReason.answerNotHeld,
-  UnknownReason.retriesExhausted,
   ClientReason.cancelled,
   ClientReason.noAnswerInTime,
 ]);
