Apply every file that policy apply names

Cause: trying the built command line against a daemon, four files applied only the last: the parser kept the last of repeated values, positional ones too. Change: repeated options are refused by name and repeated files are kept; an operation identifier or an expected revision goes with one file only; golden sessions with several files. Conclusion: a set of policies is applied by one command.

--- a/packages/cli/src/command-line.ts
+++ b/packages/cli/src/command-line.ts
@@ -20,6 +20,18 @@
 5 no daemon answers, 6 not found. Options may come from the environment:
 DAISYFERRY_ADMIN, DAISYFERRY_CA, DAISYFERRY_CERT, DAISYFERRY_KEY.`;
 
+/** Arguments that may be given more than once. */
+const REPEATABLE: ReadonlySet<string> = new Set(['_', 'files']);
+
+function checkGivenOnce(args: Readonly<Record<string, unknown>>): true {
+  for (const [name, value] of Object.entries(args)) {
+    if (Array.isArray(value) && !REPEATABLE.has(name)) {
+      throw new InputError(`--${name}: given more than once`);
+    }
+  }
+  return true;
+}
+
 /** The parser reports wrong arguments without an error, or with one of its own. */
 function isParserError(error: Error | undefined): boolean {
   return error === undefined || error.name === 'YError';
@@ -29,7 +41,7 @@
   const base = yargs([...args])
     .scriptName('daisyferry')
     .usage('$0 <command>\n\nAdministers a daisyferry cluster through any of its daemons.')
-    .parserConfiguration({ 'duplicate-arguments-array': false })
+    .check(checkGivenOnce)
     .exitProcess(false)
     .showHelpOnFail(false)
     .strict()
--- a/packages/cli/src/commands/policy-change.ts
+++ b/packages/cli/src/commands/policy-change.ts
@@ -5,6 +5,7 @@
 import type { AdminClient } from '../environment';
 import { isUnsent } from '../connection-failure';
 import { ExitCode } from '../exit-code';
+import { InputError } from '../input-error';
 import { readDocument } from '../policy-file';
 
 /** Options of all commands that change a policy. */
@@ -79,6 +80,10 @@
   files: readonly string[],
   options: ChangeOptions,
 ): Promise<void> {
+  const isForOne = options.operationId !== undefined || options.expectedRevision !== undefined;
+  if (files.length > 1 && isForOne) {
+    throw new InputError('--operation-id and --expected-revision: expected with one file only');
+  }
   const documents = files.map((file) => readDocument(context.environment, file));
   const client = context.client();
   for (const { service, text } of documents) {
--- a/packages/cli/tests/command-line.test.ts
+++ b/packages/cli/tests/command-line.test.ts
@@ -2,11 +2,12 @@
 import { describe, expect, it } from 'vitest';
 import { FakeCluster } from './fake-cluster';
 
-const EXAMPLE = new URL('../../../examples/dorado/policies/teller.json', import.meta.url);
+const EXAMPLES = new URL('../../../examples/dorado/policies/', import.meta.url);
 
 type Step = string | ((cluster: FakeCluster) => unknown);
 
-const teller = readFileSync(EXAMPLE, 'utf8');
+const teller = readFileSync(new URL('teller.json', EXAMPLES), 'utf8');
+const vault = readFileSync(new URL('vault.json', EXAMPLES), 'utf8');
 const fewerRetries = teller.replace('"tokensPerRoot": 3', '"tokensPerRoot": 1');
 const broken = teller.replace('"class": "money"', '"class": "monet"');
 
@@ -17,7 +18,7 @@
 const SESSIONS: Readonly<Record<string, readonly Step[]>> = {
   'policy-life': [
     'policy list',
-    'policy apply teller.json --dry-run',
+    'policy apply teller.json vault.json --dry-run',
     'policy apply teller.json',
     'policy apply teller.json --expected-revision 0',
     'policy diff fewer-retries.json',
@@ -41,6 +42,9 @@
     'policy apply teller.json --operation-id once',
     'policy apply fewer-retries.json --operation-id once',
     'policy get vault',
+    'policy apply vault.json broken.json vault.json',
+    'policy apply vault.json teller.json --expected-revision 2',
+    'policy list',
   ],
   'store-faults': [
     withFaults('down'),
@@ -82,6 +86,8 @@
     'policy',
     'drain --forced',
     'explain --limit 0',
+    'explain --limit 1 --limit 2',
+    'members --service a --service b',
   ],
 };
 
@@ -110,6 +116,7 @@
   const files = {
     'teller.json': teller,
     'fewer-retries.json': fewerRetries,
+    'vault.json': vault,
     'broken.json': broken,
     'text.json': 'teller',
     'good.json': JSON.stringify(settings),
