Apply a change at once on the daemon that wrote it

Cause: after an accepted change the same daemon answered the old revision until its reader or gossip brought the new one. Change: the wiring applies and announces each record that the daemon wrote, when its revision follows the one applied. Conclusion: an operator reads what they wrote, and gossip starts one hop earlier.

--- a/packages/daemon/src/control-plane.ts
+++ b/packages/daemon/src/control-plane.ts
@@ -2,6 +2,7 @@
 import { PolicyDelivery } from '@daisyferry/membership/policy-delivery';
 import { RevisionSurvey } from '@daisyferry/membership/revision-survey';
 import type { Member, MemberView } from '@daisyferry/model/member';
+import { ApplyResult } from '@daisyferry/model/policy-table';
 import type { RandomSource, Scheduler } from '@daisyferry/model/scheduler';
 import type { TimelineSink } from '@daisyferry/model/timeline-event';
 import { PolicyChanges } from '@daisyferry/policies/policy-changes';
@@ -90,6 +91,11 @@
     scheduler,
     random,
     appliedRevision: () => policies.revision,
+    onWritten: (record) => {
+      const { revision } = record;
+      const delta = { fromRevision: revision - 1, toRevision: revision, records: [record] };
+      if (policies.apply(delta) === ApplyResult.applied) onApplied(revision);
+    },
   });
   const survey = new RevisionSurvey(settings.name, membership.table, policies, rpc);
   return { membership, policies, policyStore, reader, delivery, changes, survey };
