--- a/packages/policies/tests/validate-policy.test.ts
+++ b/packages/policies/tests/validate-policy.test.ts
@@ -1,4 +1,5 @@
 import { readdirSync, readFileSync } from 'node:fs';
+import fc from 'fast-check';
 import { describe, expect, it } from 'vitest';
 import { validatePolicy } from '../src/validate-policy';
 import { policy, rule } from './policy-fixtures';
@@ -126,4 +127,21 @@
       problems: [{ value: '20000', expected: 'at most maxDeadlineMs (10000)' }],
     });
   });
+
+  it('answers any JSON with a policy or with problems, and accepts what it returned', () => {
+    const damaged = fc
+      .tuple(fc.constantFrom(...Object.keys(policy())), fc.jsonValue())
+      .map(([field, value]) => ({ ...policy(), [field]: value }));
+    const damagedRule = fc
+      .tuple(fc.constantFrom(...Object.keys(rule())), fc.jsonValue())
+      .map(([field, value]) => ({ ...policy(), methods: [{ ...rule(), [field]: value }] }));
+    fc.assert(
+      fc.property(fc.oneof(fc.jsonValue(), damaged, damagedRule), (document) => {
+        const checked = validatePolicy(document);
+        if (checked.ok) expect(validatePolicy(checked.value)).toEqual(checked);
+        else expect(checked.problems.length).toBeGreaterThan(0);
+      }),
+      { seed: 11, numRuns: 1_000 },
+    );
+  });
 });
--- a/packages/store/src/store-engine.ts
+++ b/packages/store/src/store-engine.ts
@@ -60,7 +60,7 @@
   }
 
   range(query: KeyQuery & { readonly limit?: number }): RangeResult {
-    const keys = [...this.entries.keys()].filter((key) => selects(query, key)).sort();
+    const keys = this.keysOf(query);
     const page = query.limit === undefined ? keys : keys.slice(0, query.limit);
     const values = page.flatMap((key) => {
       const entry = this.entries.get(key);
@@ -153,6 +153,12 @@
     this.endWatches();
   }
 
+  /** The keys that a query selects, in key order. */
+  private keysOf(query: KeyQuery): readonly string[] {
+    if (query.prefix !== true) return this.entries.has(query.key) ? [query.key] : [];
+    return [...this.entries.keys()].filter((key) => selects(query, key)).sort();
+  }
+
   private write(writes: readonly WriteOperation[]): void {
     this.storeRevision += 1;
     const changes: Change[] = [];
