--- a/packages/cli/src/commands/settings.ts
+++ b/packages/cli/src/commands/settings.ts
@@ -1,4 +1,5 @@
-import { checkDocument, problemText } from '@daisyferry/settings/check-settings';
+import { checkDaemonSettings } from '@daisyferry/settings/check-daemon-settings';
+import { problemText } from '@daisyferry/settings/check-settings';
 import { daemonSettingsSchema } from '@daisyferry/settings/daemon-settings';
 import { z } from 'zod';
 import type { CommandContext } from '../command-context';
@@ -7,7 +8,7 @@
 
 /** `settings check`: names every fault of a daemon's settings by its path. */
 export function checkSettings(context: CommandContext, file: string): void {
-  const checked = checkDocument(daemonSettingsSchema, readJson(context.environment, file));
+  const checked = checkDaemonSettings(readJson(context.environment, file));
   const problems = checked.ok ? [] : checked.problems;
   const text = checked.ok ? `${file}: good` : problems.map(problemText).join('\n');
   context.report({ file, ok: checked.ok, problems }, text);
--- a/packages/cli/tests/command-line.test.ts
+++ b/packages/cli/tests/command-line.test.ts
@@ -75,6 +75,7 @@
   settings: [
     'settings check good.json',
     'settings check bad.json',
+    'settings check open.json',
     'settings check bad.json --json',
     'settings schema --output schema.json',
   ],
@@ -111,6 +112,12 @@
   store: { endpoints: ['http://127.0.0.1:2379'] },
 };
 
+const openListeners = {
+  ...settings.listeners,
+  admin: { address: '10.0.0.1', port: 7_400 },
+  gossip: { address: '10.0.0.1', port: 7_301 },
+};
+
 function openCluster(): FakeCluster {
   const cluster = new FakeCluster();
   const files = {
@@ -120,7 +127,8 @@
     'broken.json': broken,
     'text.json': 'teller',
     'good.json': JSON.stringify(settings),
-    'bad.json': JSON.stringify({ ...settings, slots: 'many', zone: 1 }),
+    'open.json': JSON.stringify({ ...settings, listeners: openListeners }),
+    'bad.json': JSON.stringify({ ...settings, slots: 'many', zone: 1, advertisedAddress: 'here' }),
   };
   for (const [file, text] of Object.entries(files)) cluster.files.set(file, text);
   return cluster;
--- /dev/null
+++ b/packages/settings/src/check-daemon-settings.ts
@@ -0,0 +1,11 @@
+import { checkDocument, type Checked } from './check-settings';
+import { daemonSettingsSchema, type DaemonSettings } from './daemon-settings';
+import { networkProblems } from './network-rules';
+
+/** Checks the settings of a daemon: their form, then the rules that span several fields. */
+export function checkDaemonSettings(document: unknown): Checked<DaemonSettings> {
+  const checked = checkDocument(daemonSettingsSchema, document);
+  if (!checked.ok) return checked;
+  const problems = networkProblems(checked.value);
+  return problems.length === 0 ? checked : { ok: false, problems };
+}
--- a/packages/settings/src/daemon-settings.ts
+++ b/packages/settings/src/daemon-settings.ts
@@ -1,7 +1,7 @@
 import { z } from 'zod';
 
 const name = z.string().regex(/^[a-z][a-z0-9-]{0,62}$/);
-const ipAddress = z.union([z.ipv4(), z.ipv6()]);
+const ipAddress = z.union([z.ipv4(), z.ipv6()], { error: 'expected an IPv4 or IPv6 address' });
 const port = z.int().min(0).max(65_535);
 
 export const tlsSettingsSchema = z.strictObject({
