Tell lost answers apart in the command line

Cause: a drain whose answer was lost ended as if nothing had been sent, and text that is no JSON was an error of the protocol instead of a refused change. Change: one rule for lost answers of changes and drains (exit code 4); unreadable documents are refused with a problem like any other. Conclusion: what the operator is told holds.

--- a/packages/admin-api/src/admin-service.ts
+++ b/packages/admin-api/src/admin-service.ts
@@ -6,6 +6,8 @@
   type HandlerContext,
   type ServiceImpl,
 } from '@connectrpc/connect';
+import { ChangeRefusal, refusedChange } from '@daisyferry/policies/change-outcome';
+import type { Checked } from '@daisyferry/settings/check-settings';
 import type { StoreResult } from '@daisyferry/store/platform-store';
 import {
   changeMessage,
@@ -24,6 +26,7 @@
 const MAX_PAGE = 200;
 const DEFAULT_EVENTS = 1_000;
 const MAX_EVENTS = 5_000;
+const MAX_SHOWN_CHARACTERS = 120;
 
 /** What the daemon gives the service to work on. */
 export interface AdminBackend {
@@ -54,12 +57,14 @@
   throw new ConnectError(`the store does not answer: ${result.detail}`, Code.Unavailable);
 }
 
-function parseDocument(text: string): unknown {
+/** Reads a document's text; text that is no JSON is a problem of the document like any other. */
+function parseDocument(text: string): Checked<unknown> {
   try {
-    return JSON.parse(text);
+    return { ok: true, value: JSON.parse(text) as unknown };
   } catch (error) {
-    const detail = error instanceof Error ? error.message : String(error);
-    throw new ConnectError(`document: not JSON: ${detail}`, Code.InvalidArgument);
+    const expected = `JSON: ${error instanceof Error ? error.message : String(error)}`;
+    const value = JSON.stringify(text.slice(0, MAX_SHOWN_CHARACTERS));
+    return { ok: false, problems: [{ path: '', value, expected }] };
   }
 }
 
@@ -79,7 +84,12 @@
     async applyPolicy(request, context) {
       const author = authorOf(context, request.author);
       const { operationId, dryRun } = request;
-      const document = parseDocument(request.document);
+      const parsed = parseDocument(request.document);
+      if (!parsed.ok) {
+        const { problems } = parsed;
+        return changeMessage(refusedChange(operationId, ChangeRefusal.invalid, { problems }));
+      }
+      const document = parsed.value;
       const expectedRevision = Number(request.expectedRevision);
       return changeMessage(
         await policies.propose({ document, operationId, expectedRevision, author, dryRun }),
@@ -114,10 +124,12 @@
       };
     },
     async diffPolicy({ service, document, revision }) {
+      const parsed = parseDocument(document === '' ? 'null' : document);
+      if (!parsed.ok) return { problems: [...parsed.problems] };
       const other: ComparedWith =
         document === ''
           ? { kind: 'revision', revision: Number(revision) }
-          : { kind: 'document', document: parseDocument(document) };
+          : { kind: 'document', document: parsed.value };
       const { presentRevision, differences, problems } = required(
         await policies.compare(service, other),
       );
--- a/packages/admin-api/tests/admin-plugin.test.ts
+++ b/packages/admin-api/tests/admin-plugin.test.ts
@@ -184,7 +184,13 @@
       answer: { events: [{ sequence: 5, wallMs: 1_700_000_000_000, root: 'r' }], lost: 0 },
     },
     { method: 'GetPolicy', body: { service: 'teller' }, answer: {} },
-    { method: 'ApplyPolicy', body: { document: '{' }, answer: { code: 'invalid_argument' } },
+    {
+      method: 'ApplyPolicy',
+      body: { document: '{', operationId: 'a' },
+      answer: { outcome: 'refused', reason: 'invalid', problems: [{ path: '', value: '"{"' }] },
+    },
+    { method: 'DiffPolicy', body: { document: '{' }, answer: { problems: [{ value: '"{"' }] } },
+    { method: 'Status', body: { revision: 'x' }, answer: { code: 'invalid_argument' } },
     {
       method: 'ApplyPolicy',
       body: { document: 'x'.repeat(600_000) },
--- a/packages/cli/src/commands/fleet.ts
+++ b/packages/cli/src/commands/fleet.ts
@@ -1,12 +1,15 @@
+import { ConnectError } from '@connectrpc/connect';
 import {
   DrainResponseSchema,
   ExplainResponseSchema,
   ListMembersResponseSchema,
   StatusResponseSchema,
+  type DrainResponse,
   type ExplainResponse,
   type StatusResponse,
 } from '@daisyferry/admin-api/gen/daisyferry/admin/v1/administration_pb';
 import type { CommandContext } from '../command-context';
+import { isAnswerLost } from '../connection-failure';
 import { ExitCode } from '../exit-code';
 import { formatFields, formatTable } from '../table';
 
@@ -39,13 +42,34 @@
   context.answer(ListMembersResponseSchema, response, formatTable(header, rows));
 }
 
+/** Asks for a drain; undefined when the answer was lost. */
+async function sendDrain(
+  context: CommandContext,
+  daemon: string,
+  force: boolean,
+): Promise<DrainResponse | undefined> {
+  try {
+    return await context.client().drain({ daemon, force });
+  } catch (error) {
+    if (!isAnswerLost(error)) throw error;
+    const { rawMessage } = ConnectError.from(error);
+    context.fail(
+      ExitCode.undecided,
+      `unknown: the daemon's answer was lost: ${rawMessage}\n` +
+        'the drain may have begun; asking again is harmless',
+    );
+    return undefined;
+  }
+}
+
 /** `drain` */
 export async function drainTarget(
   context: CommandContext,
   daemon: string | undefined,
   force: boolean,
 ): Promise<void> {
-  const response = await context.client().drain({ daemon: daemon ?? '', force });
+  const response = await sendDrain(context, daemon ?? '', force);
+  if (response === undefined) return;
   const { outcome, reason, targetState, inFlight } = response;
   const detail = outcome === 'begun' ? `${targetState}, ${inFlight} in flight` : reason;
   context.answer(DrainResponseSchema, response, `${outcome}: ${response.daemon}: ${detail}`);
--- a/packages/cli/src/commands/policy-change.ts
+++ b/packages/cli/src/commands/policy-change.ts
@@ -1,9 +1,9 @@
-import { Code, ConnectError } from '@connectrpc/connect';
+import { ConnectError } from '@connectrpc/connect';
 import type { ChangeResponse } from '@daisyferry/admin-api/gen/daisyferry/admin/v1/administration_pb';
 import { reportChange } from '../change-report';
 import type { CommandContext } from '../command-context';
 import type { AdminClient } from '../environment';
-import { isUnsent } from '../connection-failure';
+import { isAnswerLost } from '../connection-failure';
 import { ExitCode } from '../exit-code';
 import { InputError } from '../input-error';
 import { readDocument } from '../policy-file';
@@ -57,17 +57,10 @@
   try {
     return reportChange(context, await call());
   } catch (error) {
-    const failure = ConnectError.from(error);
-    const isLost =
-      failure.code === Code.Unavailable ||
-      failure.code === Code.DeadlineExceeded ||
-      failure.code === Code.Aborted ||
-      failure.code === Code.Unknown ||
-      failure.code === Code.Internal;
-    if (!isLost || isUnsent(error)) throw error;
+    if (!isAnswerLost(error)) throw error;
     context.fail(
       ExitCode.undecided,
-      `undecided: the daemon's answer was lost: ${failure.rawMessage}\n` +
+      `undecided: the daemon's answer was lost: ${ConnectError.from(error).rawMessage}\n` +
         `ask with: daisyferry policy settle ${operationId}`,
     );
     return false;
--- a/packages/cli/src/connection-failure.ts
+++ b/packages/cli/src/connection-failure.ts
@@ -1,3 +1,5 @@
+import { Code, ConnectError } from '@connectrpc/connect';
+
 const UNSENT_CODES: ReadonlySet<string> = new Set([
   'ECONNREFUSED',
   'EHOSTUNREACH',
@@ -15,3 +17,18 @@
   }
   return false;
 }
+
+/** Codes that do not tell whether the daemon carried out the call. */
+const LOST_CODES: ReadonlySet<Code> = new Set([
+  Code.Unavailable,
+  Code.DeadlineExceeded,
+  Code.Aborted,
+  Code.Canceled,
+  Code.Unknown,
+  Code.Internal,
+]);
+
+/** True if the call was sent and its answer was lost: what it asked for may have been done. */
+export function isAnswerLost(error: unknown): boolean {
+  return error instanceof ConnectError && LOST_CODES.has(error.code) && !isUnsent(error);
+}
--- a/packages/cli/src/exit-code.ts
+++ b/packages/cli/src/exit-code.ts
@@ -7,9 +7,9 @@
   badInput: 2,
   /** The daemon refused: nothing changed. */
   refused: 3,
-  /** The change may have been written: ask with `policy settle`. */
+  /** What was asked for may have been done: ask with `policy settle`, or drain again. */
   undecided: 4,
-  /** No daemon answered: nothing was sent. */
+  /** No daemon answered: nothing was sent that changes anything. */
   unreachable: 5,
   /** What was asked for does not exist. */
   notFound: 6,
--- a/packages/cli/tests/command-line.test.ts
+++ b/packages/cli/tests/command-line.test.ts
@@ -1,4 +1,5 @@
 import { readFileSync } from 'node:fs';
+import { Code, ConnectError } from '@connectrpc/connect';
 import { describe, expect, it } from 'vitest';
 import { FakeCluster } from './fake-cluster';
 
@@ -15,6 +16,14 @@
   return (cluster) => cluster.store.setFaults({ mode, delayMs: 0 });
 }
 
+function withFailure(failure: Error): Step {
+  return (cluster) => {
+    Object.assign(cluster, { failure });
+  };
+}
+
+const REFUSED = Object.assign(new Error('connect ECONNREFUSED'), { code: 'ECONNREFUSED' });
+
 const SESSIONS: Readonly<Record<string, readonly Step[]>> = {
   'policy-life': [
     'policy list',
@@ -61,6 +70,22 @@
     'policy settle never-sent',
     'policy apply teller.json --operation-id never-sent',
   ],
+  'daemon-lost': [
+    withFailure(new ConnectError('socket hang up', Code.Aborted)),
+    'policy apply teller.json --expected-revision 0 --operation-id lost',
+    'policy settle lost',
+    'drain',
+    withFailure(
+      new ConnectError('connect ECONNREFUSED', Code.Unavailable, undefined, undefined, REFUSED),
+    ),
+    'policy apply teller.json --expected-revision 0',
+    'members',
+    withFailure(new ConnectError('deadline exceeded', Code.DeadlineExceeded)),
+    'policy withdraw teller --expected-revision 1 --operation-id late',
+    'status',
+    withFailure(new TypeError('a fault of the program')),
+    'status',
+  ],
   fleet: [
     'members',
     'members --service vault --json',
--- a/packages/cli/tests/fake-cluster.ts
+++ b/packages/cli/tests/fake-cluster.ts
@@ -42,6 +42,9 @@
 
   readonly files = new Map<string, string>();
 
+  /** Thrown by every call to the daemon, when set. */
+  failure: Error | undefined;
+
   private readonly replica = new LocalPolicies();
 
   private readonly policyStore = new PolicyStore(this.store, 'dorado', 1_000);
@@ -86,6 +89,12 @@
     const transport = createRouterTransport(
       (router) => router.service(AdministrationService, service),
       {
+        transport: {
+          interceptors: [
+            (next) => (request) =>
+              this.failure === undefined ? next(request) : Promise.reject(this.failure),
+          ],
+        },
         router: {
           interceptors: [
             (next) => (request) => {
--- a/packages/policies/tests/policy-changes.test.ts
+++ b/packages/policies/tests/policy-changes.test.ts
@@ -16,6 +16,7 @@
   it('accepts a change and numbers changes in one order over all services', async () => {
     const site = new Site(new VirtualScheduler());
     const first = await site.propose('a', 0);
+    expect(site.store.counts).toEqual({ reads: 3, writes: 1, watches: 0, leases: 0 });
     const second = await site.propose('b', 0, policy({ service: 'vault' }));
     const third = await site.propose('c', 1);
     expect([first, second, third]).toMatchObject([
