Name a failed TLS handshake as no daemon answering

Cause: trying the command line over mutual TLS without a client certificate ended as a fault of the program.

--- a/packages/cli/src/connection-failure.ts
+++ b/packages/cli/src/connection-failure.ts
@@ -8,10 +8,15 @@
   'EADDRNOTAVAIL',
 ]);
 
-/** True if no connection could be made, so that nothing was sent. */
+/** Codes of a TLS handshake that failed: the daemon has read no request. */
+const HANDSHAKE_PATTERN =
+  /^(CERT_|UNABLE_TO_|DEPTH_ZERO_|SELF_SIGNED_|ERR_TLS_CERT_|ERR_SSL_.*(CERTIFICATE|UNKNOWN_CA|HANDSHAKE_FAILURE|WRONG_VERSION))/;
+
+/** True if no connection could be made, so that the daemon has read nothing. */
 export function isUnsent(error: unknown): boolean {
   for (let current = error; current instanceof Error; current = current.cause) {
-    if ('code' in current && typeof current.code === 'string' && UNSENT_CODES.has(current.code)) {
+    const code = 'code' in current ? current.code : undefined;
+    if (typeof code === 'string' && (UNSENT_CODES.has(code) || HANDSHAKE_PATTERN.test(code))) {
       return true;
     }
   }
--- a/packages/cli/src/failure.ts
+++ b/packages/cli/src/failure.ts
@@ -25,7 +25,7 @@
   if (error instanceof InputError) return { exitCode: ExitCode.badInput, message: error.message };
   if (isUnsent(error)) {
     const { rawMessage } = ConnectError.from(error);
-    return { exitCode: ExitCode.unreachable, message: `no daemon answers: ${rawMessage}` };
+    return { exitCode: ExitCode.unreachable, message: `no daemon answers: ${rawMessage.trim()}` };
   }
   if (error instanceof ConnectError) {
     const exitCode = EXIT_CODES.get(error.code) ?? ExitCode.internal;
