--- a/packages/daemon/src/admin-listener.ts
+++ b/packages/daemon/src/admin-listener.ts
@@ -3,6 +3,7 @@
 import type { DaemonSettings } from '@daisyferry/settings/daemon-settings';
 import type { DaemonMetrics } from '@daisyferry/telemetry/daemon-metrics';
 import type { FastifyInstance } from 'fastify';
+import { createDualListener } from './dual-listener';
 import { createListener } from './listener';
 import { readTls } from './tls-files';
 
@@ -14,16 +15,18 @@
 
 const MAX_ADMIN_CONNECTIONS = 1_000;
 
-/** Creates the listener of operators: administration API and metrics. */
+/** Creates the listener of operators: administration API and metrics; gRPC needs TLS. */
 export async function createAdminListener(parts: AdminParts): Promise<FastifyInstance> {
   const { settings, metrics, backend } = parts;
-  const app = createListener({
+  const tls = readTls(settings.listeners.admin.tls);
+  const options = {
     maxHeaderBytes: settings.limits.maxHeaderBytes,
     idleTimeoutMs: settings.limits.idleTimeoutMs,
     maxConnections: MAX_ADMIN_CONNECTIONS,
-    tls: readTls(settings.listeners.admin.tls),
+    tls,
     requireClientCertificate: true,
-  });
+  };
+  const app = tls === undefined ? createListener(options) : createDualListener(options, tls);
   app.get('/metrics', async (_request, reply) => {
     const text = await metrics.registry.metrics();
     return reply.type(metrics.registry.contentType).send(text);
