Reload TLS files without dropping calls

Cause: listeners kept the key material of their start, so a renewed certificate needed a restart. Change: each listener's files are compared every 10 s; new connections use changed files, present ones go on; files that do not belong together leave the last ones in force. Conclusion: certificates can be renewed in place.

--- a/packages/daemon/src/start-daemon.ts
+++ b/packages/daemon/src/start-daemon.ts
@@ -27,6 +27,7 @@
 import { RpcHttp } from './rpc-http';
 import { TargetControl } from './target-control';
 import { readTls } from './tls-files';
+import { startTlsReloads } from './tls-reloads';
 
 export interface DaemonPorts {
   readonly callers: number;
@@ -207,6 +208,15 @@
     addresses.callers.address,
     addresses.callers.port,
   );
+  const tlsReloads = startTlsReloads({
+    settings,
+    callers: listeners.callers,
+    peers: listeners.peers,
+    admin,
+    peerPools,
+    scheduler,
+    logger,
+  });
   timeline.emit({ kind: 'daemon.state', detail: 'started' });
   logger.info({ callers, local, peers, gossip, admin: adminPort }, 'daemon started');
 
@@ -222,6 +232,7 @@
         ),
       );
       clearInterval(sweep);
+      for (const reload of tlsReloads) reload.stop();
       targetControl.stop();
       await fleet.stop();
       await membership.stop();
--- /dev/null
+++ b/packages/daemon/tests/tls-reload.test.ts
@@ -0,0 +1,93 @@
+import { readFileSync } from 'node:fs';
+import { connect, createServer, type TLSSocket } from 'node:tls';
+import type { AddressInfo } from 'node:net';
+import { describe, expect, it } from 'vitest';
+import { VirtualScheduler } from '@daisyferry/model/virtual-scheduler';
+import type { PoolTls } from '../src/pool-book';
+import { TlsReload } from '../src/tls-reload';
+
+const FOLDER = new URL('../../admin-api/tests/tls/', import.meta.url);
+const CHECK_MS = 10_000;
+
+function identity(name: string): PoolTls {
+  const file = (entry: string) => readFileSync(new URL(entry, FOLDER));
+  return { key: file(`${name}.key.pem`), cert: file(`${name}.pem`), ca: file('authority.pem') };
+}
+
+const server = identity('server');
+const ana = identity('ana');
+
+describe('reload of TLS files', () => {
+  it.each([
+    { what: 'the same files', next: () => server, applied: 0, states: [] },
+    { what: 'other files', next: () => ana, applied: 1, states: [] },
+    {
+      what: 'a key of another certificate',
+      next: () => ({ ...server, key: ana.key }),
+      applied: 0,
+      states: ['bad'],
+    },
+    {
+      what: 'files that cannot be read',
+      next: (): PoolTls => {
+        throw new Error('ENOENT');
+      },
+      applied: 0,
+      states: ['bad'],
+    },
+  ])('applies $applied changes for $what, however often it looks', async (given) => {
+    const scheduler = new VirtualScheduler();
+    const states: string[] = [];
+    const applied: PoolTls[] = [];
+    let read = given.next;
+    const reload = new TlsReload(server, {
+      read: () => read(),
+      scheduler,
+      apply: (tls) => applied.push(tls),
+      onState: (error) => states.push(error === undefined ? 'good' : 'bad'),
+    });
+    reload.start();
+    await scheduler.advance(5 * CHECK_MS);
+    expect(applied).toHaveLength(given.applied);
+    expect(states).toEqual(given.states);
+    read = () => ana;
+    await scheduler.advance(2 * CHECK_MS);
+    expect(applied).toEqual([ana]);
+    reload.stop();
+    expect(scheduler.waiting).toBe(0);
+  });
+
+  it('serves new connections with the new certificate and keeps present ones', async () => {
+    const listener = createServer(server, (socket) => socket.pipe(socket));
+    await new Promise<void>((resolve) => {
+      listener.listen(0, '127.0.0.1', resolve);
+    });
+    const { port } = listener.address() as AddressInfo;
+    const open = (): Promise<TLSSocket> =>
+      new Promise((resolve, reject) => {
+        const socket = connect({ host: '127.0.0.1', port, ca: server.ca }, () => resolve(socket));
+        socket.once('error', reject);
+      });
+    const before = await open();
+    const scheduler = new VirtualScheduler();
+    const reload = new TlsReload(server, {
+      read: () => ana,
+      scheduler,
+      apply: (tls) => listener.setSecureContext(tls),
+      onState: () => undefined,
+    });
+    reload.start();
+    await scheduler.advance(CHECK_MS);
+    const after = await open();
+    expect(before.getPeerCertificate().subject.CN).toBe('server');
+    expect(after.getPeerCertificate().subject.CN).toBe('ana');
+    const echo = new Promise((resolve) => {
+      before.once('data', (data: Buffer) => resolve(data.toString()));
+    });
+    before.write('still here');
+    expect(await echo).toBe('still here');
+    before.destroy();
+    after.destroy();
+    listener.close();
+  });
+});
