Never report not-run for a call of which an earlier attempt may have run

Change: a refusal after an attempt that may have run leaves the outcome unknown. Conclusion: the refusal is truthful over all attempts.

--- a/packages/callpath/src/attempt-verdict.ts
+++ b/packages/callpath/src/attempt-verdict.ts
@@ -1,6 +1,6 @@
 import type { RefusalReasonName } from '@daisyferry/model/outcome';
 import { Outcome, RefusalReason } from '@daisyferry/model/outcome';
-import type { SendResult } from './call-message';
+import type { CallResult, SendResult } from './call-message';
 
 export type AttemptVerdict = 'final' | 'retry-elsewhere';
 
@@ -32,6 +32,15 @@
   }
 }
 
+/**
+ * Result of a call after one more attempt. A refusal of the last attempt says nothing of an earlier
+ * one that may have run, so the call stays unknown.
+ */
+export function resultAfter(earlier: CallResult | undefined, last: CallResult): CallResult {
+  if (earlier?.outcome === Outcome.unknown && last.outcome === Outcome.notRun) return earlier;
+  return last;
+}
+
 /** What the routing learns from an attempt. */
 export function pickerResultOf(
   sent: SendResult,
--- a/packages/callpath/src/attempts.ts
+++ b/packages/callpath/src/attempts.ts
@@ -8,7 +8,7 @@
 import type { ThresholdBook } from '@daisyferry/admission/threshold-book';
 import type { CallResult, HomeClient, SendResult } from './call-message';
 import type { EntryCall } from './entry-call';
-import { attemptVerdict, pickerResultOf } from './attempt-verdict';
+import { attemptVerdict, pickerResultOf, resultAfter } from './attempt-verdict';
 import { refusal, unknown } from './results';
 
 export interface AttemptParts {
@@ -111,14 +111,16 @@
 export async function runAttempts(parts: AttemptParts, entry: EntryCall): Promise<CallResult> {
   const { service } = entry.request;
   const excluded = new Set<string>();
-  let result: CallResult = refusal(RefusalReason.noTarget, NO_TARGET_RETRY_MS);
+  let result: CallResult | undefined;
   parts.shareOf(service).attempt(parts.scheduler.nowMs());
   for (let attempt = 1; ; attempt += 1) {
     const home = parts.picker.pick(service, excluded, parts.scheduler.nowMs());
-    if (home === undefined) return result;
+    if (home === undefined) {
+      return result ?? refusal(RefusalReason.noTarget, NO_TARGET_RETRY_MS);
+    }
     const ticket = entry.rule.idempotent ? undefined : parts.mint(home, entry);
     const sent = await sendAttempt(parts, entry, home, ticket, attempt);
-    result = lastResult(sent, entry);
+    result = resultAfter(result, lastResult(sent, entry));
     const verdict = attemptVerdict(sent, entry.rule.idempotent);
     if (verdict === 'final' || !canSendAgain(entry)) return result;
     if (!mayRetry(parts, entry, sent)) return result;
