--- a/packages/bench/src/cluster.ts
+++ b/packages/bench/src/cluster.ts
@@ -13,6 +13,7 @@
 import { TargetProcess } from './target-process';
 
 const READY_TIMEOUT_MS = 20_000;
+const MAX_SEEDS = 3;
 
 /** What one half of a run starts. */
 export interface ClusterPlan {
@@ -98,6 +99,15 @@
     return daemon;
   }
 
+  /** Starts a daemon again under its name and ports, with some others as seeds. */
+  async restartDaemon(name: string): Promise<void> {
+    const others = [...this.daemons.values()].filter(
+      ({ plan, running }) => running && plan.name !== name,
+    );
+    const seedPorts = others.slice(0, MAX_SEEDS).map(({ gossipPort }) => gossipPort);
+    await this.daemon(name).start(seedPorts);
+  }
+
   /** Puts a policy in force and remembers its revision; returns the outcome. */
   async applyPolicy(policy: ServicePolicy, operationId: string): Promise<string> {
     const { outcome, revision } = await this.anyDaemon().admin.applyPolicy(
--- a/packages/bench/src/daemon-process.ts
+++ b/packages/bench/src/daemon-process.ts
@@ -37,7 +37,11 @@
 const LOOPBACK = '127.0.0.1';
 const ANY_PORTS: DaemonPorts = { callers: 0, local: 0, peers: 0, gossip: 0, admin: 0 };
 
-function settingsFor(plan: DaemonPlan, ports: DaemonPorts): DaemonSettingsInput {
+function settingsFor(
+  plan: DaemonPlan,
+  ports: DaemonPorts,
+  seedPorts: readonly number[],
+): DaemonSettingsInput {
   return {
     name: plan.name,
     cluster: 'bench',
@@ -54,6 +58,7 @@
       admin: { address: LOOPBACK, port: ports.admin },
     },
     store: { endpoints: [...plan.storeUrls] },
+    seeds: seedPorts.map((port) => ({ address: LOOPBACK, port })),
     timeline: { sampleRatio: plan.sampleRatio },
     mode: plan.mode,
     disabledMechanisms: [...plan.disabledMechanisms],
@@ -76,10 +81,11 @@
     private readonly group: ProcessGroup,
   ) {}
 
-  async start(): Promise<void> {
+  /** Starts the daemon; `seedPorts` are gossip ports of others, for when the store is down. */
+  async start(seedPorts: readonly number[] = []): Promise<void> {
     this.starts += 1;
     const file = path.join(this.folder, `${this.plan.name}.${this.starts}.settings.json`);
-    writeFileSync(file, JSON.stringify(settingsFor(this.plan, this.ports), null, 2));
+    writeFileSync(file, JSON.stringify(settingsFor(this.plan, this.ports, seedPorts), null, 2));
     this.process = this.group.start(this.plan.name, this.program, ['--settings', file]);
     const { listening } = await this.process.firstLineWith<DaemonListening>('listening');
     this.ports = listening;
@@ -101,6 +107,10 @@
     return new AdminClient(this.adminUrl);
   }
 
+  get gossipPort(): number {
+    return this.ports.gossip;
+  }
+
   get pid(): number {
     return this.process?.pid ?? 0;
   }
--- a/packages/bench/src/fault-injector.ts
+++ b/packages/bench/src/fault-injector.ts
@@ -75,7 +75,7 @@
         this.killed.push(fault.instance);
         return cluster.daemon(fault.instance).signal('SIGKILL');
       case 'start-daemon':
-        return cluster.daemon(fault.instance).start();
+        return cluster.restartDaemon(fault.instance);
       case 'kill-target':
         this.killed.push(fault.instance);
         return cluster.targetProcessOf(fault.instance).signal('SIGKILL');
@@ -105,7 +105,7 @@
     const leftAtMs = left ? wallClockMs() : null;
     await daemon.stop(STOP_GRACE_MS);
     await cluster.targetProcessOf(instance).stop();
-    await daemon.start();
+    await cluster.restartDaemon(instance);
     const replacedAtMs = wallClockMs();
     const entry = daemon.callersUrl;
     this.drains.push({ instance, entry, drainedAtMs, leftAtMs, replacedAtMs });
