--- a/packages/bench/src/cluster.ts
+++ b/packages/bench/src/cluster.ts
@@ -23,8 +23,8 @@
   readonly phase: string;
   readonly mode: 'full' | 'passThrough';
   readonly disabledMechanisms: readonly string[];
-  /** Instances whose target is stopped or killed and so has a process of its own. */
-  readonly ownProcess: ReadonlySet<string>;
+  /** Services whose targets share one process; the others have one for each instance. */
+  readonly sharedProcess: ReadonlySet<string>;
   /** Instances whose daemon has no target beside it. */
   readonly withoutTarget?: ReadonlySet<string>;
   readonly folder: string;
@@ -174,8 +174,8 @@
     const { withoutTarget = new Set() } = this.plan;
     for (const instance of instances) {
       if (withoutTarget.has(instance.name)) continue;
-      const own = this.plan.ownProcess.has(instance.name);
-      const name = own ? `target-${instance.name}` : `targets-${instance.service.name}`;
+      const shared = this.plan.sharedProcess.has(instance.service.name);
+      const name = shared ? `targets-${instance.service.name}` : `target-${instance.name}`;
       groups.set(name, [...(groups.get(name) ?? []), this.targetPlan(instance)]);
     }
     for (const [name, targets] of groups) {
--- a/packages/bench/src/command-line.ts
+++ b/packages/bench/src/command-line.ts
@@ -36,6 +36,7 @@
   readonly baseline: boolean;
   readonly policies: string | undefined;
   readonly list: boolean;
+  readonly profile: boolean;
   readonly timelineSampleRatio: number;
 }
 
@@ -56,8 +57,11 @@
 }
 
 /** Ends all started processes whatever happens, also on an interrupt from the terminal. */
-async function withProcesses(work: (group: ProcessGroup) => Promise<void>): Promise<number> {
-  const group = new ProcessGroup();
+async function withProcesses(
+  profileFolder: string | undefined,
+  work: (group: ProcessGroup) => Promise<void>,
+): Promise<number> {
+  const group = new ProcessGroup(profileFolder);
   const interrupt = (): void => {
     inBackground(group.stopAll().then(() => process.exit(EXIT_INTERRUPTED)));
   };
@@ -97,7 +101,8 @@
   const programs = programsIn(buildFolder);
   const examples = path.join(buildFolder, '..', 'examples', deployment.name, 'policies');
   const outFolder = path.resolve(args.out);
-  return withProcesses(async (group) => {
+  const profileFolder = args.profile ? path.join(outFolder, 'profiles') : undefined;
+  return withProcesses(profileFolder, async (group) => {
     requirePrograms([programs.bench, programs.daemon, programs.storeStandIn]);
     mkdirSync(outFolder, { recursive: true });
     const outcome = await scenario({
@@ -161,6 +166,11 @@
             describe: 'measure the baseline as well; --no-baseline leaves it out',
           })
           .option('policies', { type: 'string', describe: 'folder with the policies to apply' })
+          .option('profile', {
+            type: 'boolean',
+            default: false,
+            describe: 'write a processor profile of each started process',
+          })
           .option('list', { type: 'boolean', default: false, describe: 'list the scenarios' }),
       async (args) => {
         exitCode = await run(
@@ -192,6 +202,7 @@
             baseline: false,
             policies: undefined,
             list: false,
+            profile: false,
             timelineSampleRatio: DEMO_SAMPLE_RATIO,
           },
           buildFolder,
--- a/packages/bench/src/fault.ts
+++ b/packages/bench/src/fault.ts
@@ -27,23 +27,3 @@
       readonly delayMs: number;
     }
   | { readonly kind: 'policy-change'; readonly atMs: number; readonly service: string };
-
-/** The instance that a fault stops or kills, which therefore needs a target process of its own. */
-export function ownProcessInstance(fault: Fault): string | undefined {
-  switch (fault.kind) {
-    case 'kill-target':
-    case 'start-target':
-    case 'replace':
-      return fault.instance;
-    case 'slow':
-    case 'kill-daemon':
-    case 'start-daemon':
-    case 'pause-daemon':
-    case 'resume-daemon':
-    case 'store':
-    case 'policy-change':
-      return undefined;
-    default:
-      return fault satisfies never;
-  }
-}
--- a/packages/bench/src/latency-run.ts
+++ b/packages/bench/src/latency-run.ts
@@ -117,7 +117,7 @@
       phase: name,
       mode: name === 'system' ? 'full' : 'passThrough',
       disabledMechanisms: context.disabledMechanisms,
-      ownProcess: new Set(),
+      sharedProcess: new Set(),
       withoutTarget: new Set([entry]),
       folder,
       timelineSampleRatio: 0.01,
--- a/packages/bench/src/metric-sampler.ts
+++ b/packages/bench/src/metric-sampler.ts
@@ -1,6 +1,7 @@
 import { request } from 'undici';
 import type { Cluster } from './cluster';
 import { sumByService, type MetricSample } from './metric-text';
+import type { ProcessGroup } from './process-group';
 import type { SeriesGroup } from './report';
 import { wallClockMs } from './wall-clock';
 import { inBackground } from './in-background';
@@ -18,6 +19,7 @@
 interface TimedSample {
   readonly atMs: number;
   readonly samples: readonly MetricSample[];
+  readonly cpuMsByRole: Readonly<Record<string, number>>;
 }
 
 /** Reads the metrics of all daemons each second while the load runs. */
@@ -29,6 +31,7 @@
   constructor(
     private readonly cluster: Cluster,
     private readonly startAtMs: number,
+    private readonly group: ProcessGroup,
   ) {}
 
   start(): void {
@@ -43,7 +46,10 @@
 
   /** One chart for each shown metric that the daemons had, with a line for each service. */
   groups(phase: string): readonly SeriesGroup[] {
-    return SHOWN_METRICS.map(({ name, title }) => this.group(`${phase}: ${title}`, name)).filter(
+    const shown = SHOWN_METRICS.map(({ name, title }) =>
+      this.metricGroup(`${phase}: ${title}`, name),
+    );
+    return [...shown, this.cpuGroup(`${phase}: processor`)].filter(
       ({ series }) => series.length > 0,
     );
   }
@@ -57,7 +63,40 @@
         text: await this.read(`${adminUrl}/metrics`),
       })),
     );
-    this.taken.push({ atMs, samples: sumByService(texts) });
+    const cpuMsByRole = this.cpuMsByRole();
+    this.taken.push({ atMs, samples: sumByService(texts), cpuMsByRole });
+  }
+
+  private cpuMsByRole(): Record<string, number> {
+    const roles: Record<string, number> = {};
+    for (const [name, cpuMs] of Object.entries(this.group.cpuMsByProcess())) {
+      const role = this.roleOf(name);
+      roles[role] = (roles[role] ?? 0) + cpuMs;
+    }
+    return roles;
+  }
+
+  private roleOf(process: string): string {
+    const daemon = this.cluster.daemons.get(process);
+    if (daemon !== undefined) return `daemons of ${daemon.plan.service}`;
+    return process.startsWith('target') ? 'targets' : process;
+  }
+
+  /** Cores that the processes of each role used between two samples. */
+  private cpuGroup(title: string): SeriesGroup {
+    const roles = [...new Set(this.taken.flatMap(({ cpuMsByRole }) => Object.keys(cpuMsByRole)))];
+    const series = roles.sort().map((role) => ({
+      label: role,
+      values: this.taken.map((sample, index) => {
+        const before = this.taken[index - 1];
+        if (before === undefined) return null;
+        const usedMs = (sample.cpuMsByRole[role] ?? 0) - (before.cpuMsByRole[role] ?? 0);
+        // A process that ended takes its time with it.
+        return Math.max(0, usedMs) / (sample.atMs - before.atMs);
+      }),
+    }));
+    const timesSeconds = this.taken.map(({ atMs }) => atMs / 1_000);
+    return { title, unit: 'cores', timesSeconds, series };
   }
 
   private async read(url: string): Promise<string> {
@@ -72,7 +111,7 @@
     }
   }
 
-  private group(title: string, metric: string): SeriesGroup {
+  private metricGroup(title: string, metric: string): SeriesGroup {
     const services = new Set(
       this.taken.flatMap(({ samples }) =>
         samples.filter(({ name }) => name === metric).map(({ service }) => service),
--- a/packages/bench/src/phase.ts
+++ b/packages/bench/src/phase.ts
@@ -5,7 +5,6 @@
 import { Cluster } from './cluster';
 import type { Deployment } from './deployment';
 import { FaultInjector, type InjectionLog } from './fault-injector';
-import { ownProcessInstance } from './fault';
 import type { LoadDone, LoadProgress } from './load-generator';
 import type { LoadPlan } from './load-plan';
 import { MetricSampler } from './metric-sampler';
@@ -54,8 +53,6 @@
 }
 
 function clusterOf(plan: PhasePlan, tools: PhaseTools): Cluster {
-  const faults = plan.scenario.faults(plan.deployment);
-  const ownProcess = faults.map(ownProcessInstance).filter((name) => name !== undefined);
   return new Cluster(
     {
       deployment: plan.deployment,
@@ -64,7 +61,7 @@
       phase: plan.name,
       mode: plan.name === 'system' ? 'full' : 'passThrough',
       disabledMechanisms: plan.name === 'system' ? plan.disabledMechanisms : [],
-      ownProcess: new Set(ownProcess),
+      sharedProcess: new Set(),
       folder: plan.folder,
       timelineSampleRatio: plan.timelineSampleRatio,
     },
@@ -101,7 +98,7 @@
     const { offered, completed, ended } = progress;
     tools.report(`${plan.name}: ${offered} offered, ${ended} ended, ${completed} completed`);
   });
-  const sampler = new MetricSampler(cluster, load.startAtMs);
+  const sampler = new MetricSampler(cluster, load.startAtMs, tools.group);
   sampler.start();
   const injector = new FaultInjector(cluster, plan.policies, tools.report);
   const injecting = injector.run(plan.scenario.faults(plan.deployment), load.startAtMs);
--- a/packages/bench/src/process-group.ts
+++ b/packages/bench/src/process-group.ts
@@ -6,13 +6,18 @@
 export class ProcessGroup {
   private readonly started: StartedProcess[] = [];
 
-  constructor() {
+  /** @param profileFolder Folder for processor profiles of all started processes, if wanted. */
+  constructor(private readonly profileFolder?: string) {
     process.once('exit', () => this.killAll());
   }
 
   /** Starts a Node program of this project. */
   start(name: string, file: string, args: readonly string[]): StartedProcess {
-    const child = spawn(process.execPath, ['--max-old-space-size=512', file, ...args], {
+    const { profileFolder } = this;
+    const profiling =
+      profileFolder === undefined ? [] : ['--cpu-prof', `--cpu-prof-dir=${profileFolder}/${name}`];
+    const nodeArgs = ['--max-old-space-size=512', ...profiling];
+    const child = spawn(process.execPath, [...nodeArgs, file, ...args], {
       stdio: ['ignore', 'pipe', 'pipe'],
     });
     const started = new StartedProcess(name, child);
