--- a/packages/bench/src/command-line.ts
+++ b/packages/bench/src/command-line.ts
@@ -1,3 +1,4 @@
+import { runScaleProcess, type ScaleOrder } from '@daisyferry/membership/measure/scale-run';
 import { mkdirSync, writeFileSync } from 'node:fs';
 import path from 'node:path';
 import yargs from 'yargs';
@@ -215,6 +216,12 @@
       (command) => command.positional('plan', { type: 'string', demandOption: true }),
       async ({ plan }) => runLatencyProbe(plan),
     )
+    .command(
+      'scale-process <order>',
+      false,
+      (command) => command.positional('order', { type: 'string', demandOption: true }),
+      async ({ order }) => runScaleProcess(JSON.parse(order) as ScaleOrder),
+    )
     .command(
       'stand-in-target <plan>',
       false,
--- a/packages/bench/src/control-scenarios.ts
+++ b/packages/bench/src/control-scenarios.ts
@@ -2,6 +2,7 @@
 import { fleetTable } from './fleet-report';
 import { FleetRun } from './fleet-run';
 import { latencyTable, runLatency } from './latency-run';
+import { runMembers } from './members-run';
 
 /** A scenario that measures something else than a whole deployment under load. */
 export interface ControlScenario {
@@ -20,6 +21,11 @@
   return { report, table: fleetTable(report) };
 }
 
+async function measureMembers(context: BenchContext): Promise<BenchOutcome> {
+  const report = await runMembers(context);
+  return { report, table: fleetTable(report) };
+}
+
 export const CONTROL_SCENARIOS: readonly ControlScenario[] = [
   {
     name: 'latency',
@@ -31,4 +37,9 @@
     summary: '100 daemons without targets: 50 policy changes, then 20 daemons killed at once',
     run: measureFleet,
   },
+  {
+    name: 'members-18000',
+    summary: 'one daemon among 18,000 members with 650 policies, churn and changes at real rate',
+    run: measureMembers,
+  },
 ];
--- a/packages/bench/src/demo.ts
+++ b/packages/bench/src/demo.ts
@@ -15,8 +15,8 @@
   cluster: Cluster,
   file: string,
 ): Promise<void> {
-  const addresses = [...cluster.daemons.values()].map(({ adminUrl }) => adminUrl);
-  const args = ['collect', '--out', file, ...addresses];
+  const admins = [...cluster.daemons.values()].flatMap(({ adminUrl }) => ['--admin', adminUrl]);
+  const args = ['collect', '--out', file, ...admins];
   const collector = context.group.start('timeline', context.programs.timeline, args);
   const exitCode = await collector.exited;
   if (exitCode !== 0) throw new Error(`${COLLECT_FAILED}: ${collector.lastErrors}`);
--- a/packages/bench/src/fleet-report.ts
+++ b/packages/bench/src/fleet-report.ts
@@ -1,3 +1,4 @@
+import type { ScaleReport } from '@daisyferry/membership/measure/scale-report';
 import { tableText } from './table';
 
 /** Costs of control for the costliest daemon over one span of a run. */
@@ -12,10 +13,11 @@
   readonly members: number;
   readonly changes: number;
   readonly changesAccepted: number;
-  /** From the start of the operator's call until the daemon applies the revision. */
-  readonly propagationP50Ms: number;
-  readonly propagationP99Ms: number;
-  readonly propagationMaxMs: number;
+  /** From the start of the operator's call until the daemon applies the revision; null if unmeasured. */
+  readonly propagationP50Ms: number | null;
+  readonly propagationP99Ms: number | null;
+  /** Null also if a daemon never applied an accepted change. */
+  readonly propagationMaxMs: number | null;
   /** From the kill until the last survivor takes the killed daemon for dead; null if one never. */
   readonly detectionMaxMs: number | null;
   /** Times that a daemon applied a lower revision than before. */
@@ -35,6 +37,8 @@
   readonly deployment: string;
   readonly seed: number;
   readonly fleet: FleetFigures;
+  /** Details of the measurement of one daemon among many members. */
+  readonly scale?: ScaleReport;
 }
 
 /** The figures as people read them on the terminal. */
@@ -48,5 +52,9 @@
     `${name}: bytes/s, CPU share`,
     `${cost.controlBytesPerSecond.toFixed(0)}, ${cost.controlCpuRatio.toFixed(4)}`,
   ]);
-  return tableText([[report.scenario, 'measured'], ...rows, ...spanRows]);
+  const scaleRows = Object.entries(report.scale ?? {}).map(([name, value]) => [
+    `scale: ${name}`,
+    String(value),
+  ]);
+  return tableText([[report.scenario, 'measured'], ...rows, ...spanRows, ...scaleRows]);
 }
--- a/packages/bench/src/fleet-run.ts
+++ b/packages/bench/src/fleet-run.ts
@@ -97,7 +97,7 @@
         changesAccepted: changes.length,
         propagationP50Ms: p50Ms,
         propagationP99Ms: p99Ms,
-        propagationMaxMs: missing > 0 ? Number.MAX_SAFE_INTEGER : maxMs,
+        propagationMaxMs: missing > 0 ? null : maxMs,
         detectionMaxMs: loss.detectedMs,
         revertedRevisions: revertedRevisions(timelines),
         ...store,
--- /dev/null
+++ b/packages/bench/src/members-run.ts
@@ -0,0 +1,56 @@
+import type { ScaleOrder } from '@daisyferry/membership/measure/scale-run';
+import { scalePlan, type FleetPorts } from '@daisyferry/membership/measure/scale-plan';
+import type { ScaleReport } from '@daisyferry/membership/measure/scale-report';
+import type { BenchContext } from './bench-context';
+import type { FleetReport } from './fleet-report';
+import type { StartedProcess } from './started-process';
+
+const MEMBERS = 18_000;
+const POLICIES = 650;
+const DURATION_MS = 60_000;
+
+function startScaleProcess({ group, programs }: BenchContext, order: ScaleOrder): StartedProcess {
+  return group.start(
+    order.role,
+    programs.bench,
+    ['scale-process', JSON.stringify(order)],
+    nodeArgs,
+  );
+}
+
+/**
+ * Measures one daemon's control plane among 18,000 members, which a second process plays, with the
+ * churn and the policy changes of that size at their real rate.
+ */
+export async function runMembers(context: BenchContext): Promise<FleetReport> {
+  const plan = scalePlan(MEMBERS, POLICIES, DURATION_MS, context.seed);
+  context.report(`members-18000: ${DURATION_MS / 1_000} s of churn and changes at real rate`);
+  const players = startScaleProcess(context, { role: 'fleet', plan });
+  const fleet = await players.firstLineWith<FleetPorts>('gossipPort');
+  const subject = startScaleProcess(context, { role: 'subject', plan, fleet });
+  const scale = await subject.firstLineWith<ScaleReport>('controlBytesPerSecond');
+  const { controlBytesPerSecond, controlCpuRatio } = scale;
+  return {
+    scenario: 'members-18000',
+    deployment: context.deployment.name,
+    seed: context.seed,
+    fleet: {
+      daemons: 1,
+      members: scale.members,
+      changes: scale.policyChanges,
+      changesAccepted: scale.policyChanges,
+      propagationP50Ms: null,
+      propagationP99Ms: null,
+      propagationMaxMs: null,
+      detectionMaxMs: null,
+      revertedRevisions: 0,
+      storeReads: 0,
+      storeWrites: 0,
+      controlBytesPerSecond,
+      controlCpuRatio,
+      controlMemoryBytes: scale.controlMemoryBytes,
+      spans: { churn: { controlBytesPerSecond, controlCpuRatio } },
+    },
+    scale,
+  };
+}
