--- a/packages/bench/src/cluster.ts
+++ b/packages/bench/src/cluster.ts
@@ -13,6 +13,7 @@
 import { TargetProcess } from './target-process';
 
 const READY_TIMEOUT_MS = 20_000;
+const MAX_SEEDS = 3;
 
 /** What one half of a run starts. */
 export interface ClusterPlan {
@@ -22,8 +23,8 @@
   readonly phase: string;
   readonly mode: 'full' | 'passThrough';
   readonly disabledMechanisms: readonly string[];
-  /** Instances whose target is stopped or killed and so has a process of its own. */
-  readonly ownProcess: ReadonlySet<string>;
+  /** Services whose targets share one process; the others have one for each instance. */
+  readonly sharedProcess: ReadonlySet<string>;
   /** Instances whose daemon has no target beside it. */
   readonly withoutTarget?: ReadonlySet<string>;
   readonly folder: string;
@@ -98,6 +99,15 @@
     return daemon;
   }
 
+  /** Starts a daemon again under its name and ports, with some others as seeds. */
+  async restartDaemon(name: string): Promise<void> {
+    const others = [...this.daemons.values()].filter(
+      ({ plan, running }) => running && plan.name !== name,
+    );
+    const seedPorts = others.slice(0, MAX_SEEDS).map(({ gossipPort }) => gossipPort);
+    await this.daemon(name).start(seedPorts);
+  }
+
   /** Puts a policy in force and remembers its revision; returns the outcome. */
   async applyPolicy(policy: ServicePolicy, operationId: string): Promise<string> {
     const { outcome, revision } = await this.anyDaemon().admin.applyPolicy(
@@ -164,8 +174,8 @@
     const { withoutTarget = new Set() } = this.plan;
     for (const instance of instances) {
       if (withoutTarget.has(instance.name)) continue;
-      const own = this.plan.ownProcess.has(instance.name);
-      const name = own ? `target-${instance.name}` : `targets-${instance.service.name}`;
+      const shared = this.plan.sharedProcess.has(instance.service.name);
+      const name = shared ? `targets-${instance.service.name}` : `target-${instance.name}`;
       groups.set(name, [...(groups.get(name) ?? []), this.targetPlan(instance)]);
     }
     for (const [name, targets] of groups) {
