--- a/packages/callpath/tests/support/entry-daemon.ts
+++ b/packages/callpath/tests/support/entry-daemon.ts
@@ -1,9 +1,11 @@
 import { ThresholdBook } from '@daisyferry/admission/threshold-book';
 import { CallEntry } from '@daisyferry/callpath/call-entry';
 import { RootBook } from '@daisyferry/callpath/root-book';
+import type { RootForwarder } from '@daisyferry/callpath/root-forwarder';
 import { TicketIssuer } from '@daisyferry/callpath/ticket-issuer';
 import { mintTicket } from '@daisyferry/execution/ticket';
 import { TicketCodec } from '@daisyferry/execution/ticket-codec';
+import type { DaemonId } from '@daisyferry/model/member';
 import type { TimelineSink } from '@daisyferry/model/timeline-event';
 import type { VirtualScheduler } from '@daisyferry/model/virtual-scheduler';
 import { PurseBook } from '@daisyferry/retries/purse-book';
@@ -14,8 +16,6 @@
 import type { FakePolicies } from './fake-policies';
 import { FakeProcess } from './fake-process';
 
-const MAX_KEPT_ROOTS = 100;
-
 export interface EntryDaemonParts {
   readonly base: VirtualScheduler;
   readonly network: FakeNetwork;
@@ -23,8 +23,11 @@
   readonly policies: FakePolicies;
   readonly timeline: TimelineSink;
   readonly newId: () => string;
+  readonly forwarder: RootForwarder;
 }
 
+const MAX_ROOTS = 100;
+
 /** An entry daemon made of the real parts. */
 export class EntryDaemon {
   readonly process: FakeProcess;
@@ -33,14 +36,16 @@
 
   private readonly picker: TargetPicker;
 
+  private readonly roots = new RootBook(new PurseBook(), MAX_ROOTS);
+
   constructor(
-    readonly name: string,
+    readonly id: DaemonId,
     parts: EntryDaemonParts,
   ) {
-    const { base, network, directory, policies, timeline, newId } = parts;
-    this.process = new FakeProcess(name, base);
+    const { base, network, directory, policies, timeline, newId, forwarder } = parts;
+    const self = this.id;
+    this.process = new FakeProcess(id.name, base);
     const scheduler = this.process;
-    const self = { name, incarnation: '0'.repeat(16) };
     this.picker = new TargetPicker({
       self,
       dataCentre: 'quiapo',
@@ -53,16 +58,16 @@
     const codec = new TicketCodec(undefined);
     const share = new RetryShare();
     this.entry = new CallEntry({
+      self,
+      roots: this.roots,
+      forwarder,
       policies,
       directory,
       codec,
-      issuer: new TicketIssuer({ self, policies, picker, codec, scheduler, newId }),
+      issuer: new TicketIssuer({ policies, picker, codec, scheduler, newId, self }),
       picker,
       homes: network.clientOf(this.process),
       thresholds: new ThresholdBook(),
-      self,
-      roots: new RootBook(new PurseBook(), MAX_KEPT_ROOTS),
-      forwarder: { forward: async () => undefined },
       shareOf: () => share,
       scheduler,
       timeline,
@@ -75,9 +80,11 @@
 
   /** What this daemon still holds; empty when all calls have ended. */
   held(nowMs: number): readonly string[] {
-    return this.picker
+    this.roots.sweep(nowMs);
+    const calls = this.picker
       .snapshot(nowMs)
       .filter(({ inFlight }) => inFlight !== 0)
-      .map(({ name, inFlight }) => `${this.name} holds calls to ${name}: ${inFlight}`);
+      .map(({ name, inFlight }) => `${this.id.name} holds calls to ${name}: ${inFlight}`);
+    return this.roots.size === 0 ? calls : [...calls, `${this.id.name} holds roots`];
   }
 }
