--- a/packages/callpath/src/attempts.ts
+++ b/packages/callpath/src/attempts.ts
@@ -9,7 +9,7 @@
 import type { ThresholdBook } from '@daisyferry/admission/threshold-book';
 import type { CallResult, HomeClient, SendResult } from './call-message';
 import type { EntryCall } from './entry-call';
-import { attemptVerdict, pickerResultOf } from './attempt-verdict';
+import { attemptVerdict, pickerResultOf, resultAfter } from './attempt-verdict';
 import { refusal, unknown } from './results';
 
 export interface AttemptParts {
@@ -121,11 +121,6 @@
   return entry.request.content.body.kind === 'held';
 }
 
-/** A later refusal does not undo what an earlier attempt may have run. */
-function resultOfAll(result: CallResult, uncertain: CallResult | undefined): CallResult {
-  return result.outcome === Outcome.notRun ? (uncertain ?? result) : result;
-}
-
 /**
  * Sends a call to one home after another until it has a result, within the retry tokens of the
  * root. Each attempt of a call that is not idempotent has a ticket of its own; the next is minted
@@ -134,20 +129,20 @@
 export async function runAttempts(parts: AttemptParts, entry: EntryCall): Promise<CallResult> {
   const { service } = entry.request;
   const excluded = new Set<string>();
-  let result: CallResult = refusal(RefusalReason.noTarget, NO_TARGET_RETRY_MS);
-  let uncertain: CallResult | undefined;
+  let result: CallResult | undefined;
   parts.shareOf(service).attempt(parts.scheduler.nowMs());
   for (let attempt = 1; ; attempt += 1) {
     const mayBeTrial = entry.rule.idempotent;
     const home = parts.picker.pick(service, excluded, parts.scheduler.nowMs(), { mayBeTrial });
-    if (home === undefined) return resultOfAll(result, uncertain);
+    if (home === undefined) {
+      return result ?? refusal(RefusalReason.noTarget, NO_TARGET_RETRY_MS);
+    }
     const ticket = entry.rule.idempotent ? undefined : parts.mint(home, entry);
     const sent = await sendAttempt(parts, entry, home, ticket, attempt);
-    result = lastResult(sent, entry);
-    if (result.outcome === Outcome.unknown) uncertain ??= result;
+    result = resultAfter(result, lastResult(sent, entry));
     const verdict = attemptVerdict(sent, entry.rule.idempotent);
-    const isLast = verdict === 'final' || !canSendAgain(entry) || !mayRetry(parts, entry, sent);
-    if (isLast) return resultOfAll(result, uncertain);
+    if (verdict === 'final' || !canSendAgain(entry)) return result;
+    if (!mayRetry(parts, entry, sent)) return result;
     excluded.add(home.id.name);
     parts.timeline.emit({ kind: 'call.retried', ...entry.trace, detail: home.id.name });
   }
