Let many newcomers in through one seed, and hold the suspects of a small cluster

Cause: a trial with 100 engines that joined through one seed at one moment: the seed's byte budget was overdrawn, its acks were empty, and after 60 s no other daemon knew any member. Repeats of whole records also used up what suspicions needed. In a cluster of 16 cut in two, suspects died one by one before enough of them were counted to be held. Change: an ack to a newcomer has room for its own record and four members whatever the budget says; repeats leave half of the burst to fresh updates and go by reference after four times; deaths of the last minute count among the missing; changes of the own record go to eight members at once.

--- a/packages/membership/src/gossip-engine.ts
+++ b/packages/membership/src/gossip-engine.ts
@@ -125,7 +125,7 @@
   publish(change: MemberChange, nowMs: number): readonly GossipEffect[] {
     this.self.publish(change, nowMs);
     this.changed(this.self.record, false);
-    this.flush(nowMs);
+    this.spread(this.tuning.policyFanout, nowMs);
     return this.takeEffects(nowMs);
   }
 
--- a/packages/membership/src/gossip-options.ts
+++ b/packages/membership/src/gossip-options.ts
@@ -25,7 +25,7 @@
   readonly flushDelayMs: number;
   /** Members that a fresh update is sent to out of turn. */
   readonly fanout: number;
-  /** Members that a new policy revision is told to at once; all but e^-fanout hear of it so. */
+  /** Members told at once of a policy revision or of a change of this daemon's own record. */
   readonly policyFanout: number;
   /** Bytes that gossip may send, headers included. */
   readonly bytesPerSecond: number;
@@ -49,7 +49,7 @@
   maxHoldMs: 7_200_000,
   deadRetentionMs: 7_200_000,
   flushDelayMs: 20,
-  fanout: 3,
+  fanout: 4,
   policyFanout: 8,
   bytesPerSecond: 2_500,
   burstBytes: 4_000,
--- a/packages/membership/src/member-updates.ts
+++ b/packages/membership/src/member-updates.ts
@@ -12,6 +12,12 @@
 /** Largest number of dead members remembered; the oldest is forgotten first. */
 const MAX_DEAD_REMEMBERED = 4_096;
 
+/**
+ * How a record is passed on: `whole` when it is news, `byReference` when it was asked for, `never`
+ * when it came in bulk.
+ */
+export type PassOnName = 'whole' | 'byReference' | 'never';
+
 /** What became of a received record. */
 export type RecordVerdict =
   | { readonly kind: 'applied' }
@@ -38,8 +44,8 @@
     private readonly onChange: ChangeListener,
   ) {}
 
-  /** Applies a whole record; `passOn` is false for what came in bulk and is no news to others. */
-  applyRecord(fact: MemberFact, nowMs: number, passOn = true): RecordVerdict {
+  /** Applies a whole record, and passes it on unless it is no news to others. */
+  applyRecord(fact: MemberFact, nowMs: number, passOn: PassOnName = 'whole'): RecordVerdict {
     if (fact.member.id.name === this.self.member.id.name) return this.applyOwnName(fact, nowMs);
     const held = this.table.recordNamed(fact.member.id.name);
     if (held === undefined) return this.admit(fact, nowMs, passOn);
@@ -83,6 +89,7 @@
   expire(nowMs: number): void {
     for (const record of [...this.table.suspects()]) {
       if (this.rules.isExpired(record, nowMs)) {
+        this.rules.noteDeath(nowMs);
         this.change(record, Reachability.dead, record.refutations, 'dead', nowMs);
       }
     }
@@ -115,10 +122,11 @@
     if (refutations < record.refutations) return;
     const isSelfDeclared = refutations > record.refutations;
     if (!isSelfDeclared && record.reachability === Reachability.dead) return;
-    if (!isSelfDeclared && this.rules.isHeld(record.member.dataCentre)) {
+    if (!isSelfDeclared && this.rules.isHeld(record.member.dataCentre, nowMs)) {
       this.suspect(record, refutations, nowMs);
       return;
     }
+    if (!isSelfDeclared) this.rules.noteDeath(nowMs);
     this.change(record, Reachability.dead, refutations, 'dead', nowMs);
   }
 
@@ -135,17 +143,17 @@
     if (isVisible) this.onChange(record, false);
   }
 
-  private admit(fact: MemberFact, nowMs: number, passOn: boolean): RecordVerdict {
+  private admit(fact: MemberFact, nowMs: number, passOn: PassOnName): RecordVerdict {
     if (fact.reachability === Reachability.dead) return { kind: 'known' };
     if (this.table.size >= this.tuning.maxMembers) return { kind: 'known' };
     return this.replace(fact, nowMs, passOn);
   }
 
-  private replace(fact: MemberFact, nowMs: number, passOn: boolean): RecordVerdict {
+  private replace(fact: MemberFact, nowMs: number, passOn: PassOnName): RecordVerdict {
     const held = this.table.recordNamed(fact.member.id.name);
     const isNew = held === undefined || held.reachability === Reachability.dead;
     const record = this.table.put(fact.member, fact.refutations, fact.reachability, nowMs);
-    if (passOn) this.queue.add(record, 'changed', true);
+    if (passOn !== 'never') this.queue.add(record, 'changed', passOn === 'whole');
     this.onChange(record, isNew);
     return { kind: 'applied' };
   }
--- a/packages/membership/src/message-intake.ts
+++ b/packages/membership/src/message-intake.ts
@@ -13,6 +13,7 @@
 import type { NamesakeCheck } from './namesake-check';
 import type { Outbox } from './outbox';
 import type { ProbeCycle } from './probe-cycle';
+import type { ProbeOrder } from './probe-order';
 import type { SelfRecord } from './self-record';
 import type { TableRepair } from './table-repair';
 
@@ -22,6 +23,7 @@
   readonly table: MemberTable;
   readonly updates: MemberUpdates;
   readonly repair: TableRepair;
+  readonly order: ProbeOrder;
   readonly probes: ProbeCycle;
   readonly namesake: NamesakeCheck;
   readonly outbox: Outbox;
@@ -30,6 +32,10 @@
 /** References remembered as asked for. */
 const MAX_ASKED = 4_096;
 
+/** Members named to a newcomer, and the room for them. */
+const MEMBERS_FOR_NEWCOMER = 4;
+const NEWCOMER_ROOM_BYTES = 900;
+
 const STATES = [Reachability.alive, Reachability.suspect, Reachability.dead] as const;
 
 /** Applies one message to the parts of the engine and answers it. */
@@ -53,14 +59,14 @@
 
   /** Applies a record that came in bulk, without passing it on. */
   learn(fact: MemberFact, nowMs: number): void {
-    const verdict = this.parts.updates.applyRecord(fact, nowMs, false);
+    const verdict = this.parts.updates.applyRecord(fact, nowMs, 'never');
     if (verdict.kind === 'namesake') this.parts.namesake.meet(fact.member, nowMs);
   }
 
   /** Applies a record; the holder of an older one is told the greater one in the reply. */
   private applyFact(fact: MemberFact, reply: Reply, nowMs: number): void {
-    const isNews = !this.asked.delete(memberRef(fact.member));
-    const verdict = this.parts.updates.applyRecord(fact, nowMs, isNews);
+    const passOn = this.asked.delete(memberRef(fact.member)) ? 'byReference' : 'whole';
+    const verdict = this.parts.updates.applyRecord(fact, nowMs, passOn);
     if (verdict.kind === 'outdated') reply.records.push(verdict.held);
     if (verdict.kind === 'namesake') this.parts.namesake.meet(fact.member, nowMs);
   }
@@ -153,13 +159,20 @@
     reply: Reply,
     nowMs: number,
   ): void {
-    const { self, outbox } = this.parts;
-    if (!self.owns(target)) reply.records.push(self.record);
-    if (target !== '' && !self.owns(target)) {
+    const { self, order, outbox } = this.parts;
+    if (self.owns(target)) {
+      outbox.send(GossipMethod.ack, from, nowMs, { sequence, target, reply });
+      return;
+    }
+    reply.records.push(self.record);
+    if (target !== '') {
       this.pushReply(from, reply, nowMs);
       return;
     }
-    outbox.send(GossipMethod.ack, from, nowMs, { sequence, target, reply });
+    // A newcomer always learns whom it can turn to, also while many come at once.
+    reply.records.push(...order.pick(MEMBERS_FOR_NEWCOMER, ({ ref }) => ref !== self.record.ref));
+    const content = { sequence, target, reply, roomBytes: NEWCOMER_ROOM_BYTES };
+    outbox.send(GossipMethod.ack, from, nowMs, content);
   }
 
   private pushReply(to: GossipAddress, reply: Reply, nowMs: number): void {
--- a/packages/membership/src/message-writer.ts
+++ b/packages/membership/src/message-writer.ts
@@ -52,6 +52,11 @@
     this.usedBytes = encodeGossip({ ...head, ...this.draft }).length + signatureBytes;
   }
 
+  /** Bytes written so far, signature included. */
+  get lengthBytes(): number {
+    return this.usedBytes;
+  }
+
   get isEmpty(): boolean {
     const { alive, suspect, dead, records, needs, listing } = this.draft;
     const rows = alive.length + suspect.length + dead.length + records.length + needs.length;
@@ -59,7 +64,7 @@
   }
 
   /** Adds a queued update; the dead go by reference. False when it does not fit. */
-  addUpdate({ record, whole }: PendingUpdate): boolean {
+  addUpdate({ record, whole }: Pick<PendingUpdate, 'record' | 'whole'>): boolean {
     return whole && record.reachability !== Reachability.dead
       ? this.addRecord(record)
       : this.addState(record);
--- a/packages/membership/src/outbox.ts
+++ b/packages/membership/src/outbox.ts
@@ -1,7 +1,7 @@
 import { ByteBudget } from './byte-budget';
 import type { GossipAddress, GossipEffect } from './gossip-effect';
 import type { GossipMethodName } from './gossip-message';
-import { DATAGRAM_OVERHEAD_BYTES, GossipMethod, MAX_DATAGRAM_BYTES } from './gossip-message';
+import { DATAGRAM_OVERHEAD_BYTES, GossipMethod } from './gossip-message';
 import type { GossipOptions, GossipTuning } from './gossip-options';
 import type { Reply } from './gossip-reply';
 import { writeReply } from './gossip-reply';
@@ -21,6 +21,8 @@
   readonly sequence?: number;
   readonly target?: string;
   readonly reply?: Reply;
+  /** Room that the datagram has whatever the budget says. */
+  readonly roomBytes?: number;
 }
 
 /** Writes datagrams under the byte budget and collects the effects of one step. */
@@ -30,6 +32,9 @@
 
   private readonly budget: ByteBudget;
 
+  /** Part of the budget that repeated updates leave to fresh ones. */
+  private readonly reserveBytes: number;
+
   private effects: GossipEffect[] = [];
 
   constructor(
@@ -41,6 +46,7 @@
     private readonly repair: TableRepair,
   ) {
     this.budget = new ByteBudget(tuning.bytesPerSecond, tuning.burstBytes);
+    this.reserveBytes = tuning.burstBytes / 2;
   }
 
   emit(effect: GossipEffect): void {
@@ -68,17 +74,22 @@
     method: GossipMethodName,
     to: GossipAddress,
     nowMs: number,
-    { sequence = 0, target = '', reply }: SendContent,
+    { sequence = 0, target = '', reply, roomBytes: wantedBytes = 0 }: SendContent,
   ): void {
     const { cluster, key } = this.options;
     const from = this.self.record.ref;
     const head = { method, cluster, from, revision: this.revision, sequence, target };
-    const roomBytes = Math.min(MAX_DATAGRAM_BYTES, this.budget.available(nowMs));
+    const roomBytes = Math.max(wantedBytes, this.budget.available(nowMs));
     const writer = new MessageWriter(head, roomBytes, key);
     if (method === GossipMethod.ping) writer.setDigest(this.repair.digest());
     if (reply !== undefined) writeReply(writer, reply);
     if (method !== GossipMethod.relay) {
-      this.queue.take(this.maxTransmissions(), (update) => writer.addUpdate(update));
+      const repeatBytes = roomBytes - this.reserveBytes;
+      this.queue.take(
+        this.maxTransmissions(),
+        (update) =>
+          (update.isFresh || writer.lengthBytes < repeatBytes) && writer.addUpdate(update),
+      );
     }
     const payload = writer.finish();
     this.budget.spend(payload.length + DATAGRAM_OVERHEAD_BYTES, nowMs);
--- a/packages/membership/src/prober.ts
+++ b/packages/membership/src/prober.ts
@@ -5,6 +5,8 @@
 
 const MAX_SEQUENCE = 2 ** 31;
 const MAX_DOUBT = 6;
+/** Share by which each failure in a row lengthens the waits. */
+const DOUBT_SHARE = 0.5;
 const MAX_RELAYED = 256;
 
 /** A probe under way. */
@@ -123,6 +125,6 @@
   }
 
   private stretched(timeoutMs: number): number {
-    return timeoutMs * (1 + this.doubt / 2);
+    return timeoutMs * (1 + this.doubt * DOUBT_SHARE);
   }
 }
--- a/packages/membership/src/suspicion-rules.ts
+++ b/packages/membership/src/suspicion-rules.ts
@@ -8,6 +8,9 @@
 /** Share of one data centre from which on its suspects are held. */
 const HOLD_DATA_CENTRE_SHARE = 1 / 3;
 
+/** Deaths count among the missing for so long, so that a loss is seen whole. */
+const RECENT_DEATH_MS = 60_000;
+
 /** So few suspects are never held. */
 const MIN_HELD_SUSPECTS = 3;
 
@@ -16,6 +19,8 @@
  * are held as suspects, which routing still tries, and die only after a long time.
  */
 export class SuspicionRules {
+  private deathsAtMs: number[] = [];
+
   constructor(
     private readonly table: MemberTable,
     private readonly tuning: GossipTuning,
@@ -27,10 +32,17 @@
     return suspicionBaseMs + suspicionPerMemberMs * this.table.liveCount;
   }
 
+  /** Counts a death that the member did not declare itself. */
+  noteDeath(nowMs: number): void {
+    this.deathsAtMs.push(nowMs);
+  }
+
   /** True while the suspects of a data centre are held. */
-  isHeld(dataCentre: string): boolean {
-    const suspects = this.table.suspects().size;
-    if (suspects > Math.max(MIN_HELD_SUSPECTS, HOLD_SHARE * this.table.liveCount)) return true;
+  isHeld(dataCentre: string, nowMs: number): boolean {
+    this.deathsAtMs = this.deathsAtMs.filter((atMs) => atMs > nowMs - RECENT_DEATH_MS);
+    const missing = this.table.suspects().size + this.deathsAtMs.length;
+    const known = this.table.liveCount + this.deathsAtMs.length;
+    if (missing > Math.max(MIN_HELD_SUSPECTS, HOLD_SHARE * known)) return true;
     const group = this.table.groupOf(dataCentre);
     return group.suspects > Math.max(MIN_HELD_SUSPECTS, HOLD_DATA_CENTRE_SHARE * group.members);
   }
@@ -39,6 +51,6 @@
   isExpired(record: MemberRecord, nowMs: number): boolean {
     const ageMs = nowMs - record.changedAtMs;
     if (ageMs < this.timeoutMs()) return false;
-    return !this.isHeld(record.member.dataCentre) || ageMs >= this.tuning.maxHoldMs;
+    return !this.isHeld(record.member.dataCentre, nowMs) || ageMs >= this.tuning.maxHoldMs;
   }
 }
--- a/packages/membership/src/update-queue.ts
+++ b/packages/membership/src/update-queue.ts
@@ -10,6 +10,11 @@
   suspect: 3,
 } as const;
 
+const PRIORITIES = 4;
+
+/** Whole records go out so often; later they go by reference, and whoever lacks one asks for it. */
+const TIMES_WHOLE = 4;
+
 export type UpdatePriorityName = keyof typeof UpdatePriority;
 
 interface QueuedUpdate {
@@ -24,6 +29,8 @@
   readonly record: MemberRecord;
   /** The whole record goes out, not merely its reference and state. */
   readonly whole: boolean;
+  /** It has not been sent before. */
+  readonly isFresh: boolean;
 }
 
 /**
@@ -66,7 +73,9 @@
     const taken: QueuedUpdate[] = [];
     for (const level of this.levels) {
       for (const update of level.values()) {
-        if (!fits(update)) {
+        const { record, sent } = update;
+        const whole = update.whole && sent < TIMES_WHOLE;
+        if (!fits({ record, whole, isFresh: sent === 0 })) {
           this.requeue(taken, maxTimes);
           return;
         }
@@ -90,7 +99,7 @@
 
   private place(update: QueuedUpdate): void {
     const { name } = update.record.member.id;
-    const level = update.sent + UpdatePriority[update.priority];
+    const level = update.sent * PRIORITIES + UpdatePriority[update.priority];
     while (this.levels.length <= level) this.levels.push(new Map());
     this.levels[level]?.set(name, update);
     if (update.sent === 0) this.freshCount += 1;
--- a/packages/membership/tests/gossip-engine.test.ts
+++ b/packages/membership/tests/gossip-engine.test.ts
@@ -4,12 +4,30 @@
 
 const SECOND_MS = 1_000;
 
+/** Generous, so that a busy machine does not decide the verdict. */
+const TIMEOUT_MS = 240_000;
+
 describe('gossip engine', () => {
   it('joins through one seed until all know all', () => {
     const { network, members } = joinedNetwork(20, 1);
     expect(network.runFor(30 * SECOND_MS, () => network.allSeeAlive(members))).toBe(true);
   });
 
+  it('lets a hundred daemons in through one seed at one moment', { timeout: TIMEOUT_MS }, () => {
+    const { network, members } = joinedNetwork(100, 15);
+    expect(network.runFor(30 * SECOND_MS, () => network.allSeeAlive(members))).toBe(true);
+    network.runFor(30 * SECOND_MS);
+    const lost = members.filter((_member, number) => number % 5 === 3);
+    for (const member of lost) network.kill(member);
+    const isNoticed = (): boolean =>
+      network
+        .live()
+        .every(({ engine }) =>
+          lost.every(({ id }) => engine.table.memberNamed(id.name)?.reachability !== 'alive'),
+        );
+    expect(network.runFor(8 * SECOND_MS, isNoticed)).toBe(true);
+  });
+
   it('notices a killed member everywhere', () => {
     const { network, members } = joinedNetwork(20, 2);
     network.runFor(30 * SECOND_MS, () => network.allSeeAlive(members));
--- a/packages/membership/tests/membership-rules.test.ts
+++ b/packages/membership/tests/membership-rules.test.ts
@@ -29,7 +29,7 @@
     const table = tableOf(members, suspects);
     const rules = new SuspicionRules(table, DEFAULT_GOSSIP_TUNING);
     const record = table.recordNamed('vault-0');
-    expect(rules.isHeld('dc-0')).toBe(isHeld);
+    expect(rules.isHeld('dc-0', START_MS)).toBe(isHeld);
     expect(record && rules.isExpired(record, START_MS + MINUTE_MS)).toBe(!isHeld);
     expect(record && rules.isExpired(record, START_MS + 7_200_000)).toBe(true);
   });
@@ -41,8 +41,8 @@
       if (record !== undefined) table.mark(record, Reachability.suspect, 0, START_MS);
     }
     const rules = new SuspicionRules(table, DEFAULT_GOSSIP_TUNING);
-    expect(rules.isHeld('dc-0')).toBe(true);
-    expect(rules.isHeld('dc-1')).toBe(false);
+    expect(rules.isHeld('dc-0', START_MS)).toBe(true);
+    expect(rules.isHeld('dc-1', START_MS)).toBe(false);
   });
 });
 
