Split the wiring of the daemon and let callers finish at a planned stop

Cause: one function of 190 lines wired everything; a planned stop closed callers' connections after 5 s although their calls may have longer budgets. Change: base, control plane, serving parts, listeners and the running daemon each in a file of their own; listeners close after the calls in progress, at most the drain's maxWaitMs; a superseded daemon asks its process for a planned stop. Conclusion: the bound of a planned stop is the policy's alone.

--- a/packages/daemon/src/call-path-parts.ts
+++ b/packages/daemon/src/call-path-parts.ts
@@ -13,34 +13,25 @@
 import { TicketIssuer } from '@daisyferry/callpath/ticket-issuer';
 import { ExecutionRecords } from '@daisyferry/execution/execution-records';
 import { mintTicket } from '@daisyferry/execution/ticket';
-import type { TicketCodec } from '@daisyferry/execution/ticket-codec';
-import type { DaemonId, Member, MemberDirectory } from '@daisyferry/model/member';
+import type { Member, MemberDirectory } from '@daisyferry/model/member';
 import type { LimitRule } from '@daisyferry/model/policy';
 import type { PolicyTable } from '@daisyferry/model/policy-table';
-import type { RandomSource, Scheduler } from '@daisyferry/model/scheduler';
-import type { TimelineSink } from '@daisyferry/model/timeline-event';
 import { PurseBook } from '@daisyferry/retries/purse-book';
 import { RetryShare } from '@daisyferry/retries/retry-share';
 import { TargetPicker } from '@daisyferry/routing/target-picker';
-import type { DaemonSettings } from '@daisyferry/settings/daemon-settings';
+import type { DaemonBase } from './daemon-base';
 import type { OwnHome } from './home-http-client';
 import { HomeHttpClient } from './home-http-client';
 import { HttpRootForwarder } from './http-root-forwarder';
-import type { PoolBook } from './pool-book';
 import { TargetHttpClient } from './target-http-client';
 
-export interface CallPathContext {
-  readonly settings: DaemonSettings;
-  readonly self: DaemonId;
+export interface CallPathContext extends Pick<
+  DaemonBase,
+  'settings' | 'self' | 'codec' | 'targetPools' | 'peerPools' | 'scheduler' | 'random' | 'timeline'
+> {
   readonly directory: MemberDirectory;
   readonly policies: PolicyTable;
-  readonly codec: TicketCodec;
   readonly target: LocalTarget;
-  readonly targetPools: PoolBook;
-  readonly peerPools: PoolBook;
-  readonly scheduler: Scheduler;
-  readonly random: RandomSource;
-  readonly timeline: TimelineSink;
   readonly newId: () => string;
 }
 
--- a/packages/daemon/src/control-plane.ts
+++ b/packages/daemon/src/control-plane.ts
@@ -3,27 +3,18 @@
 import { RevisionSurvey } from '@daisyferry/membership/revision-survey';
 import type { Member, MemberView } from '@daisyferry/model/member';
 import { ApplyResult } from '@daisyferry/model/policy-table';
-import type { RandomSource, Scheduler } from '@daisyferry/model/scheduler';
-import type { TimelineSink } from '@daisyferry/model/timeline-event';
 import { PolicyChanges } from '@daisyferry/policies/policy-changes';
 import { PolicyReader } from '@daisyferry/policies/policy-reader';
 import { LocalPolicies } from '@daisyferry/policies/policy-replica';
 import { PolicyStore } from '@daisyferry/policies/policy-store';
-import type { DaemonSettings } from '@daisyferry/settings/daemon-settings';
-import type { PlatformStore } from '@daisyferry/store/platform-store';
-import type { Logger } from 'pino';
-import type { RpcHttp } from './rpc-http';
+import type { DaemonBase } from './daemon-base';
 
-export interface ControlPlaneContext {
-  readonly settings: DaemonSettings;
+export interface ControlPlaneContext extends Pick<
+  DaemonBase,
+  'settings' | 'key' | 'store' | 'rpc' | 'scheduler' | 'random' | 'timeline' | 'logger'
+> {
+  /** What this daemon publishes at its start. */
   readonly member: Member;
-  readonly key: Buffer | undefined;
-  readonly store: PlatformStore;
-  readonly rpc: RpcHttp;
-  readonly scheduler: Scheduler;
-  readonly random: RandomSource;
-  readonly timeline: TimelineSink;
-  readonly logger: Logger;
   readonly onSuperseded: (by: Member) => void;
 }
 
--- a/packages/daemon/src/fleet-start.ts
+++ b/packages/daemon/src/fleet-start.ts
@@ -1,23 +1,15 @@
 import { MemberFetch } from '@daisyferry/membership/member-fetch';
 import { Newcomer } from '@daisyferry/membership/newcomer';
 import { SeedSlots } from '@daisyferry/membership/seed-slots';
-import type { DaemonId } from '@daisyferry/model/member';
-import type { RandomSource, Scheduler, Timer } from '@daisyferry/model/scheduler';
-import type { DaemonSettings } from '@daisyferry/settings/daemon-settings';
-import type { PlatformStore } from '@daisyferry/store/platform-store';
-import type { Logger } from 'pino';
+import type { Timer } from '@daisyferry/model/scheduler';
 import type { ControlPlane } from './control-plane';
-import type { RpcHttp } from './rpc-http';
+import type { DaemonBase } from './daemon-base';
 
-export interface FleetStartParts {
-  readonly settings: DaemonSettings;
-  readonly self: DaemonId;
+export interface FleetStartParts extends Pick<
+  DaemonBase,
+  'settings' | 'self' | 'store' | 'rpc' | 'scheduler' | 'random' | 'logger'
+> {
   readonly control: ControlPlane;
-  readonly store: PlatformStore;
-  readonly rpc: RpcHttp;
-  readonly scheduler: Scheduler;
-  readonly random: RandomSource;
-  readonly logger: Logger;
 }
 
 const SEED_READ_RETRY_MS = 1_000;
--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -2,6 +2,7 @@
 import { problemText } from '@daisyferry/settings/check-settings';
 import yargs from 'yargs';
 import { hideBin } from 'yargs/helpers';
+import type { RunningDaemon } from './running-daemon';
 import { startDaemon } from './start-daemon';
 
 const EXIT_BAD_SETTINGS = 2;
@@ -26,17 +27,19 @@
     .parse();
   const settings = loadDaemonSettings(args.settings);
   if (!settings.ok) fail(settings.problems.map(problemText), EXIT_BAD_SETTINGS);
-  const daemon = await startDaemon(settings.value);
-  process.stdout.write(`${JSON.stringify({ listening: daemon.ports })}\n`);
-  let stopping = false;
+  let running: RunningDaemon | undefined;
+  let isStopping = false;
   const stop = () => {
-    if (stopping) return;
-    stopping = true;
-    daemon.stop().then(
+    if (isStopping) return;
+    isStopping = true;
+    if (running === undefined) process.exit(0);
+    running.stop().then(
       () => process.exit(0),
       (error: unknown) => fail([String(error)], EXIT_FAILED),
     );
   };
+  running = await startDaemon(settings.value, stop);
+  process.stdout.write(`${JSON.stringify({ listening: running.ports })}\n`);
   process.on('SIGTERM', stop);
   process.on('SIGINT', stop);
 }
--- /dev/null
+++ b/packages/daemon/src/serving-parts.ts
@@ -0,0 +1,68 @@
+import { LocalTarget } from '@daisyferry/callpath/local-target';
+import type { CallPathParts } from './call-path-parts';
+import { buildCallPath } from './call-path-parts';
+import type { ControlPlane } from './control-plane';
+import type { DaemonBase } from './daemon-base';
+import { newId } from './daemon-identity';
+import { MeasuredEntry } from './measured-entry';
+import { TargetControl } from './target-control';
+import type { TargetRoutesOptions } from './target-routes';
+
+/** Everything that serves calls: the target's state, the call path and what counts it. */
+export interface ServingParts {
+  readonly target: LocalTarget;
+  readonly targetControl: TargetControl;
+  readonly callPath: CallPathParts;
+  readonly entry: MeasuredEntry;
+  /** Calls that hold a slot of the target or wait for one. */
+  readonly callsInHand: () => number;
+}
+
+const HEARTBEAT_INTERVAL_MS = 500;
+
+function createTarget(base: DaemonBase, control: ControlPlane): LocalTarget {
+  const { logger, timeline, settings } = base;
+  return new LocalTarget(HEARTBEAT_INTERVAL_MS, ({ state, previous }) => {
+    logger.info({ state, previous }, 'target state changed');
+    timeline.emit({ kind: 'target.state', service: settings.service, detail: state });
+    control.membership.publish({ targetState: state === 'left' ? 'leaving' : state });
+  });
+}
+
+/** Builds the parts that serve calls; nothing is started. */
+export function buildServing(base: DaemonBase, control: ControlPlane): ServingParts {
+  const { membership, policies } = control;
+  const target = createTarget(base, control);
+  const { directory } = membership;
+  const callPath = buildCallPath({ ...base, directory, policies, target, newId });
+  const callsInHand = (): number => callPath.activeCalls.size + callPath.gate.waiting;
+  const { admission } = callPath;
+  return {
+    target,
+    targetControl: new TargetControl({ ...base, target, admission, policies, callsInHand }),
+    callPath,
+    entry: new MeasuredEntry(callPath.entry, base.metrics, base.scheduler),
+    callsInHand,
+  };
+}
+
+/** What the routes for the target beside the daemon need. */
+export function targetRoutesOf(
+  { settings, scheduler }: DaemonBase,
+  control: ControlPlane,
+  { target, targetControl, callsInHand }: ServingParts,
+): TargetRoutesOptions {
+  return {
+    daemonName: settings.name,
+    heartbeatIntervalMs: HEARTBEAT_INTERVAL_MS,
+    target,
+    scheduler,
+    inFlight: callsInHand,
+    onAnnounce: (announcement, nowMs) => {
+      targetControl.announce(announcement, nowMs);
+      const { slots = settings.slots, connections = settings.connections } = announcement;
+      control.membership.publish({ slots, connections });
+    },
+    onLeave: (nowMs) => targetControl.leave(nowMs),
+  };
+}
--- a/packages/daemon/src/target-control.ts
+++ b/packages/daemon/src/target-control.ts
@@ -52,6 +52,11 @@
     this.parts.admission.beginWarmUp(nowMs);
   }
 
+  /** Longest wait for calls in progress at a planned stop. */
+  get longestDrainMs(): number {
+    return this.drainRule()?.maxWaitMs ?? DEFAULT_DRAIN_WAIT_MS;
+  }
+
   leave(nowMs: number): void {
     this.parts.target.leave(nowMs);
   }
@@ -61,9 +66,8 @@
     const { target, scheduler } = this.parts;
     this.leave(scheduler.nowMs());
     if (target.state !== 'leaving') return 'drained';
-    const maxWaitMs = this.drainRule()?.maxWaitMs ?? DEFAULT_DRAIN_WAIT_MS;
     return new Promise((resolve) => {
-      const timer = scheduler.after(maxWaitMs, () => resolve('timeout'));
+      const timer = scheduler.after(this.longestDrainMs, () => resolve('timeout'));
       this.drained.push(() => {
         timer.cancel();
         resolve('drained');
