--- a/packages/admission/tests/support/surge.ts
+++ b/packages/admission/tests/support/surge.ts
@@ -14,10 +14,15 @@
   /** Concurrency at which the deep service has its knee, if it has one below its slots. */
   readonly kneeAt?: number;
   readonly entries?: number;
+  /** Mean service time of the deep service at full speed. */
+  readonly deepServiceMs?: number;
+  readonly deepHomes?: number;
   /** Budget of each request. */
   readonly deadlineMs?: number;
-  /** Mean time that callers wait beyond the first 100 ms. */
+  /** Mean time that callers wait beyond the least. */
   readonly meanPatienceMs?: number;
+  /** Least time that callers wait. */
+  readonly minPatienceMs?: number;
   /** Slots of each target in front of the deep service. */
   readonly upperSlots?: number;
   readonly surgeFactor?: number;
@@ -52,6 +57,7 @@
 const NORMAL_SHARE = 0.8;
 const DEADLINE_MS = 1_000;
 const MEAN_PATIENCE_MS = 400;
+const MIN_PATIENCE_MS = 100;
 const CALLER_RETRIES = 3;
 const CALLER_RETRY_MS = 50;
 const CLASS_SHARES: readonly number[] = [0.1, 0.6, 0.2, 0.1];
@@ -79,8 +85,11 @@
     surgeFactor = 3,
     slowFactor = 2,
     upperSlots = 170,
+    deepServiceMs = DEEP_SERVICE_MS,
+    deepHomes = DEEP_HOMES,
     deadlineMs = DEADLINE_MS,
     meanPatienceMs = MEAN_PATIENCE_MS,
+    minPatienceMs = MIN_PATIENCE_MS,
   } = options;
   const generator = xoroshiro128plus(options.seed ?? 1);
   const random = (): number => (generator.unsafeNext() + 0x8000_0000) / 0x1_0000_0000;
@@ -93,12 +102,12 @@
     { name: 'archive', homes: 2, slots: upperSlots, serviceMs: () => 6 * spread() },
     {
       name: 'pricing',
-      homes: DEEP_HOMES,
+      homes: deepHomes,
       slots: DEEP_SLOTS,
       serviceMs: (inProgress, nowMs) => {
         const slow = isSurge(nowMs) ? slowFactor : 1;
         const crowding = Math.max(1, inProgress / (options.kneeAt ?? DEEP_SLOTS));
-        return DEEP_SERVICE_MS * slow * crowding * spread();
+        return deepServiceMs * slow * crowding * spread();
       },
     },
   ];
@@ -113,7 +122,7 @@
     retriesPerHop: 3,
   });
   const capacityPerMs =
-    (DEEP_HOMES * Math.min(DEEP_SLOTS, options.kneeAt ?? DEEP_SLOTS)) / DEEP_SERVICE_MS;
+    (deepHomes * Math.min(DEEP_SLOTS, options.kneeAt ?? DEEP_SLOTS)) / deepServiceMs;
   const callers = Array.from({ length: options.entries ?? 4 }, () => new Caller());
   const buckets = RUN_END_MS / BUCKET_MS;
   const report: SurgeReport = {
@@ -166,7 +175,7 @@
       const leave = chain.call(caller, 0, { id, rank, deadlineAtMs }, (result) =>
         end(result === 'completed'),
       );
-      loop.after(Math.min(deadlineMs, 100 + exponential(meanPatienceMs)), () => {
+      loop.after(Math.min(deadlineMs, minPatienceMs + exponential(meanPatienceMs)), () => {
         if (isOver) return;
         leave();
         end(false);
--- a/packages/callpath/tests/golden-sessions.test.ts
+++ b/packages/callpath/tests/golden-sessions.test.ts
@@ -2,9 +2,9 @@
 import { FakeCaller } from './support/fake-caller';
 import { World } from './support/world';
 
-const BURST_CALLS = 24;
+const BURST_CALLS = 40;
 const CALLS_AFTER = 6;
-const BETWEEN_MS = 4;
+const BETWEEN_MS = 2;
 const RECOVERY_MS = 1_200;
 
 /** Whole sessions; every message and event of each stands in its golden file. */
