Scale the least delay target with the root of the limit

Cause: half a service time is 400 ms of queue for a service of 800 ms, more than its policy's bound. Change: the floor is the time of as many calls as the root of the limit.

--- a/packages/admission/src/admission-controller.ts
+++ b/packages/admission/src/admission-controller.ts
@@ -31,8 +31,6 @@
 
 /** Service time assumed before the first answer. */
 const ASSUMED_SERVICE_MS = 10;
-/** Least queueing delay aimed at, as a share of the mean service time. */
-const LEAST_TARGET_SHARE = 0.5;
 
 /** An admitted call that holds a slot. */
 interface RunningCall {
@@ -235,9 +233,13 @@
     return this.drainMs(this.queue.length, nowMs);
   }
 
-  /** The queueing delay aimed at; a shorter one than the floor would leave slots idle. */
+  /**
+   * The queueing delay aimed at. Its floor is the time of as many calls as the root of the limit:
+   * arrivals vary by about that many, and a shorter queue would leave slots idle.
+   */
   private targetMs(): number {
-    return Math.max(this.limits.queueDelayTargetMs, LEAST_TARGET_SHARE * this.meanServiceMs());
+    const floorMs = this.meanServiceMs() / Math.sqrt(this.limit.current(this.lastSeenMs));
+    return Math.max(this.limits.queueDelayTargetMs, floorMs);
   }
 
   private rollThreshold(nowMs: number): void {
