--- a/packages/admission/tests/overload.test.ts
+++ b/packages/admission/tests/overload.test.ts
@@ -7,6 +7,19 @@
   { name: 'scarce upper slots', options: { upperSlots: 50 }, leastGoodput: 0.95 },
   { name: 'a knee at half the slots', options: { kneeAt: 8 }, leastGoodput: 0.92 },
   { name: 'budgets of 120 ms', options: { deadlineMs: 120 }, leastGoodput: 0.95 },
+  {
+    name: 'a deep service of 400 ms at full speed',
+    options: {
+      deepServiceMs: 400,
+      deepHomes: 4,
+      slowFactor: 1,
+      deadlineMs: 1_500,
+      minPatienceMs: 900,
+      meanPatienceMs: 1_100,
+      limits: { queueDelayTargetMs: 20, maxQueueMs: 300 },
+    },
+    leastGoodput: 0.95,
+  },
   { name: 'hasty callers', options: { meanPatienceMs: 50 }, leastGoodput: 0.95 },
   {
     name: 'a long delay target',
--- a/packages/callpath/tests/support/fake-caller.ts
+++ b/packages/callpath/tests/support/fake-caller.ts
@@ -12,6 +12,8 @@
   /** The ticket sent with the try. */
   readonly sentTicket: string | undefined;
   readonly nextTicket: string | undefined;
+  /** Time after which a refused caller may come back. */
+  readonly retryAfterMs: number;
   readonly body: string;
 }
 
@@ -68,7 +70,7 @@
         sawTicket = true;
         this.onTicket();
       }
-      await this.world.wait(WAIT_MS[told.outcome]);
+      await this.world.wait(Math.max(WAIT_MS[told.outcome], told.retryAfterMs));
     }
     this.onAnswer();
     const sent = this.told.at(-1)?.sentTicket;
@@ -79,8 +81,9 @@
 
   private record(told: Told): void {
     this.told.push(told);
-    const { outcome, reason, nextTicket = 'none' } = told;
-    this.world.note(`${this.name} told ${outcome} ${reason} next ticket ${nextTicket}`);
+    const { outcome, reason, nextTicket = 'none', retryAfterMs } = told;
+    const shown = `${outcome} ${reason} retry after ${retryAfterMs} next ticket ${nextTicket}`;
+    this.world.note(`${this.name} told ${shown}`);
   }
 
   private entry(): EntryDaemon {
@@ -94,7 +97,13 @@
     const cancellation = new Cancellation();
     const request = this.requestOf(ticketText, cancellation);
     this.world.note(`${this.name} -> ${entry.id.name} ${this.kind} ticket ${ticketText ?? 'none'}`);
-    const none = { rootId: '', sentTicket: ticketText, nextTicket: undefined, body: '' };
+    const none = {
+      rootId: '',
+      sentTicket: ticketText,
+      nextTicket: undefined,
+      retryAfterMs: 0,
+      body: '',
+    };
     return new Promise((resolve) => {
       const { base } = this.world;
       const lost = (reason: string): void => resolve({ ...none, outcome: 'lost', reason });
@@ -149,6 +158,7 @@
       rootId,
       sentTicket,
       nextTicket: ticket,
+      retryAfterMs: 'retryAfterMs' in result ? result.retryAfterMs : 0,
       body: hasBody && result.body.kind === 'held' ? result.body.bytes.toString() : '',
     };
   }
