--- a/packages/cli/tests/command-line.test.ts
+++ b/packages/cli/tests/command-line.test.ts
@@ -1,12 +1,14 @@
 import { readFileSync } from 'node:fs';
+import { Code, ConnectError } from '@connectrpc/connect';
 import { describe, expect, it } from 'vitest';
 import { FakeCluster } from './fake-cluster';
 
-const EXAMPLE = new URL('../../../examples/dorado/policies/teller.json', import.meta.url);
+const EXAMPLES = new URL('../../../examples/dorado/policies/', import.meta.url);
 
 type Step = string | ((cluster: FakeCluster) => unknown);
 
-const teller = readFileSync(EXAMPLE, 'utf8');
+const teller = readFileSync(new URL('teller.json', EXAMPLES), 'utf8');
+const vault = readFileSync(new URL('vault.json', EXAMPLES), 'utf8');
 const fewerRetries = teller.replace('"tokensPerRoot": 3', '"tokensPerRoot": 1');
 const broken = teller.replace('"class": "money"', '"class": "monet"');
 
@@ -14,10 +16,18 @@
   return (cluster) => cluster.store.setFaults({ mode, delayMs: 0 });
 }
 
+function withFailure(failure: Error): Step {
+  return (cluster) => {
+    Object.assign(cluster, { failure });
+  };
+}
+
+const REFUSED = Object.assign(new Error('connect ECONNREFUSED'), { code: 'ECONNREFUSED' });
+
 const SESSIONS: Readonly<Record<string, readonly Step[]>> = {
   'policy-life': [
     'policy list',
-    'policy apply teller.json --dry-run',
+    'policy apply teller.json vault.json --dry-run',
     'policy apply teller.json',
     'policy apply teller.json --expected-revision 0',
     'policy diff fewer-retries.json',
@@ -41,6 +51,9 @@
     'policy apply teller.json --operation-id once',
     'policy apply fewer-retries.json --operation-id once',
     'policy get vault',
+    'policy apply vault.json broken.json vault.json',
+    'policy apply vault.json teller.json --expected-revision 2',
+    'policy list',
   ],
   'store-faults': [
     withFaults('down'),
@@ -57,6 +70,22 @@
     'policy settle never-sent',
     'policy apply teller.json --operation-id never-sent',
   ],
+  'daemon-lost': [
+    withFailure(new ConnectError('socket hang up', Code.Aborted)),
+    'policy apply teller.json --expected-revision 0 --operation-id lost',
+    'policy settle lost',
+    'drain',
+    withFailure(
+      new ConnectError('connect ECONNREFUSED', Code.Unavailable, undefined, undefined, REFUSED),
+    ),
+    'policy apply teller.json --expected-revision 0',
+    'members',
+    withFailure(new ConnectError('deadline exceeded', Code.DeadlineExceeded)),
+    'policy withdraw teller --expected-revision 1 --operation-id late',
+    'status',
+    withFailure(new TypeError('a fault of the program')),
+    'status',
+  ],
   fleet: [
     'members',
     'members --service vault --json',
@@ -71,6 +100,7 @@
   settings: [
     'settings check good.json',
     'settings check bad.json',
+    'settings check open.json',
     'settings check bad.json --json',
     'settings schema --output schema.json',
   ],
@@ -82,6 +112,8 @@
     'policy',
     'drain --forced',
     'explain --limit 0',
+    'explain --limit 1 --limit 2',
+    'members --service a --service b',
   ],
 };
 
@@ -105,15 +137,23 @@
   store: { endpoints: ['http://127.0.0.1:2379'] },
 };
 
+const openListeners = {
+  ...settings.listeners,
+  admin: { address: '10.0.0.1', port: 7_400 },
+  gossip: { address: '10.0.0.1', port: 7_301 },
+};
+
 function openCluster(): FakeCluster {
   const cluster = new FakeCluster();
   const files = {
     'teller.json': teller,
     'fewer-retries.json': fewerRetries,
+    'vault.json': vault,
     'broken.json': broken,
     'text.json': 'teller',
     'good.json': JSON.stringify(settings),
-    'bad.json': JSON.stringify({ ...settings, slots: 'many', zone: 1 }),
+    'open.json': JSON.stringify({ ...settings, listeners: openListeners }),
+    'bad.json': JSON.stringify({ ...settings, slots: 'many', zone: 1, advertisedAddress: 'here' }),
   };
   for (const [file, text] of Object.entries(files)) cluster.files.set(file, text);
   return cluster;
