Learn nothing from calls that never reached their target

Cause: a call that could not be sent, or whose target was killed, was reported as abandoned: the daemon learned from it that callers leave early, and a service time near zero. Change: finish report notSent; a lost target counts as failed unless the caller had left. Conclusion: patience and capacity are learned from served calls only.

--- a/packages/admission/src/admission-controller.ts
+++ b/packages/admission/src/admission-controller.ts
@@ -366,6 +366,8 @@
       case 'shedByTarget':
         this.limit.noteShed(nowMs);
         return;
+      case 'notSent':
+        return;
       default:
         throw new AdmissionError(`unknown finish report ${String(report.kind satisfies never)}`);
     }
--- a/packages/admission/src/admission-counters.ts
+++ b/packages/admission/src/admission-counters.ts
@@ -12,6 +12,7 @@
     failed: 0,
     shedByTarget: 0,
     abandoned: 0,
+    notSent: 0,
   };
 
   readonly refused: Partial<Record<RefusalReasonName, number>> = {};
--- a/packages/admission/src/admission-request.ts
+++ b/packages/admission/src/admission-request.ts
@@ -41,9 +41,10 @@
  * - `failed`: the target answered with an error of its own, or was lost.
  * - `shedByTarget`: the target refused the call before any work.
  * - `abandoned`: the caller left or the deadline passed, and the target was told to stop.
+ * - `notSent`: the target could not be reached; nothing is learned from it.
  */
 export interface FinishReport {
-  readonly kind: 'completed' | 'failed' | 'shedByTarget' | 'abandoned';
+  readonly kind: 'completed' | 'failed' | 'shedByTarget' | 'abandoned' | 'notSent';
 }
 
 /** State of the admission of one daemon, for metrics and `explain`. */
--- a/packages/admission/tests/admission-controller.test.ts
+++ b/packages/admission/tests/admission-controller.test.ts
@@ -168,6 +168,17 @@
     expect(unramped.snapshot(0).limit).toBe(100);
   });
 
+  it('learns nothing from calls that never reached the target', () => {
+    const controller = controllerWith(1);
+    const startMs = serve(controller, 100, 25);
+    const before = controller.snapshot(startMs).meanServiceMs;
+    for (let call = 0; call < 100; call++) {
+      controller.offer(request(`n${call}`), startMs);
+      controller.finish(`n${call}`, { kind: 'notSent' }, startMs);
+    }
+    expect(controller.snapshot(startMs)).toMatchObject({ meanServiceMs: before, inFlight: 0 });
+  });
+
   it('tells refused callers a later time the longer the backlog is', () => {
     const controller = controllerWith(1);
     const startMs = serve(controller, 100, 25);
--- a/packages/callpath/src/target-execution.ts
+++ b/packages/callpath/src/target-execution.ts
@@ -176,7 +176,9 @@
   if (home.ticket !== undefined) {
     parts.records.lost(home.ticket.nonce, reason, parts.scheduler.nowMs());
   }
-  execution.close({ kind: 'abandoned' });
+  // A target that was lost says nothing of how long its callers wait.
+  const callerLeft = execution.cancellation.reason !== undefined;
+  execution.close({ kind: callerLeft ? 'abandoned' : 'failed' });
   parts.timeline.emit({ kind: 'call.unknown', ...home.trace, detail: reason });
   return unknown(reason);
 }
@@ -189,7 +191,7 @@
   if (home.ticket !== undefined) {
     parts.records.targetShed(home.ticket.nonce, parts.scheduler.nowMs());
   }
-  execution.close({ kind: 'abandoned' });
+  execution.close({ kind: 'notSent' });
   parts.target.lost();
   return refusal(RefusalReason.noTarget, NO_TARGET_RETRY_MS);
 }
