--- a/packages/callpath/tests/support/fake-target.ts
+++ b/packages/callpath/tests/support/fake-target.ts
@@ -28,6 +28,9 @@
   /** Called when an execution starts. */
   onStart: (execution: Execution) => void = () => undefined;
 
+  /** Called when a call handed over has its result. */
+  onEnd: (rootId: string, kind: HandOverResult['kind']) => void = () => undefined;
+
   constructor(
     private readonly name: string,
     private readonly daemon: FakeProcess,
@@ -43,6 +46,7 @@
     return new Promise((settle) => {
       const resolve = (result: HandOverResult): void => {
         if (!this.open.delete(resolve)) return;
+        this.onEnd(call.rootId, result.kind);
         this.daemon.run(() => settle(result));
       };
       this.open.add(resolve);
