Let the generators run from any shell

Cause: node scripts/generate.mjs failed outside npm, since it did not find buf. Change: the script puts the installed binaries on the path itself. Conclusion: the check of generated code does not depend on the caller.

--- a/scripts/generate.mjs
+++ b/scripts/generate.mjs
@@ -52,11 +52,15 @@
   });
 }
 
+// The generators stand in node_modules; buf finds its plugin by the path, too.
+const binaries = path.resolve('node_modules/.bin');
+const env = { ...process.env, PATH: [binaries, process.env.PATH].join(path.delimiter) };
+
 let stale = 0;
 for (const { name, output, command } of generators) {
   const target = check ? mkdtempSync(path.join(tmpdir(), 'daisyferry-generate-')) : output;
   const [program, ...args] = command(target);
-  execFileSync(program, args, { stdio: 'inherit' });
+  execFileSync(program, args, { stdio: 'inherit', env });
   if (check) {
     for (const file of differences(output, target)) {
       console.error(`generated code is stale: ${name}: ${file}`);
