--- a/packages/bench/src/fleet-run.ts
+++ b/packages/bench/src/fleet-run.ts
@@ -24,7 +24,7 @@
 const CHANGE_INTERVAL_MS = 300;
 const KILLED = 20;
 const STEADY_MS = 10_000;
-const CONVERGE_TIMEOUT_MS = 40_000;
+const CONVERGE_TIMEOUT_MS = 30_000;
 const DETECTION_TIMEOUT_MS = 20_000;
 const SETTLE_MS = 2_000;
 
@@ -52,7 +52,13 @@
     const store = await StoreProcess.start(this.context.programs.storeStandIn, this.context.group);
     await this.startDaemons(store.url);
     for (let index = 0; index < SERVICES; index += 1) await this.change(index);
-    await this.waitForAll('policies in force', 'daisyferry_policy_ready', 1, this.daemons);
+    await this.waitForAll(
+      'policies in force',
+      'daisyferry_policy_ready',
+      1,
+      this.daemons,
+      CONVERGE_TIMEOUT_MS,
+    );
     await sleep(SETTLE_MS);
     await this.measureSpan('steady', this.daemons, () => sleep(STEADY_MS));
     const before = await store.counts();
@@ -132,7 +138,13 @@
       await Promise.all(batch.map((daemon) => daemon.start()));
       this.context.report(`fleet: ${first + batch.length} daemons started`);
     }
-    await this.waitForAll('members known', 'daisyferry_members', DAEMONS, this.daemons);
+    await this.waitForAll(
+      'members known',
+      'daisyferry_members',
+      DAEMONS,
+      this.daemons,
+      CONVERGE_TIMEOUT_MS,
+    );
   }
 
   /** Changes the policy of one service at a random daemon. */
@@ -165,7 +177,13 @@
     await this.measureSpan('loss', survivors, async () => {
       for (const daemon of killed) daemon.signal('SIGKILL');
       try {
-        await this.waitForAll('loss noticed', 'daisyferry_members', survivors.length, survivors);
+        await this.waitForAll(
+          'loss noticed',
+          'daisyferry_members',
+          survivors.length,
+          survivors,
+          DETECTION_TIMEOUT_MS,
+        );
       } catch (error) {
         this.context.report(String(error));
       }
@@ -205,12 +223,13 @@
     metric: string,
     value: number,
     daemons: readonly DaemonProcess[],
+    timeoutMs: number,
   ): Promise<void> {
-    const timeoutMs = metric === 'daisyferry_members' ? CONVERGE_TIMEOUT_MS : DETECTION_TIMEOUT_MS;
     await waitUntil(`fleet: ${what}`, timeoutMs, async () => {
       const usages = [...(await this.usages(daemons)).values()];
-      const lagging = usages.filter(({ metrics }) => metrics.get(metric) !== value).length;
-      if (lagging > 0) throw new Error(`${lagging} of ${usages.length} daemons lag`);
+      const values = usages.map(({ metrics }) => metrics.get(metric) ?? 0);
+      const lagging = values.filter((found) => found !== value);
+      if (lagging.length > 0) throw new Error(`${lagging.length} lag: ${lagging.join(' ')}`);
       return true;
     });
   }
--- a/packages/bench/src/members-run.ts
+++ b/packages/bench/src/members-run.ts
@@ -10,12 +10,7 @@
 const DURATION_MS = 60_000;
 
 function startScaleProcess({ group, programs }: BenchContext, order: ScaleOrder): StartedProcess {
-  return group.start(
-    order.role,
-    programs.bench,
-    ['scale-process', JSON.stringify(order)],
-    nodeArgs,
-  );
+  return group.start(order.role, programs.bench, ['scale-process', JSON.stringify(order)]);
 }
 
 /**
--- a/packages/daemon/src/register-gauges.ts
+++ b/packages/daemon/src/register-gauges.ts
@@ -63,6 +63,11 @@
     'Times that the store was behind the policies in force.',
     ({ control }) => control.reader.counters.regressions,
   ],
+  [
+    'daisyferry_heap_used_bytes',
+    'Heap in use, garbage that is not collected yet included.',
+    () => process.memoryUsage().heapUsed,
+  ],
   [
     'daisyferry_gossip_bytes_in',
     'Bytes of gossip received, headers included.',
