Build the call path from a home part and an entry part

Cause: one function of 110 lines built both sides of the call path; the result of a lost call was worked out in two places. Change: context, home parts and entry parts in files of their own; lostResult in one place. Conclusion: no change of behaviour.

--- a/packages/callpath/src/attempts.ts
+++ b/packages/callpath/src/attempts.ts
@@ -1,6 +1,6 @@
 import type { Ticket } from '@daisyferry/execution/ticket';
 import type { Member } from '@daisyferry/model/member';
-import { Outcome, RefusalReason, UnknownReason } from '@daisyferry/model/outcome';
+import { Outcome, RefusalReason } from '@daisyferry/model/outcome';
 import type { Scheduler } from '@daisyferry/model/scheduler';
 import type { TimelineKindName, TimelineSink } from '@daisyferry/model/timeline-event';
 import { TimelineKind } from '@daisyferry/model/timeline-event';
@@ -10,7 +10,7 @@
 import type { CallResult, HomeClient, SendResult } from './call-message';
 import type { EntryCall } from './entry-call';
 import { attemptVerdict, pickerResultOf, resultAfter } from './attempt-verdict';
-import { refusal, unknown } from './results';
+import { lostResult, refusal } from './results';
 
 export interface AttemptParts {
   readonly picker: TargetPicker;
@@ -94,11 +94,7 @@
     case 'connect-failed':
       return refusal(RefusalReason.noTarget, NO_TARGET_RETRY_MS);
     case 'lost':
-      return unknown(
-        entry.request.cancellation.reason === 'deadline-passed'
-          ? UnknownReason.deadlineWhileRunning
-          : UnknownReason.homeLost,
-      );
+      return lostResult(entry.request.cancellation);
     default:
       throw new Error(`unexpected result ${String(sent satisfies never)}`);
   }
--- a/packages/callpath/src/results.ts
+++ b/packages/callpath/src/results.ts
@@ -4,7 +4,9 @@
   UnknownOutcome,
   UnknownReasonName,
 } from '@daisyferry/model/outcome';
-import { Outcome } from '@daisyferry/model/outcome';
+import { Outcome, UnknownReason } from '@daisyferry/model/outcome';
+import type { Cancellation } from './cancellation';
+import { CancelReason } from './cancellation';
 
 /** Builds a refusal: the call was not run. */
 export function refusal(reason: RefusalReasonName, retryAfterMs: number): Refusal {
@@ -15,3 +17,9 @@
 export function unknown(reason: UnknownReasonName): UnknownOutcome {
   return { outcome: Outcome.unknown, reason };
 }
+
+/** Outcome of a call that was sent and has no answer, by why its caller stopped waiting. */
+export function lostResult(cancellation: Cancellation): UnknownOutcome {
+  const isTimeout = cancellation.reason === CancelReason.deadlinePassed;
+  return unknown(isTimeout ? UnknownReason.deadlineWhileRunning : UnknownReason.homeLost);
+}
--- a/packages/callpath/src/ticketed-call.ts
+++ b/packages/callpath/src/ticketed-call.ts
@@ -5,7 +5,7 @@
 import { sendAttempt } from './attempts';
 import type { CallResult } from './call-message';
 import type { EntryCall } from './entry-call';
-import { unknown } from './results';
+import { lostResult, unknown } from './results';
 
 export interface TicketedParts extends AttemptParts {
   readonly directory: MemberDirectory;
@@ -33,11 +33,7 @@
     case 'connect-failed':
       return unknown(UnknownReason.homeUnreachable);
     case 'lost':
-      return unknown(
-        entry.request.cancellation.reason === 'deadline-passed'
-          ? UnknownReason.deadlineWhileRunning
-          : UnknownReason.homeLost,
-      );
+      return lostResult(entry.request.cancellation);
     default:
       throw new Error(`unexpected result ${String(sent satisfies never)}`);
   }
--- /dev/null
+++ b/packages/daemon/src/call-path-context.ts
@@ -0,0 +1,15 @@
+import type { LocalTarget } from '@daisyferry/callpath/local-target';
+import type { MemberDirectory } from '@daisyferry/model/member';
+import type { PolicyTable } from '@daisyferry/model/policy-table';
+import type { DaemonBase } from './daemon-base';
+
+/** What the parts that serve calls build on. */
+export interface CallPathContext extends Pick<
+  DaemonBase,
+  'settings' | 'self' | 'codec' | 'targetPools' | 'peerPools' | 'scheduler' | 'random' | 'timeline'
+> {
+  readonly directory: MemberDirectory;
+  readonly policies: PolicyTable;
+  readonly target: LocalTarget;
+  readonly newId: () => string;
+}
--- a/packages/daemon/src/target-control.ts
+++ b/packages/daemon/src/target-control.ts
@@ -3,7 +3,7 @@
 import type { PolicyTable } from '@daisyferry/model/policy-table';
 import type { Scheduler, Timer } from '@daisyferry/model/scheduler';
 import type { DaemonSettings } from '@daisyferry/settings/daemon-settings';
-import { LIMITS_BEFORE_POLICY } from './call-path-parts';
+import { LIMITS_BEFORE_POLICY } from './home-parts';
 import type { Announcement } from './target-routes';
 
 const TICK_MS = 100;
