Refuse at the first home what its nested calls would meet

Cause: an entry that calls a home less than once a second has forgotten its threshold before the next call, so the work of the hops in front of the overloaded service was spent in vain. Change: the home refuses as shed-downstream, before admission, a call that its own nested calls would meet; never money. Conclusion: refusal before work no longer depends on how often an entry calls.

--- a/packages/admission/src/downstream-thresholds.ts
+++ b/packages/admission/src/downstream-thresholds.ts
@@ -1,4 +1,6 @@
-import { MAX_THRESHOLD, MIN_THRESHOLD } from './priority';
+import type { CallClassRank } from '@daisyferry/model/call-class';
+import { CallClass } from '@daisyferry/model/call-class';
+import { MAX_THRESHOLD, MIN_THRESHOLD, priorityOf } from './priority';
 import { THRESHOLD_FORGET_MS, recoveredThreshold } from './threshold-recovery';
 
 interface NestedThreshold {
@@ -38,4 +40,20 @@
     }
     return least;
   }
+
+  /** Whether a call of a method can pass its nested calls; money always may try. */
+  admits(method: string, rank: CallClassRank, rootHash: number, nowMs: number): boolean {
+    if (rank === CallClass.money) return true;
+    return priorityOf(rank, rootHash) < this.fold(method, MAX_THRESHOLD, nowMs);
+  }
+
+  /** Time after which nothing would be shed for nested calls if nothing more were heard. */
+  retryAfterMs(method: string, nowMs: number): number {
+    let latestMs = nowMs;
+    for (const { threshold, heardAtMs } of this.byMethod.get(method)?.values() ?? []) {
+      if (threshold >= MAX_THRESHOLD) continue;
+      latestMs = Math.max(latestMs, heardAtMs + THRESHOLD_FORGET_MS);
+    }
+    return Math.ceil(latestMs - nowMs);
+  }
 }
--- a/packages/admission/tests/downstream-thresholds.test.ts
+++ b/packages/admission/tests/downstream-thresholds.test.ts
@@ -24,4 +24,16 @@
     expect(downstream.fold('quote', 4, 625)).toBe(2.5);
     expect(downstream.fold('quote', 4, 1_000)).toBe(4);
   });
+
+  it('refuses what its nested calls would meet, but never money', () => {
+    const downstream = new DownstreamThresholds();
+    downstream.observeNested('quote', 1.5, 0, 'pricing/quote');
+    expect(downstream.admits('quote', 1, 0.4, 0)).toBe(true);
+    expect(downstream.admits('quote', 1, 0.6, 0)).toBe(false);
+    expect(downstream.admits('quote', 0, 0.99, 0)).toBe(true);
+    expect(downstream.admits('board', 3, 0.99, 0)).toBe(true);
+    expect(downstream.retryAfterMs('quote', 400)).toBe(600);
+    expect(downstream.admits('quote', 1, 0.6, 1_000)).toBe(true);
+    expect(downstream.retryAfterMs('quote', 1_000)).toBe(0);
+  });
 });
--- a/packages/admission/tests/overload.test.ts
+++ b/packages/admission/tests/overload.test.ts
@@ -4,6 +4,7 @@
 const cases = [
   { name: 'three hops of 1 ms', options: {}, leastGoodput: 0.95 },
   { name: 'forty entries, 3 ms', options: { entries: 40, latencyMs: 3 }, leastGoodput: 0.95 },
+  { name: 'four thousand entries', options: { entries: 4_000 }, leastGoodput: 0.95 },
   { name: 'scarce upper slots', options: { upperSlots: 50 }, leastGoodput: 0.95 },
   { name: 'a knee at half the slots', options: { kneeAt: 8 }, leastGoodput: 0.92 },
   { name: 'budgets of 120 ms', options: { deadlineMs: 120 }, leastGoodput: 0.95 },
--- a/packages/admission/tests/support/chain.ts
+++ b/packages/admission/tests/support/chain.ts
@@ -132,6 +132,12 @@
     home.calls.set(callId, new PendingCall(callId, root, home, onEnd));
     const { rank, deadlineAtMs } = root;
     const rootHash = rootHashOf(root.id);
+    const { nowMs } = this.options.loop;
+    const call = home.calls.get(callId);
+    if (!this.options.isBaseline && !home.downstream.admits(METHOD, rank, rootHash, nowMs)) {
+      if (call !== undefined) this.end(call, 'refused');
+      return;
+    }
     const request = { callId, method: METHOD, rank, rootHash, deadlineAtMs };
     this.apply(home, home.admission.offer(request, this.options.loop.nowMs));
   }
--- a/packages/callpath/src/call-home.ts
+++ b/packages/callpath/src/call-home.ts
@@ -81,6 +81,8 @@
   private async admitAndExecute(home: HomeCall): Promise<CallResult> {
     if (!home.takesWork) return this.refuse(home.call, this.refusalOfTarget());
     if (this.parts.gate.holds(home.call.callId)) return this.rejectDuplicate(home);
+    const shed = this.shedDownstream(home);
+    if (shed !== undefined) return this.refuse(home.call, shed);
     const decision = await this.parts.gate.admit(home);
     if (decision.kind === 'refused') return this.refuse(home.call, decision.refusal);
     const { timeline } = this.parts;
@@ -97,6 +99,17 @@
     return this.refuse(home.call, refusal(RefusalReason.badRequest, 0));
   }
 
+  /**
+   * Refuses a call whose nested calls would be shed, before any work. Entries that call this home
+   * rarely do not know that threshold.
+   */
+  private shedDownstream({ method, rank, rootHash }: HomeCall): Refusal | undefined {
+    const { downstream, scheduler } = this.parts;
+    const nowMs = scheduler.nowMs();
+    if (downstream.admits(method, rank, rootHash, nowMs)) return undefined;
+    return refusal(RefusalReason.shedDownstream, downstream.retryAfterMs(method, nowMs));
+  }
+
   private refusalOfTarget(): Refusal {
     const { state } = this.parts.target;
     if (state === 'leaving' || state === 'left') {
--- a/packages/callpath/tests/support/home-daemon.ts
+++ b/packages/callpath/tests/support/home-daemon.ts
@@ -32,6 +32,8 @@
 
   readonly activeCalls = new ActiveCalls();
 
+  readonly downstream = new DownstreamThresholds();
+
   readonly home: CallHome;
 
   constructor(
@@ -59,7 +61,7 @@
       records: this.records,
       admission: this.admission,
       gate: this.gate,
-      downstream: new DownstreamThresholds(),
+      downstream: this.downstream,
       activeCalls: this.activeCalls,
       target: this.localTarget,
       targetClient: this.target,
