Report the median and the gaps of the fleet's loss detection

Cause: a single missed pair of survivor and killed daemon hid all that was detected. Change: detectionP50Ms and detectionMissing beside detectionMaxMs.

--- a/packages/bench/src/fleet-report.ts
+++ b/packages/bench/src/fleet-report.ts
@@ -20,6 +20,10 @@
   readonly propagationMaxMs: number | null;
   /** From the kill until the last survivor takes the last killed daemon for lost; null if never. */
   readonly detectionMaxMs: number | null;
+  /** Median over the pairs of a survivor and a killed daemon; null if unmeasured. */
+  readonly detectionP50Ms: number | null;
+  /** Pairs in which the survivor noticed nothing. */
+  readonly detectionMissing: number;
   /** Times that a daemon applied a lower revision than before. */
   readonly revertedRevisions: number;
   readonly storeReads: number;
--- a/packages/bench/src/fleet-run.ts
+++ b/packages/bench/src/fleet-run.ts
@@ -4,11 +4,12 @@
 import { DaemonProcess } from './daemon-process';
 import type { ControlCost, FleetReport } from './fleet-report';
 import {
-  detectionMaxMs,
+  detectionOf,
   propagationOf,
   readTimeline,
   revertedRevisions,
   type AcceptedChange,
+  type Detection,
   type FleetEvent,
 } from './fleet-timeline';
 import { summarizeMs } from './latency';
@@ -84,13 +85,14 @@
   private reportOf(
     changes: readonly AcceptedChange[],
     timelines: readonly (readonly FleetEvent[])[],
-    loss: { readonly detectedMs: number | null; readonly usages: Usages },
+    loss: { readonly detection: Detection; readonly usages: Usages },
     store: { readonly storeReads: number; readonly storeWrites: number },
   ): FleetReport {
     const { timesMs, missing } = propagationOf(changes, timelines);
     if (missing > 0)
       this.context.report(`${missing} times a daemon did not apply an accepted change`);
     const { p50Ms, p99Ms, maxMs } = summarizeMs(timesMs);
+    const detection = summarizeMs(loss.detection.timesMs);
     const costs = Object.values(this.spans);
     const heaps = [...loss.usages.values()].map(({ heapBytes }) => heapBytes);
     return {
@@ -105,7 +107,9 @@
         propagationP50Ms: p50Ms,
         propagationP99Ms: p99Ms,
         propagationMaxMs: missing > 0 ? null : maxMs,
-        detectionMaxMs: loss.detectedMs,
+        detectionMaxMs: loss.detection.missing > 0 ? null : detection.maxMs,
+        detectionP50Ms: detection.p50Ms,
+        detectionMissing: loss.detection.missing,
         revertedRevisions: revertedRevisions(timelines),
         ...store,
         controlBytesPerSecond: Math.max(...costs.map((cost) => cost.controlBytesPerSecond)),
@@ -171,7 +175,7 @@
     return { revision: Number(answer.revision), askedAtMs };
   }
 
-  private async loseDaemons(): Promise<{ detectedMs: number | null; usages: Usages }> {
+  private async loseDaemons(): Promise<{ detection: Detection; usages: Usages }> {
     const killed = this.daemons.filter((_, index) => index % (DAEMONS / KILLED) === 0);
     const survivors = this.daemons.filter((daemon) => !killed.includes(daemon));
     const killedAtMs = wallClockMs();
@@ -182,7 +186,7 @@
     const timelines = await this.timelines(survivors);
     const names = killed.map(({ plan }) => plan.name);
     const usages = await this.usages(survivors);
-    return { detectedMs: detectionMaxMs(names, killedAtMs, timelines), usages };
+    return { detection: detectionOf(names, killedAtMs, timelines), usages };
   }
 
   private async measureSpan(
--- a/packages/bench/src/fleet-timeline.ts
+++ b/packages/bench/src/fleet-timeline.ts
@@ -78,24 +78,38 @@
 /** States in which a member that does not answer is avoided. */
 const NOTICED_STATES: readonly string[] = ['suspect', 'dead'];
 
-/** Time until the last survivor took the last killed daemon for lost; null if one never did. */
-export function detectionMaxMs(
+/** How the survivors noticed the loss of daemons. */
+export interface Detection {
+  /** Times from the kill, one for each pair of a survivor and a killed daemon that it noticed. */
+  readonly timesMs: readonly number[];
+  /** Pairs of which the survivor noticed nothing. */
+  readonly missing: number;
+}
+
+function noticedAtMs(events: readonly FleetEvent[], name: string, fromMs: number) {
+  const noticed = events.find(
+    ({ kind, detail, wallMs }) =>
+      kind === 'member.state' &&
+      wallMs >= fromMs &&
+      NOTICED_STATES.some((state) => detail?.startsWith(`${name} ${state} `) === true),
+  );
+  return noticed?.wallMs;
+}
+
+/** Finds when each survivor took each killed daemon for lost. */
+export function detectionOf(
   killed: readonly string[],
   killedAtMs: number,
   survivors: readonly (readonly FleetEvent[])[],
-): number | null {
-  let greatestMs = 0;
+): Detection {
+  const timesMs: number[] = [];
+  let missing = 0;
   for (const events of survivors) {
     for (const name of killed) {
-      const noticed = events.find(
-        ({ kind, detail, wallMs }) =>
-          kind === 'member.state' &&
-          wallMs >= killedAtMs &&
-          NOTICED_STATES.some((state) => detail?.startsWith(`${name} ${state} `) === true),
-      );
-      if (noticed === undefined) return null;
-      greatestMs = Math.max(greatestMs, noticed.wallMs - killedAtMs);
+      const atMs = noticedAtMs(events, name, killedAtMs);
+      if (atMs === undefined) missing += 1;
+      else timesMs.push(atMs - killedAtMs);
     }
   }
-  return greatestMs;
+  return { timesMs, missing };
 }
--- a/packages/bench/src/members-run.ts
+++ b/packages/bench/src/members-run.ts
@@ -38,6 +38,8 @@
       propagationP99Ms: null,
       propagationMaxMs: null,
       detectionMaxMs: null,
+      detectionP50Ms: null,
+      detectionMissing: 0,
       revertedRevisions: 0,
       storeReads: 0,
       storeWrites: 0,
--- a/packages/bench/tests/fleet-timeline.test.ts
+++ b/packages/bench/tests/fleet-timeline.test.ts
@@ -1,6 +1,6 @@
 import { describe, expect, it } from 'vitest';
 import {
-  detectionMaxMs,
+  detectionOf,
   propagationOf,
   revertedRevisions,
   type FleetEvent,
@@ -34,16 +34,17 @@
   });
 });
 
-describe('detectionMaxMs', () => {
+describe('detectionOf', () => {
   const before = memberState('daemon-1 suspect serving', 90);
   const noticed = memberState('daemon-1 suspect serving', 130);
   const other = memberState('daemon-11 dead serving', 120);
 
   it.each([
-    { what: 'the last notice', survivors: [[noticed], [before, noticed]], expected: 30 },
-    { what: 'nothing for an earlier suspicion', survivors: [[before]], expected: null },
-    { what: 'nothing for another name', survivors: [[other]], expected: null },
-  ])('finds $what', ({ survivors, expected }) => {
-    expect(detectionMaxMs(['daemon-1'], 100, survivors)).toBe(expected);
+    { what: 'each notice', survivors: [[noticed], [before, noticed]], timesMs: [30, 30] },
+    { what: 'nothing for an earlier suspicion', survivors: [[before]], timesMs: [] },
+    { what: 'nothing for another name', survivors: [[other]], timesMs: [] },
+  ])('finds $what', ({ survivors, timesMs }) => {
+    const missing = survivors.length - timesMs.length;
+    expect(detectionOf(['daemon-1'], 100, survivors)).toEqual({ timesMs, missing });
   });
 });
