--- a/packages/bench/src/fleet-timeline.ts
+++ b/packages/bench/src/fleet-timeline.ts
@@ -86,14 +86,20 @@
   readonly missing: number;
 }
 
-function noticedAtMs(events: readonly FleetEvent[], name: string, fromMs: number) {
-  const noticed = events.find(
-    ({ kind, detail, wallMs }) =>
-      kind === 'member.state' &&
-      wallMs >= fromMs &&
-      NOTICED_STATES.some((state) => detail?.startsWith(`${name} ${state} `) === true),
+/** The time from which on a survivor takes a member for lost, seen from the kill. */
+function noticedAtMs(
+  events: readonly FleetEvent[],
+  name: string,
+  killedAtMs: number,
+): number | undefined {
+  const states = events.filter(
+    ({ kind, detail }) => kind === 'member.state' && detail?.startsWith(`${name} `) === true,
   );
-  return noticed?.wallMs;
+  const isLost = ({ detail }: FleetEvent): boolean =>
+    NOTICED_STATES.includes(detail?.split(' ')[1] ?? '');
+  const before = states.filter(({ wallMs }) => wallMs < killedAtMs).at(-1);
+  if (before !== undefined && isLost(before)) return killedAtMs;
+  return states.find((event) => event.wallMs >= killedAtMs && isLost(event))?.wallMs;
 }
 
 /** Finds when each survivor took each killed daemon for lost. */
