Refuse unseen tickets without a record once the target has left

Cause: nothing told the execution records that the target had left. Change: the target control sets it with each tick. Measured: the tests of the daemon pass. Conclusion: a daemon that has drained spends no memory on tickets it can only refuse.

--- a/packages/daemon/src/serving-parts.ts
+++ b/packages/daemon/src/serving-parts.ts
@@ -36,10 +36,17 @@
   const { directory } = membership;
   const callPath = buildCallPath({ ...base, directory, policies, target, newId });
   const callsInHand = (): number => callPath.activeCalls.size + callPath.gate.waiting;
-  const { admission } = callPath;
+  const { admission, records } = callPath;
   return {
     target,
-    targetControl: new TargetControl({ ...base, target, admission, policies, callsInHand }),
+    targetControl: new TargetControl({
+      ...base,
+      target,
+      admission,
+      records,
+      policies,
+      callsInHand,
+    }),
     callPath,
     entry: new MeasuredEntry(callPath.entry, base.metrics, base.scheduler),
     callsInHand,
--- a/packages/daemon/src/target-control.ts
+++ b/packages/daemon/src/target-control.ts
@@ -1,5 +1,6 @@
 import type { AdmissionController } from '@daisyferry/admission/admission-controller';
 import type { LocalTarget } from '@daisyferry/callpath/local-target';
+import type { ExecutionRecords } from '@daisyferry/execution/execution-records';
 import type { PolicyTable } from '@daisyferry/model/policy-table';
 import type { Scheduler, Timer } from '@daisyferry/model/scheduler';
 import type { DaemonSettings } from '@daisyferry/settings/daemon-settings';
@@ -14,6 +15,7 @@
   readonly settings: DaemonSettings;
   readonly target: LocalTarget;
   readonly admission: AdmissionController;
+  readonly records: ExecutionRecords;
   readonly policies: PolicyTable;
   readonly scheduler: Scheduler;
   /** Calls that hold a slot or wait for one. */
@@ -86,12 +88,13 @@
   }
 
   private tick(): void {
-    const { target, admission, scheduler, callsInHand } = this.parts;
+    const { target, admission, records, scheduler, callsInHand } = this.parts;
     const nowMs = scheduler.nowMs();
     this.configure(nowMs);
     const { limit, slots } = admission.snapshot(nowMs);
     const noNewWorkAfterMs = this.drainRule()?.noNewWorkAfterMs ?? DEFAULT_NO_NEW_WORK_AFTER_MS;
     target.tick({ inFlight: callsInHand(), warm: limit >= slots, noNewWorkAfterMs }, nowMs);
+    records.setLeaving(target.state === 'left');
     if (target.state === 'leaving') return;
     const waiting = this.drained;
     this.drained = [];
