--- a/packages/daemon/src/target-control.ts
+++ b/packages/daemon/src/target-control.ts
@@ -1,9 +1,10 @@
 import type { AdmissionController } from '@daisyferry/admission/admission-controller';
 import type { LocalTarget } from '@daisyferry/callpath/local-target';
+import type { ExecutionRecords } from '@daisyferry/execution/execution-records';
 import type { PolicyTable } from '@daisyferry/model/policy-table';
 import type { Scheduler, Timer } from '@daisyferry/model/scheduler';
 import type { DaemonSettings } from '@daisyferry/settings/daemon-settings';
-import { LIMITS_BEFORE_POLICY } from './call-path-parts';
+import { LIMITS_BEFORE_POLICY } from './home-parts';
 import type { Announcement } from './target-routes';
 
 const TICK_MS = 100;
@@ -14,6 +15,7 @@
   readonly settings: DaemonSettings;
   readonly target: LocalTarget;
   readonly admission: AdmissionController;
+  readonly records: ExecutionRecords;
   readonly policies: PolicyTable;
   readonly scheduler: Scheduler;
   /** Calls that hold a slot or wait for one. */
@@ -52,6 +54,11 @@
     this.parts.admission.beginWarmUp(nowMs);
   }
 
+  /** Longest wait for calls in progress at a planned stop. */
+  get longestDrainMs(): number {
+    return this.drainRule()?.maxWaitMs ?? DEFAULT_DRAIN_WAIT_MS;
+  }
+
   leave(nowMs: number): void {
     this.parts.target.leave(nowMs);
   }
@@ -61,9 +68,8 @@
     const { target, scheduler } = this.parts;
     this.leave(scheduler.nowMs());
     if (target.state !== 'leaving') return 'drained';
-    const maxWaitMs = this.drainRule()?.maxWaitMs ?? DEFAULT_DRAIN_WAIT_MS;
     return new Promise((resolve) => {
-      const timer = scheduler.after(maxWaitMs, () => resolve('timeout'));
+      const timer = scheduler.after(this.longestDrainMs, () => resolve('timeout'));
       this.drained.push(() => {
         timer.cancel();
         resolve('drained');
@@ -82,12 +88,13 @@
   }
 
   private tick(): void {
-    const { target, admission, scheduler, callsInHand } = this.parts;
+    const { target, admission, records, scheduler, callsInHand } = this.parts;
     const nowMs = scheduler.nowMs();
     this.configure(nowMs);
     const { limit, slots } = admission.snapshot(nowMs);
     const noNewWorkAfterMs = this.drainRule()?.noNewWorkAfterMs ?? DEFAULT_NO_NEW_WORK_AFTER_MS;
     target.tick({ inFlight: callsInHand(), warm: limit >= slots, noNewWorkAfterMs }, nowMs);
+    records.setLeaving(target.state === 'left');
     if (target.state === 'leaving') return;
     const waiting = this.drained;
     this.drained = [];
