Refuse what waited unread while the home was paused

Cause: after a pause of 5 s a home read the requests left in its sockets with their budgets as sent. Change: a detector of pauses takes the pause off the budget of requests read within 500 ms after it; a call past its deadline is refused and recorded, and may be tried elsewhere.

--- a/packages/callpath/src/attempt-verdict.ts
+++ b/packages/callpath/src/attempt-verdict.ts
@@ -12,6 +12,8 @@
   RefusalReason.noTarget,
   RefusalReason.notReady,
   RefusalReason.recordsFull,
+  // The home was paused while the call waited for it; another one has the rest of the budget.
+  RefusalReason.deadlinePassed,
 ]);
 
 /** Says whether the result of an attempt is final or another instance may be tried. */
--- a/packages/callpath/src/call-home.ts
+++ b/packages/callpath/src/call-home.ts
@@ -132,6 +132,7 @@
   private prepare(call: PeerCall, cancellation: Cancellation): HomeCall | Refusal {
     const { service, policies, target, scheduler } = this.parts;
     const nowMs = scheduler.nowMs();
+    if (call.remainingMs <= 0) return refusal(RefusalReason.deadlinePassed, 0);
     if (!policies.ready) return refusal(RefusalReason.notReady, NOT_READY_RETRY_MS);
     if (call.service !== service) return refusal(RefusalReason.noTarget, NOT_READY_RETRY_MS);
     const policy = policies.policyOf(service)?.policy ?? undefined;
--- a/packages/daemon/src/daemon-listeners.ts
+++ b/packages/daemon/src/daemon-listeners.ts
@@ -62,6 +62,7 @@
     codec: base.codec,
     countRpcBytes: base.countRpcBytes,
     countMalformed: (listener, field) => base.metrics.countMalformed(listener, field),
+    unreadMs: () => serving.pauses.unreadMs(base.scheduler.nowMs()),
     entry: serving.entry,
     home,
     issuer,
--- a/packages/daemon/src/data-listeners.ts
+++ b/packages/daemon/src/data-listeners.ts
@@ -27,6 +27,8 @@
   readonly targetRoutes: TargetRoutesOptions;
   readonly rpcServer: JSONRPCServer;
   readonly countMalformed: (listener: string, field: string) => void;
+  /** Longest time that a request read now may have waited unread, in ms. */
+  readonly unreadMs: () => number;
   readonly countRpcBytes: (direction: 'sent' | 'received', bytes: number) => void;
 }
 
@@ -91,8 +93,12 @@
     requireClientCertificate: true,
   });
   registerRpcRoute(peers, parts.rpcServer, parts.countRpcBytes);
-  const fromPeers = new PeerHandler(home, codec, limits, (field) =>
-    parts.countMalformed('peers', field),
+  const fromPeers = new PeerHandler(
+    home,
+    codec,
+    limits,
+    (field) => parts.countMalformed('peers', field),
+    parts.unreadMs,
   );
   const fromOtherEntries = new EntryHandler({
     entry,
--- a/packages/daemon/src/peer-handler.ts
+++ b/packages/daemon/src/peer-handler.ts
@@ -34,10 +34,13 @@
     private readonly codec: TicketCodec,
     private readonly limits: BodyLimits,
     private readonly onMalformed: (header: string) => void,
+    /** Longest time that a request read now may have waited unread, in ms. */
+    private readonly unreadMs: () => number,
   ) {}
 
   async handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
     const cancellation = cancellationOf(response);
+    const unreadMs = this.unreadMs();
     const decoded = decodePeerCall(request.headers, this.codec);
     if (!decoded.ok) {
       this.onMalformed(decoded.header);
@@ -57,7 +60,9 @@
       headers: passingHeaders(request.rawHeaders),
       body: read.body,
     };
-    const reply = await this.home.handle({ ...decoded.head, content }, cancellation);
+    const remainingMs = Math.max(0, decoded.head.remainingMs - unreadMs);
+    const call = { ...decoded.head, remainingMs, content };
+    const reply = await this.home.handle(call, cancellation);
     if (response.destroyed) return;
     writeReply(response, reply);
   }
--- a/packages/daemon/src/running-daemon.ts
+++ b/packages/daemon/src/running-daemon.ts
@@ -54,6 +54,7 @@
     clearInterval(this.sweepTimer);
     for (const reload of tlsReloads) reload.stop();
     serving.targetControl.stop();
+    serving.pauses.stop();
     await fleet.stop();
     await control.membership.stop();
     await Promise.all([base.peerPools.destroy(), base.targetPools.destroy(), base.store.close()]);
--- a/packages/daemon/src/serving-parts.ts
+++ b/packages/daemon/src/serving-parts.ts
@@ -1,4 +1,5 @@
 import { LocalTarget } from '@daisyferry/callpath/local-target';
+import { PauseDetector } from '@daisyferry/callpath/pause-detector';
 import type { CallPathParts } from './call-path-parts';
 import { buildCallPath } from './call-path-parts';
 import type { ControlPlane } from './control-plane';
@@ -14,6 +15,8 @@
   readonly targetControl: TargetControl;
   readonly callPath: CallPathParts;
   readonly entry: MeasuredEntry;
+  /** Tells how old a request may be that is read after a pause of the process. */
+  readonly pauses: PauseDetector;
   /** Calls that hold a slot of the target or wait for one. */
   readonly callsInHand: () => number;
 }
@@ -49,6 +52,7 @@
     }),
     callPath,
     entry: new MeasuredEntry(callPath.entry, base.metrics, base.scheduler),
+    pauses: new PauseDetector(base.scheduler),
     callsInHand,
   };
 }
--- a/packages/daemon/src/start-daemon.ts
+++ b/packages/daemon/src/start-daemon.ts
@@ -52,6 +52,7 @@
   const fleet = new FleetStart({ ...base, control });
   fleet.start();
   serving.targetControl.start();
+  serving.pauses.start();
   const callers = await listenOn(base, listeners, 'callers');
   const tlsReloads = startTlsReloads({ ...base, ...listeners });
 
