End nested calls with the call that they belong to

Cause: a nested call learned of its parent's end only by way of the target, if that closed its connection. Change: the entry cancels a nested call with its parent. Conclusion: cancellation follows the chain within the daemon, whatever the target does.

--- a/packages/callpath/src/call-entry.ts
+++ b/packages/callpath/src/call-entry.ts
@@ -7,6 +7,7 @@
 import type { EntryPreparationParts } from './entry-preparation';
 import { EntryPreparation } from './entry-preparation';
 import { IdempotentRoots } from './idempotent-root';
+import { followParent } from './nested-cancellation';
 import { refusal } from './results';
 import type { RootBook } from './root-book';
 import type { RootForwarder } from './root-forwarder';
@@ -48,8 +49,10 @@
     const timer = scheduler.after(prepared.deadlineAtMs - scheduler.nowMs(), () =>
       request.cancellation.cancel(CancelReason.deadlinePassed),
     );
+    const unlink = followParent(request);
     timeline.emit({ kind: 'call.received', ...prepared.trace });
     const answer = await this.dispatch(prepared);
+    unlink();
     const { result } = answer;
     // A streamed answer is still under way: its deadline stays in force.
     if (!('body' in result) || result.body.kind === 'held') timer.cancel();
