Lower the limit only where the answers are enough to tell

Change: a test keeps the lower limit only beyond the standard error of the two throughputs, from the spread of the service times; a period may hold 256 answers instead of 64.

--- a/packages/admission/src/concurrency-limit.ts
+++ b/packages/admission/src/concurrency-limit.ts
@@ -6,9 +6,9 @@
 /** Longest measuring period, for slow methods. */
 const MAX_PERIOD_MS = 2_000;
 /** Answers that a measuring period must hold: so many for each call of the limit, within bounds. */
-const ANSWERS_PER_SLOT = 4;
+const ANSWERS_PER_SLOT = 16;
 const MIN_PERIOD_ANSWERS = 8;
-const MAX_PERIOD_ANSWERS = 64;
+const MAX_PERIOD_ANSWERS = 256;
 /** Service time relative to its baseline above which the limit may be put to the test. */
 const INFLATION_TO_TEST = 1.3;
 /** Crowding raises the service time by at most this power of the rise of concurrency. */
@@ -58,6 +58,12 @@
   readonly ramps: boolean;
 }
 
+/** Standard error of the logarithm of the ratio of two throughputs. */
+function throughputError(before: PeriodMeans, after: PeriodMeans): number {
+  const squareOf = ({ heldSpread, answers }: PeriodMeans) => heldSpread ** 2 / answers;
+  return Math.sqrt(squareOf(before) + squareOf(after));
+}
+
 /**
  * The concurrency limit of one target: at most its slots, less where concurrency brings no
  * throughput. When the service time rises well above its baseline and a rise of concurrency may explain
@@ -226,8 +232,10 @@
   private judge(test: Test, means: PeriodMeans, isInflated: boolean): void {
     const concurrencyChange = Math.log(means.inFlight / test.before.inFlight);
     const throughputChange = Math.log(means.throughputPerMs / test.before.throughputPerMs);
+    const error = throughputError(test.before, means);
     this.test = undefined;
-    if (throughputChange < concurrencyChange * NO_GAIN_ELASTICITY) {
+    // Without enough answers to tell, the ceiling of the settings stands.
+    if (throughputChange - error < concurrencyChange * NO_GAIN_ELASTICITY) {
       this.limit = test.restoreLimit;
       this.baseline = { heldMs: means.heldMs, inFlight: test.before.inFlight };
       return;
--- a/packages/admission/src/load-period.ts
+++ b/packages/admission/src/load-period.ts
@@ -3,6 +3,10 @@
   readonly inFlight: number;
   readonly heldMs: number;
   readonly throughputPerMs: number;
+  /** Answers that the means are taken of. */
+  readonly answers: number;
+  /** Standard deviation of the service times relative to their mean. */
+  readonly heldSpread: number;
 }
 
 /** Mean concurrency, service time and throughput of a target over one measuring period. */
@@ -11,6 +15,8 @@
 
   private heldSumMs = 0;
 
+  private heldSquareSum = 0;
+
   private inFlightSumMs = 0;
 
   private changedAtMs: number;
@@ -32,6 +38,7 @@
   noteAnswer(heldMs: number): void {
     this.answers++;
     this.heldSumMs += heldMs;
+    this.heldSquareSum += heldMs * heldMs;
   }
 
   lengthMs(nowMs: number): number {
@@ -46,9 +53,18 @@
       inFlight: this.inFlightSumMs / lengthMs,
       heldMs: this.heldSumMs / this.answers,
       throughputPerMs: this.answers / lengthMs,
+      answers: this.answers,
+      heldSpread: this.heldSpread(),
     };
   }
 
+  private heldSpread(): number {
+    const meanMs = this.heldSumMs / this.answers;
+    if (meanMs === 0) return 0;
+    const variance = Math.max(0, this.heldSquareSum / this.answers - meanMs * meanMs);
+    return Math.sqrt(variance) / meanMs;
+  }
+
   /** The period that follows this one. */
   next(nowMs: number): LoadPeriod {
     return new LoadPeriod(this.inFlight, nowMs);
