--- a/packages/admission/src/concurrency-limit.ts
+++ b/packages/admission/src/concurrency-limit.ts
@@ -64,6 +64,12 @@
   return Math.sqrt(squareOf(before) + squareOf(after));
 }
 
+/** True if a test after such a period could tell that the lower limit has the same throughput. */
+function canTell(before: PeriodMeans): boolean {
+  const tolerated = -Math.log(TEST_FACTOR) * NO_GAIN_ELASTICITY;
+  return throughputError(before, before) <= tolerated;
+}
+
 /**
  * The concurrency limit of one target: at most its slots, less where concurrency brings no
  * throughput. When the service time rises well above its baseline and a rise of concurrency may explain
@@ -221,7 +227,7 @@
       this.baseline = means;
       return;
     }
-    this.beginTest(means);
+    if (canTell(means)) this.beginTest(means);
   }
 
   private beginTest(before: PeriodMeans): void {
@@ -240,6 +246,6 @@
       this.baseline = { heldMs: means.heldMs, inFlight: test.before.inFlight };
       return;
     }
-    if (isInflated) this.beginTest(means);
+    if (isInflated && canTell(means)) this.beginTest(means);
   }
 }
