--- a/packages/settings/src/load-settings.ts
+++ b/packages/settings/src/load-settings.ts
@@ -1,7 +1,6 @@
 import { readFileSync } from 'node:fs';
-import type { z } from 'zod';
 import { checkDaemonSettings } from './check-daemon-settings';
-import { checkDocument, type Checked } from './check-settings';
+import type { Checked } from './check-settings';
 import type { DaemonSettings } from './daemon-settings';
 
 function messageOf(error: unknown): string {
@@ -17,15 +16,6 @@
   }
 }
 
-/** Reads a JSON file and checks it against a schema. */
-export function loadDocument<Schema extends z.ZodType>(
-  schema: Schema,
-  file: string,
-): Checked<z.output<Schema>> {
-  const document = readJson(file);
-  return document.ok ? checkDocument(schema, document.value) : document;
-}
-
 /** Reads and checks the settings of a daemon, with the rules that span several fields. */
 export function loadDaemonSettings(file: string): Checked<DaemonSettings> {
   const document = readJson(file);
