--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -3,7 +3,16 @@
 import tseslint from 'typescript-eslint';
 
 export default tseslint.config(
-  { ignores: ['**/dist/', '**/node_modules/', 'results/', 'packages/*/src/gen/'] },
+  {
+    ignores: [
+      '**/dist/',
+      '**/node_modules/',
+      'results/',
+      'target/',
+      'journal/',
+      'packages/*/src/gen/',
+    ],
+  },
   plugins.stylistic,
   plugins.importX,
   plugins.node,
--- /dev/null
+++ b/packages/http1/src/body-reader.ts
@@ -0,0 +1,127 @@
+import type { BodyFraming } from './message';
+
+const CHUNK_SIZE_LINE = /^([0-9A-Fa-f]{1,8})(?:[ \t]*;.*)?$/;
+/** Bound of one chunk-size or trailer line, in bytes; far above what senders use. */
+const MAX_LINE_BYTES = 4_096;
+const CR = 13;
+const LF = 10;
+const EMPTY = Buffer.alloc(0);
+
+const ChunkStep = { size: 'size', data: 'data', dataEnd: 'dataEnd', trailer: 'trailer' } as const;
+type ChunkStepName = (typeof ChunkStep)[keyof typeof ChunkStep];
+
+/** Collects one message body from the bytes of a connection. */
+export class BodyReader {
+  isComplete: boolean;
+
+  /** Set when the bytes break the framing; the connection is unusable then. */
+  problem: string | undefined;
+
+  receivedBytes = 0;
+
+  private readonly parts: Buffer[] = [];
+
+  private remaining: number;
+
+  private step: ChunkStepName = ChunkStep.size;
+
+  private line = '';
+
+  constructor(private readonly framing: BodyFraming) {
+    this.remaining = framing.kind === 'length' ? framing.bytes : 0;
+    this.isComplete = framing.kind === 'length' && framing.bytes === 0;
+  }
+
+  /** Takes bytes from position `from` on and returns the position after the last one used. */
+  read(bytes: Buffer, from: number): number {
+    switch (this.framing.kind) {
+      case 'length':
+        return this.readData(bytes, from, () => {
+          this.isComplete = true;
+        });
+      case 'untilClose':
+        this.keep(bytes.subarray(from));
+        return bytes.length;
+      case 'chunked':
+        return this.readChunks(bytes, from);
+      default:
+        return this.framing satisfies never;
+    }
+  }
+
+  /** The sender closed the connection in good order. */
+  endOfInput(): void {
+    if (this.framing.kind === 'untilClose') this.isComplete = true;
+  }
+
+  body(): Buffer {
+    if (this.parts.length === 0) return EMPTY;
+    if (this.parts.length === 1) return this.parts[0] ?? EMPTY;
+    return Buffer.concat(this.parts);
+  }
+
+  private keep(part: Buffer): void {
+    if (part.length === 0) return;
+    this.parts.push(part);
+    this.receivedBytes += part.length;
+  }
+
+  private readData(bytes: Buffer, from: number, whenDone: () => void): number {
+    const end = Math.min(bytes.length, from + this.remaining);
+    this.keep(bytes.subarray(from, end));
+    this.remaining -= end - from;
+    if (this.remaining === 0) whenDone();
+    return end;
+  }
+
+  private readChunks(bytes: Buffer, from: number): number {
+    let position = from;
+    while (position < bytes.length && !this.isComplete && this.problem === undefined) {
+      if (this.step === ChunkStep.data) {
+        position = this.readData(bytes, position, () => {
+          this.step = ChunkStep.dataEnd;
+        });
+      } else {
+        position = this.readLine(bytes, position);
+      }
+    }
+    return position;
+  }
+
+  private readLine(bytes: Buffer, from: number): number {
+    const lineFeed = bytes.indexOf(LF, from);
+    const end = lineFeed < 0 ? bytes.length : lineFeed + 1;
+    this.line += bytes.toString('latin1', from, end);
+    if (this.line.length > MAX_LINE_BYTES) this.problem = 'chunk line too long';
+    else if (lineFeed >= 0) this.endOfLine();
+    return end;
+  }
+
+  private endOfLine(): void {
+    const { line } = this;
+    this.line = '';
+    if (line.charCodeAt(line.length - 2) !== CR) {
+      this.problem = 'chunk line without CRLF';
+      return;
+    }
+    const text = line.slice(0, -2);
+    if (this.step === ChunkStep.size) this.chunkSize(text);
+    else if (this.step === ChunkStep.dataEnd) this.afterData(text);
+    else if (text === '') this.isComplete = true;
+  }
+
+  private afterData(text: string): void {
+    if (text === '') this.step = ChunkStep.size;
+    else this.problem = 'chunk longer than its size';
+  }
+
+  private chunkSize(text: string): void {
+    const match = CHUNK_SIZE_LINE.exec(text);
+    if (match === null) {
+      this.problem = 'chunk size';
+      return;
+    }
+    this.remaining = Number.parseInt(match[1] ?? '0', 16);
+    this.step = this.remaining === 0 ? ChunkStep.trailer : ChunkStep.data;
+  }
+}
--- /dev/null
+++ b/packages/http1/src/input-buffer.ts
@@ -0,0 +1,37 @@
+const EMPTY = Buffer.alloc(0);
+const HEAD_END = Buffer.from('\r\n\r\n');
+
+/** Bytes received on a connection and not yet used. */
+export class InputBuffer {
+  private bytes: Buffer = EMPTY;
+
+  get length(): number {
+    return this.bytes.length;
+  }
+
+  push(chunk: Buffer): void {
+    this.bytes = this.bytes.length === 0 ? chunk : Buffer.concat([this.bytes, chunk]);
+  }
+
+  /** Drops empty lines that some senders put before a message. */
+  skipEmptyLines(): void {
+    while (this.bytes.length >= 2 && this.bytes[0] === 13 && this.bytes[1] === 10) {
+      this.bytes = this.bytes.subarray(2);
+    }
+  }
+
+  /** Takes a message head without its empty line; undefined until all of it is here. */
+  takeHead(): string | undefined {
+    const end = this.bytes.indexOf(HEAD_END);
+    if (end < 0) return undefined;
+    const text = this.bytes.toString('latin1', 0, end);
+    this.bytes = this.bytes.subarray(end + HEAD_END.length);
+    return text;
+  }
+
+  /** Hands all bytes to the consumer, which returns how many it used. */
+  consume(consumer: (bytes: Buffer) => number): void {
+    if (this.bytes.length > 0) this.bytes = this.bytes.subarray(consumer(this.bytes));
+    if (this.bytes.length === 0) this.bytes = EMPTY;
+  }
+}
--- /dev/null
+++ b/packages/http1/src/request-reader.ts
@@ -0,0 +1,74 @@
+import { BodyReader } from './body-reader';
+import type { SyntaxProblem } from './head-parser';
+import { invalid, parseRequestHead } from './head-parser';
+import { InputBuffer } from './input-buffer';
+import type { RequestHead, RequestMessage } from './message';
+
+export interface RequestLimits {
+  readonly maxHeaderBytes: number;
+  readonly maxBodyBytes: number;
+}
+
+export type RequestRead =
+  | { readonly kind: 'request'; readonly request: RequestMessage }
+  | { readonly kind: 'incomplete' }
+  | SyntaxProblem;
+
+const INCOMPLETE: RequestRead = { kind: 'incomplete' };
+
+/** Reads the requests of one connection, one after the other. */
+export class RequestReader {
+  /** Head of the request whose body is still arriving. */
+  head: RequestHead | undefined;
+
+  private readonly input = new InputBuffer();
+
+  private body: BodyReader | undefined;
+
+  push(chunk: Buffer): void {
+    this.input.push(chunk);
+  }
+
+  /** True when a request has begun to arrive. */
+  get hasPartialRequest(): boolean {
+    return this.head !== undefined || this.input.length > 0;
+  }
+
+  /** Bytes held for a request that is not complete yet. */
+  get heldBytes(): number {
+    return this.input.length + (this.body?.receivedBytes ?? 0);
+  }
+
+  next(limits: RequestLimits): RequestRead {
+    if (this.head === undefined) {
+      const problem = this.readHead(limits);
+      if (problem !== undefined) return problem;
+    }
+    const { body, head } = this;
+    if (head === undefined || body === undefined) return INCOMPLETE;
+    if (!body.isComplete) this.input.consume((bytes) => body.read(bytes, 0));
+    if (body.problem !== undefined) return invalid(body.problem);
+    if (body.receivedBytes > limits.maxBodyBytes) return invalid('body too long', 413);
+    if (!body.isComplete) return INCOMPLETE;
+    this.head = undefined;
+    this.body = undefined;
+    return { kind: 'request', request: { head, body: body.body() } };
+  }
+
+  private readHead(limits: RequestLimits): SyntaxProblem | undefined {
+    this.input.skipEmptyLines();
+    const text = this.input.takeHead();
+    if ((text?.length ?? this.input.length) > limits.maxHeaderBytes) {
+      return invalid('header too long', 431);
+    }
+    if (text === undefined) return undefined;
+    const parsed = parseRequestHead(text);
+    if (parsed.kind === 'invalid') return parsed;
+    if (parsed.framing.kind === 'length' && parsed.framing.bytes > limits.maxBodyBytes) {
+      return invalid('body too long', 413);
+    }
+    this.head = parsed.head;
+    this.body = new BodyReader(parsed.framing);
+    return undefined;
+  }
+}
--- /dev/null
+++ b/packages/mesh/src/call.ts
@@ -0,0 +1,68 @@
+/** One attempt of a caller on its way to one target. */
+export interface MeshCall {
+  /** Id that the caller gave its attempt; the key of the execution record. */
+  readonly requestId: string;
+  readonly service: string;
+  readonly targetId: string;
+  readonly isIdempotent: boolean;
+  /** 0 is the most urgent. */
+  readonly priority: number;
+  /** Time for which an answer is still of use, from the hand-over between the daemons. */
+  readonly remainingMs: number;
+  /** Time for which the caller waits at the most; greater than `remainingMs` or equal. */
+  readonly callerRemainingMs: number;
+  /** Part of `remainingMs` in which an answer earns its full worth. */
+  readonly usefulMs: number;
+  readonly method: string;
+  readonly path: string;
+  readonly fields: readonly string[];
+}
+
+/** Load of a target as its home sees it. */
+export interface TargetLoad {
+  readonly running: number;
+  readonly waiting: number;
+  /** Requests that the home lets the target work on at the same time. */
+  readonly limit: number;
+  /** Mean time that the target takes for one request. */
+  readonly serviceMs: number;
+}
+
+export const RefusalReason = {
+  notHere: 'notHere',
+  leaving: 'leaving',
+  unreachable: 'unreachable',
+  full: 'full',
+  expired: 'expired',
+  cancelled: 'cancelled',
+  shedByTarget: 'shedByTarget',
+  barred: 'barred',
+} as const;
+
+export type RefusalReasonName = (typeof RefusalReason)[keyof typeof RefusalReason];
+
+export type CallOutcome =
+  /** The target's own answer. */
+  | {
+      readonly kind: 'answered';
+      readonly status: number;
+      readonly reason: string;
+      readonly fields: readonly string[];
+      readonly body: Buffer;
+    }
+  /** The target did not run the request and never will under this id at this home. */
+  | {
+      readonly kind: 'refused';
+      readonly reason: RefusalReasonName;
+      /** True if the request reached the target, which turned it away. */
+      readonly reachedTarget: boolean;
+      /** Forecast of the time until there is room. */
+      readonly roomInMs: number;
+    }
+  /** The target may have run the request. */
+  | { readonly kind: 'unknown'; readonly detail: string };
+
+export interface CallReply {
+  readonly outcome: CallOutcome;
+  readonly load: TargetLoad | undefined;
+}
--- /dev/null
+++ b/packages/peering/src/frame.ts
@@ -0,0 +1,78 @@
+/** Kinds of frames between two daemons; the numbers are part of the protocol. */
+export const FrameKind = {
+  hello: 1,
+  call: 2,
+  reply: 3,
+  cancel: 4,
+  resolve: 5,
+  ping: 6,
+  pong: 7,
+  record: 8,
+  configuration: 9,
+  configurationRequest: 10,
+  view: 11,
+} as const;
+
+export type FrameKindNumber = (typeof FrameKind)[keyof typeof FrameKind];
+
+export interface Frame {
+  readonly kind: number;
+  /** Number of the call that the frame belongs to, counted by the side that opened the connection. */
+  readonly stream: number;
+  /** JSON text; its shape follows from the kind. */
+  readonly head: string;
+  readonly body: Buffer;
+}
+
+/** Bytes before the head: length of the rest, kind, stream, length of the head. */
+const PREFIX_BYTES = 13;
+const LENGTH_BYTES = 4;
+/** Bound of one frame in bytes: the largest body plus its head. */
+const MAX_FRAME_BYTES = 128 * 1024 * 1024;
+const EMPTY: Buffer = Buffer.alloc(0);
+
+export function encodeFrame(
+  kind: FrameKindNumber,
+  stream: number,
+  head: string,
+  body = EMPTY,
+): Buffer {
+  const headBytes = Buffer.byteLength(head);
+  const frame = Buffer.allocUnsafe(PREFIX_BYTES + headBytes + body.length);
+  frame.writeUInt32BE(frame.length - LENGTH_BYTES, 0);
+  frame.writeUInt8(kind, 4);
+  frame.writeUInt32BE(stream, 5);
+  frame.writeUInt32BE(headBytes, 9);
+  frame.write(head, PREFIX_BYTES, 'utf8');
+  body.copy(frame, PREFIX_BYTES + headBytes);
+  return frame;
+}
+
+/** Cuts the bytes of a connection into frames. */
+export class FrameReader {
+  private pending: Buffer = EMPTY;
+
+  /** Returns false when the bytes are no frames; the connection is unusable then. */
+  push(chunk: Buffer, onFrame: (frame: Frame) => void): boolean {
+    const bytes = this.pending.length === 0 ? chunk : Buffer.concat([this.pending, chunk]);
+    let position = 0;
+    while (bytes.length - position >= PREFIX_BYTES) {
+      const length = bytes.readUInt32BE(position);
+      if (length > MAX_FRAME_BYTES || length < PREFIX_BYTES - LENGTH_BYTES) return false;
+      const end = position + LENGTH_BYTES + length;
+      if (end > bytes.length) break;
+      const headStart = position + PREFIX_BYTES;
+      const headEnd = headStart + bytes.readUInt32BE(position + 9);
+      if (headEnd > end) return false;
+      onFrame({
+        kind: bytes.readUInt8(position + 4),
+        stream: bytes.readUInt32BE(position + 5),
+        head: bytes.toString('utf8', headStart, headEnd),
+        body: bytes.subarray(headEnd, end),
+      });
+      position = end;
+    }
+    this.pending = position === bytes.length ? EMPTY : bytes.subarray(position);
+    return true;
+  }
+}
--- a/packages/retries/src/retry-share.ts
+++ b/packages/retries/src/retry-share.ts
@@ -18,6 +18,8 @@
 
   private bucketNumber = Number.NEGATIVE_INFINITY;
 
+  constructor(private readonly burstRetries = BURST_RETRIES) {}
+
   /** Counts one first attempt. */
   attempt(nowMs: number): void {
     const index = this.advance(nowMs);
@@ -29,7 +31,8 @@
   tryRetry(maxShare: number, nowMs: number): boolean {
     const index = this.advance(nowMs);
     if (maxShare <= 0) return false;
-    if (this.retriesInWindow + 1 > maxShare * this.attemptsInWindow + BURST_RETRIES) return false;
+    if (this.retriesInWindow + 1 > maxShare * this.attemptsInWindow + this.burstRetries)
+      return false;
     this.retries[index] = (this.retries[index] ?? 0) + 1;
     this.retriesInWindow += 1;
     return true;
--- /dev/null
+++ b/packages/sidecar/src/entry-call.ts
@@ -0,0 +1,258 @@
+import type { CallOutcome, CallReply } from '@daisyferry/mesh/call';
+import { RefusalReason } from '@daisyferry/mesh/call';
+import type { Route } from '@daisyferry/mesh/routing-configuration';
+import type { SentCall } from '@daisyferry/peering/peer-link';
+import type { Answer, EntryParts } from './entry';
+import { ownAnswer, OwnAnswerReason, type OwnAnswerReasonName } from './own-answer';
+
+export interface EntryCallInput {
+  readonly requestId: string;
+  readonly route: Route;
+  readonly service: string;
+  readonly method: string;
+  readonly path: string;
+  readonly fields: readonly string[];
+  readonly body: Buffer;
+  readonly arrivedMs: number;
+  readonly callerDeadlineMs: number;
+  readonly routeDeadlineMs: number;
+}
+
+/** Homes that may refuse one request before it is answered, beside those that its target saw. */
+const MAX_REFUSALS = 4;
+/** Least time that must be left to try another target, in ms. */
+const MIN_REMAINING_MS = 5;
+/** A target that turned a call away for want of room is spared for this time, in ms. */
+const FULL_PAUSE_MS = 20;
+/** Time for which a home is avoided after its connection broke, in ms. */
+const AVOID_MS = 300;
+const SERVER_ERROR = 500;
+
+/** One request of a caller: its tries, one after the other, until its only answer. */
+export class EntryCall {
+  private readonly excluded = new Set<string>();
+
+  private current: { readonly daemonId: string; readonly sent: SentCall } | undefined;
+
+  private targetsReached = 0;
+
+  private refusals = 0;
+
+  private isDone = false;
+
+  /** True once a target may have run the request. */
+  private mayHaveRun = false;
+
+  /** Answer of a target that is kept while a better one is looked for. */
+  private fallback: Extract<CallOutcome, { kind: 'answered' }> | undefined;
+
+  constructor(
+    private readonly input: EntryCallInput,
+    private readonly parts: EntryParts,
+    private readonly answer: Answer,
+  ) {}
+
+  start(nowMs: number): void {
+    this.parts.budget.countRequest(this.input.service, nowMs);
+    this.tryNext(nowMs, 0);
+  }
+
+  /** The caller has gone: nothing more is done for it. */
+  abandon(nowMs: number): void {
+    if (this.isDone) return;
+    this.isDone = true;
+    this.cancelCurrent(nowMs);
+    const { input, parts } = this;
+    parts.metrics.countAnswer(input.route.name, 'abandoned', nowMs - input.arrivedMs);
+    parts.log.decision('caller left', {
+      requestId: input.requestId,
+      route: input.route.name,
+      waitedMs: Math.round(nowMs - input.arrivedMs),
+    });
+  }
+
+  checkDeadline(nowMs: number): void {
+    if (this.isDone) return;
+    if (nowMs < this.input.routeDeadlineMs && nowMs < this.input.callerDeadlineMs) return;
+    this.cancelCurrent(nowMs);
+    this.finishOwn(OwnAnswerReason.timedOut, 0, nowMs, 'deadline passed');
+  }
+
+  private tryNext(nowMs: number, roomInMs: number): void {
+    const { input, parts } = this;
+    const remainingMs = Math.min(input.routeDeadlineMs, input.callerDeadlineMs) - nowMs;
+    if (remainingMs < MIN_REMAINING_MS || this.refusals > MAX_REFUSALS) {
+      this.giveUp(roomInMs, nowMs, 'no time or tries left');
+      return;
+    }
+    const choice = parts.chooser.choose(input.service, input.route.priority, this.excluded, nowMs);
+    if (choice.kind === 'none') {
+      this.giveUp(Math.max(roomInMs, choice.roomInMs), nowMs, choice.reason);
+      return;
+    }
+    const { daemonId, target } = choice.record;
+    this.excluded.add(daemonId);
+    parts.chooser.sent(daemonId);
+    let isReplied = false;
+    const sent = parts.transport.send(
+      daemonId,
+      {
+        requestId: input.requestId,
+        service: input.service,
+        targetId: target?.targetId ?? '',
+        isIdempotent: input.route.isIdempotent,
+        priority: input.route.priority,
+        remainingMs,
+        callerRemainingMs: input.callerDeadlineMs - nowMs,
+        usefulMs: input.route.targetLatencyMs - (nowMs - input.arrivedMs),
+        method: input.method,
+        path: input.path,
+        fields: input.fields,
+      },
+      input.body,
+      (reply) => {
+        isReplied = true;
+        this.current = undefined;
+        this.replied(daemonId, reply, parts.clock());
+      },
+    );
+    if (!isReplied) this.current = { daemonId, sent };
+  }
+
+  private replied(daemonId: string, { outcome, load }: CallReply, nowMs: number): void {
+    const { chooser } = this.parts;
+    chooser.ended(daemonId, load, outcomeClass(outcome), nowMs);
+    if (this.isDone) return;
+    switch (outcome.kind) {
+      case 'answered':
+        this.answered(outcome, nowMs);
+        return;
+      case 'refused':
+        this.refused(daemonId, outcome, nowMs);
+        return;
+      case 'unknown':
+        this.mayHaveRun = true;
+        this.targetsReached += 1;
+        chooser.avoid(daemonId, nowMs + AVOID_MS);
+        this.retryOr(nowMs, () =>
+          this.finishOwn(OwnAnswerReason.outcomeUnknown, 0, nowMs, outcome.detail),
+        );
+        return;
+      default:
+        outcome satisfies never;
+    }
+  }
+
+  private answered(outcome: Extract<CallOutcome, { kind: 'answered' }>, nowMs: number): void {
+    if (outcome.status < SERVER_ERROR || !this.input.route.isIdempotent) {
+      this.finishAnswered(outcome, nowMs);
+      return;
+    }
+    // A repeatable request that its target failed may succeed at another one.
+    this.mayHaveRun = true;
+    this.targetsReached += 1;
+    this.fallback = outcome;
+    this.retryOr(nowMs, () => this.finishAnswered(outcome, nowMs));
+  }
+
+  private refused(
+    daemonId: string,
+    outcome: Extract<CallOutcome, { kind: 'refused' }>,
+    nowMs: number,
+  ): void {
+    const { chooser } = this.parts;
+    this.refusals += 1;
+    if (outcome.reason === RefusalReason.full) {
+      chooser.noteFull(daemonId, this.input.route.priority, nowMs + FULL_PAUSE_MS);
+    }
+    if (outcome.reason === RefusalReason.unreachable) chooser.avoid(daemonId, nowMs + AVOID_MS);
+    if (!outcome.reachedTarget) {
+      this.tryNext(nowMs, outcome.roomInMs);
+      return;
+    }
+    this.targetsReached += 1;
+    this.retryOr(nowMs, () => this.giveUp(outcome.roomInMs, nowMs, outcome.reason));
+  }
+
+  /** Sends the request to another target if that is allowed and within the budget. */
+  private retryOr(nowMs: number, otherwise: () => void): void {
+    const { route, service } = this.input;
+    const isAllowed = route.isIdempotent || !this.mayHaveRun;
+    const hasTargets = this.targetsReached < route.maxTargets;
+    if (isAllowed && hasTargets && this.parts.budget.tryRetry(service, nowMs)) {
+      this.tryNext(nowMs, 0);
+    } else {
+      otherwise();
+    }
+  }
+
+  /** No target can be tried any more. */
+  private giveUp(roomInMs: number, nowMs: number, detail: string): void {
+    if (this.fallback !== undefined) {
+      this.finishAnswered(this.fallback, nowMs);
+    } else if (this.mayHaveRun) {
+      this.finishOwn(OwnAnswerReason.outcomeUnknown, 0, nowMs, detail);
+    } else {
+      const reason = detail === 'noTarget' ? OwnAnswerReason.noTarget : OwnAnswerReason.noRoom;
+      this.finishOwn(reason, roomInMs, nowMs, detail);
+    }
+  }
+
+  private finishAnswered(
+    { status, reason, fields, body }: Extract<CallOutcome, { kind: 'answered' }>,
+    nowMs: number,
+  ): void {
+    this.isDone = true;
+    const { input, parts } = this;
+    const outcome = status < SERVER_ERROR ? 'served' : 'failedByTarget';
+    parts.metrics.countAnswer(input.route.name, outcome, nowMs - input.arrivedMs);
+    if (outcome !== 'served') {
+      parts.log.decision('failed by target', { requestId: input.requestId, status });
+    }
+    this.answer({ status, reason, fields, body });
+  }
+
+  private finishOwn(
+    reason: OwnAnswerReasonName,
+    roomInMs: number,
+    nowMs: number,
+    detail: string,
+  ): void {
+    this.isDone = true;
+    const { input, parts } = this;
+    const waitedMs = nowMs - input.arrivedMs;
+    parts.metrics.countAnswer(input.route.name, reason, waitedMs);
+    parts.log.decision('request not served', {
+      requestId: input.requestId,
+      route: input.route.name,
+      service: input.service,
+      answer: reason,
+      detail,
+      tried: [...this.excluded],
+      waitedMs: Math.round(waitedMs),
+      roomInMs: Math.round(roomInMs),
+    });
+    this.answer(ownAnswer(reason, roomInMs));
+  }
+
+  private cancelCurrent(nowMs: number): void {
+    const { current } = this;
+    if (current === undefined) return;
+    this.current = undefined;
+    current.sent.cancel();
+    this.parts.chooser.ended(current.daemonId, undefined, 'refused', nowMs);
+  }
+}
+
+function outcomeClass(outcome: CallOutcome): 'served' | 'failed' | 'refused' {
+  switch (outcome.kind) {
+    case 'answered':
+      return outcome.status >= SERVER_ERROR ? 'failed' : 'served';
+    case 'refused':
+      return outcome.reachedTarget ? 'failed' : 'refused';
+    case 'unknown':
+      return 'failed';
+    default:
+      return outcome satisfies never;
+  }
+}
--- /dev/null
+++ b/packages/sidecar/src/retry-budget.ts
@@ -0,0 +1,35 @@
+import { RetryShare } from '@daisyferry/retries/retry-share';
+
+/**
+ * This daemon's part of the retries that all daemons together may send to a service. Half of the
+ * allowed share is kept back, as calls that a repeated request makes count as repeats as well.
+ */
+export class RetryBudget {
+  private readonly shares = new Map<string, RetryShare>();
+
+  private readonly ownRatio: number;
+
+  constructor(
+    ratio: number,
+    /** Retries beyond the share that this daemon may make in one window. */
+    private readonly burst: number,
+  ) {
+    this.ownRatio = ratio / 2;
+  }
+
+  countRequest(service: string, nowMs: number): void {
+    this.share(service).attempt(nowMs);
+  }
+
+  tryRetry(service: string, nowMs: number): boolean {
+    return this.share(service).tryRetry(this.ownRatio, nowMs);
+  }
+
+  private share(service: string): RetryShare {
+    const present = this.shares.get(service);
+    if (present !== undefined) return present;
+    const share = new RetryShare(this.burst);
+    this.shares.set(service, share);
+    return share;
+  }
+}
--- /dev/null
+++ b/packages/sidecar/src/sidecar-metrics.ts
@@ -0,0 +1,61 @@
+import type { Histogram } from 'hdr-histogram-js';
+import { build } from 'hdr-histogram-js';
+
+/** Longest duration that the histograms tell apart from longer ones, in ms. */
+const MAX_RECORDED_MS = 120_000;
+const QUANTILES = [50, 90, 99, 99.9];
+
+/** Counters and latency histograms of one daemon, in the Prometheus text format. */
+export class SidecarMetrics {
+  private readonly counters = new Map<string, number>();
+
+  private readonly durations = new Map<string, Histogram>();
+
+  private readonly gauges = new Map<string, () => number>();
+
+  /** One answered or abandoned request of a caller. */
+  countAnswer(route: string, outcome: string, durationMs: number): void {
+    this.increment(`daisyferry_requests_total{route="${route}",outcome="${outcome}"}`);
+    this.histogram(route).recordValue(Math.min(MAX_RECORDED_MS, Math.round(durationMs)));
+  }
+
+  /** One call to the platform's store, by its cause. */
+  countStoreCall(cause: string): void {
+    this.increment(`daisyferry_store_calls_total{cause="${cause}"}`);
+  }
+
+  addGauge(name: string, read: () => number): void {
+    this.gauges.set(name, read);
+  }
+
+  text(): string {
+    const lines: string[] = [];
+    for (const [name, value] of this.counters) lines.push(`${name} ${value}`);
+    for (const [name, read] of this.gauges) lines.push(`${name} ${read()}`);
+    for (const [route, histogram] of this.durations) {
+      for (const quantile of QUANTILES) {
+        const label = `route="${route}",quantile="${quantile / 100}"`;
+        const valueMs = histogram.getValueAtPercentile(quantile);
+        lines.push(`daisyferry_request_duration_ms{${label}} ${valueMs}`);
+      }
+    }
+    return `${lines.join('\n')}\n`;
+  }
+
+  private increment(name: string): void {
+    this.counters.set(name, (this.counters.get(name) ?? 0) + 1);
+  }
+
+  private histogram(route: string): Histogram {
+    const present = this.durations.get(route);
+    if (present !== undefined) return present;
+    const histogram = build({
+      bitBucketSize: 32,
+      lowestDiscernibleValue: 1,
+      highestTrackableValue: MAX_RECORDED_MS,
+      numberOfSignificantValueDigits: 2,
+    });
+    this.durations.set(route, histogram);
+    return histogram;
+  }
+}
