Choose targets by the risk of a late answer, and divide the retry budget among the tree's levels

Newcomers got no calls, as a cost with a fixed first guess never reached them. Change: a fifth of the share a level; service times a route, risk of lateness, softmin draw.

--- a/packages/http1/src/head-parser.ts
+++ b/packages/http1/src/head-parser.ts
@@ -1,11 +1,6 @@
+import { FramingFields } from './framing-fields';
 import type { BodyFraming, RequestHead } from './message';
-
-/** A message that breaks the syntax of HTTP/1.1, with the status that answers it. */
-export interface SyntaxProblem {
-  readonly kind: 'invalid';
-  readonly status: 400 | 413 | 431 | 501;
-  readonly detail: string;
-}
+import { invalid, type SyntaxProblem } from './syntax-problem';
 
 export interface ParsedRequestHead {
   readonly kind: 'head';
@@ -24,26 +19,12 @@
   readonly keepAliveMs: number | undefined;
 }
 
-interface FramingFields {
-  contentLength: string | undefined;
-  transferEncoding: string | undefined;
-  connection: string;
-  keepAlive: string | undefined;
-  host: string | undefined;
-  expectsContinue: boolean;
-}
-
 const REQUEST_LINE = /^([!#$%&'*+\-.^_`|~0-9A-Za-z]+) (\/[^\s]*) HTTP\/1\.([01])$/;
 const STATUS_LINE = /^HTTP\/1\.([01]) ([1-9]\d\d)(?: (.*))?$/;
 const FIELD_NAME = /^[!#$%&'*+\-.^_`|~0-9A-Za-z]+$/;
-const DECIMAL = /^\d{1,15}$/;
 const KEEP_ALIVE_TIMEOUT = /timeout=(\d+)/i;
 const MS_PER_S = 1_000;
 
-export function invalid(detail: string, status: SyntaxProblem['status'] = 400): SyntaxProblem {
-  return { kind: 'invalid', status, detail };
-}
-
 /** Reads field lines; a line that is folded, unnamed or holds a control character is an error. */
 function parseFields(
   lines: readonly string[],
@@ -59,77 +40,13 @@
     if (value.includes('\n') || value.includes('\r') || value.includes('\0')) {
       return invalid('field value with a control character');
     }
-    const problem = noteFraming(name, value, framing);
+    const problem = framing.note(name.toLowerCase(), value);
     if (problem !== undefined) return problem;
     fields.push(name, value);
   }
   return undefined;
 }
 
-function noteFraming(
-  name: string,
-  value: string,
-  framing: FramingFields,
-): SyntaxProblem | undefined {
-  switch (name.toLowerCase()) {
-    case 'content-length':
-      if (framing.contentLength !== undefined && framing.contentLength !== value) {
-        return invalid('content-length: two values');
-      }
-      framing.contentLength = value;
-      return undefined;
-    case 'transfer-encoding':
-      if (framing.transferEncoding !== undefined) return invalid('transfer-encoding: two fields');
-      framing.transferEncoding = value;
-      return undefined;
-    case 'connection':
-      framing.connection += `,${value.toLowerCase()}`;
-      return undefined;
-    case 'keep-alive':
-      framing.keepAlive = value;
-      return undefined;
-    case 'host':
-      if (framing.host !== undefined) return invalid('host: two fields');
-      framing.host = value;
-      return undefined;
-    case 'expect':
-      framing.expectsContinue = value.toLowerCase() === '100-continue';
-      return undefined;
-    default:
-      return undefined;
-  }
-}
-
-function newFramingFields(): FramingFields {
-  return {
-    contentLength: undefined,
-    transferEncoding: undefined,
-    connection: '',
-    keepAlive: undefined,
-    host: undefined,
-    expectsContinue: false,
-  };
-}
-
-function bodyFraming(framing: FramingFields, otherwise: BodyFraming): BodyFraming | SyntaxProblem {
-  const { contentLength, transferEncoding } = framing;
-  if (transferEncoding !== undefined) {
-    if (contentLength !== undefined) return invalid('content-length beside transfer-encoding');
-    if (transferEncoding.toLowerCase() !== 'chunked') {
-      return invalid('transfer-encoding: not chunked', 501);
-    }
-    return { kind: 'chunked' };
-  }
-  if (contentLength === undefined) return otherwise;
-  if (!DECIMAL.test(contentLength)) return invalid('content-length: not a number');
-  return { kind: 'length', bytes: Number(contentLength) };
-}
-
-function isPersistent(minorVersion: string | undefined, connection: string): boolean {
-  if (connection.includes('close')) return false;
-  return minorVersion === '1' || connection.includes('keep-alive');
-}
-
 function hostName(host: string): string {
   const colon = host.lastIndexOf(':');
   return (colon > 0 && !host.endsWith(']') ? host.slice(0, colon) : host).toLowerCase();
@@ -141,18 +58,18 @@
   const start = REQUEST_LINE.exec(lines[0] ?? '');
   if (start === null) return invalid('request line');
   const fields: string[] = [];
-  const framingFields = newFramingFields();
+  const framingFields = new FramingFields();
   const problem = parseFields(lines, fields, framingFields);
   if (problem !== undefined) return problem;
   if (framingFields.host === undefined) return invalid('host: missing');
-  const framing = bodyFraming(framingFields, { kind: 'length', bytes: 0 });
+  const framing = framingFields.framing({ kind: 'length', bytes: 0 });
   if (framing.kind === 'invalid') return framing;
   const head: RequestHead = {
     method: start[1] ?? '',
     target: start[2] ?? '',
     fields,
     host: hostName(framingFields.host),
-    isPersistent: isPersistent(start[3], framingFields.connection),
+    isPersistent: framingFields.isPersistent(start[3]),
     expectsContinue: framingFields.expectsContinue,
   };
   return { kind: 'head', head, framing };
@@ -167,14 +84,14 @@
   const start = STATUS_LINE.exec(lines[0] ?? '');
   if (start === null) return invalid('status line');
   const fields: string[] = [];
-  const framingFields = newFramingFields();
+  const framingFields = new FramingFields();
   const problem = parseFields(lines, fields, framingFields);
   if (problem !== undefined) return problem;
   const status = Number(start[2]);
   const hasNoBody = isHead || status < 200 || status === 204 || status === 304;
   const framing: BodyFraming | SyntaxProblem = hasNoBody
     ? { kind: 'length', bytes: 0 }
-    : bodyFraming(framingFields, { kind: 'untilClose' });
+    : framingFields.framing({ kind: 'untilClose' });
   if (framing.kind === 'invalid') return framing;
   const timeout = KEEP_ALIVE_TIMEOUT.exec(framingFields.keepAlive ?? '');
   return {
@@ -183,7 +100,7 @@
     reason: start[3] ?? '',
     fields,
     framing,
-    isPersistent: framing.kind !== 'untilClose' && isPersistent(start[1], framingFields.connection),
+    isPersistent: framing.kind !== 'untilClose' && framingFields.isPersistent(start[1]),
     keepAliveMs: timeout === null ? undefined : Number(timeout[1]) * MS_PER_S,
   };
 }
--- a/packages/http1/src/message-writer.ts
+++ b/packages/http1/src/message-writer.ts
@@ -15,6 +15,17 @@
   'expect',
 ]);
 
+const NO_OPTIONS: ReadonlySet<string> = new Set();
+
+function connectionOptions(fields: HeaderFields): ReadonlySet<string> {
+  for (let index = 0; index < fields.length; index += 2) {
+    if (fields[index]?.toLowerCase() === 'connection') {
+      return new Set((fields[index + 1] ?? '').toLowerCase().split(/[\s,]+/));
+    }
+  }
+  return NO_OPTIONS;
+}
+
 /** The fields that go on to the next hop, without those named in `replaced` (lower case). */
 export function endToEndFields(fields: HeaderFields, replaced: ReadonlySet<string>): string[] {
   const kept: string[] = [];
@@ -29,17 +40,6 @@
   return kept;
 }
 
-const NO_OPTIONS: ReadonlySet<string> = new Set();
-
-function connectionOptions(fields: HeaderFields): ReadonlySet<string> {
-  for (let index = 0; index < fields.length; index += 2) {
-    if (fields[index]?.toLowerCase() === 'connection') {
-      return new Set((fields[index + 1] ?? '').toLowerCase().split(/[\s,]+/));
-    }
-  }
-  return NO_OPTIONS;
-}
-
 function fieldLines(fields: HeaderFields): string {
   let text = '';
   for (let index = 0; index < fields.length; index += 2) {
--- a/packages/http1/src/request-reader.ts
+++ b/packages/http1/src/request-reader.ts
@@ -1,8 +1,8 @@
 import { BodyReader } from './body-reader';
-import type { SyntaxProblem } from './head-parser';
-import { invalid, parseRequestHead } from './head-parser';
+import { parseRequestHead } from './head-parser';
 import { InputBuffer } from './input-buffer';
 import type { RequestHead, RequestMessage } from './message';
+import { invalid, type SyntaxProblem } from './syntax-problem';
 
 export interface RequestLimits {
   readonly maxHeaderBytes: number;
--- a/packages/http1/src/response-reader.ts
+++ b/packages/http1/src/response-reader.ts
@@ -1,8 +1,8 @@
 import { BodyReader } from './body-reader';
-import type { ParsedResponseHead, SyntaxProblem } from './head-parser';
-import { invalid, parseResponseHead } from './head-parser';
+import { parseResponseHead, type ParsedResponseHead } from './head-parser';
 import { InputBuffer } from './input-buffer';
 import type { ResponseMessage } from './message';
+import { invalid, type SyntaxProblem } from './syntax-problem';
 
 export type ResponseRead =
   | { readonly kind: 'response'; readonly response: ResponseMessage }
--- a/packages/mesh/src/admission-queue.ts
+++ b/packages/mesh/src/admission-queue.ts
@@ -58,7 +58,7 @@
     return this.failures;
   }
 
-  load(): TargetLoad {
+  load(): Omit<TargetLoad, 'routeMs'> {
     return {
       running: this.runningCount,
       waiting: this.waiting.length,
--- a/packages/mesh/src/call.ts
+++ b/packages/mesh/src/call.ts
@@ -4,6 +4,8 @@
   readonly requestId: string;
   readonly service: string;
   readonly targetId: string;
+  /** Name of the route; service times are kept by it. */
+  readonly route: string;
   readonly isIdempotent: boolean;
   /** 0 is the most urgent. */
   readonly priority: number;
@@ -26,6 +28,8 @@
   readonly limit: number;
   /** Mean time that the target takes for one request. */
   readonly serviceMs: number;
+  /** The same for the requests of the call's route, where known. */
+  readonly routeMs: number | undefined;
 }
 
 export const RefusalReason = {
--- a/packages/mesh/src/local-target.ts
+++ b/packages/mesh/src/local-target.ts
@@ -12,6 +12,18 @@
   readonly bornUnixMs: number | undefined;
 }
 
+/** Without a time of birth on both sides the id alone tells incarnations apart. */
+function sameIncarnation(left: EndedIncarnation, right: EndedIncarnation): boolean {
+  if (left.targetId !== right.targetId) return false;
+  if (left.bornUnixMs === undefined || right.bornUnixMs === undefined) return true;
+  return left.bornUnixMs === right.bornUnixMs;
+}
+
+function isBornBefore(left: EndedIncarnation, right: EndedIncarnation): boolean {
+  if (left.bornUnixMs === undefined || right.bornUnixMs === undefined) return false;
+  return left.bornUnixMs < right.bornUnixMs;
+}
+
 /**
  * What the daemon knows of the target beside it, from the target's own announcements. Announcements
  * of one incarnation are ordered by their sequence, incarnations by their time of birth.
@@ -117,15 +129,3 @@
     if (this.ended.length > MAX_ENDED) this.ended.shift();
   }
 }
-
-/** Without a time of birth on both sides the id alone tells incarnations apart. */
-function sameIncarnation(left: EndedIncarnation, right: EndedIncarnation): boolean {
-  if (left.targetId !== right.targetId) return false;
-  if (left.bornUnixMs === undefined || right.bornUnixMs === undefined) return true;
-  return left.bornUnixMs === right.bornUnixMs;
-}
-
-function isBornBefore(left: EndedIncarnation, right: EndedIncarnation): boolean {
-  if (left.bornUnixMs === undefined || right.bornUnixMs === undefined) return false;
-  return left.bornUnixMs < right.bornUnixMs;
-}
--- a/packages/mesh/src/target-chooser.ts
+++ b/packages/mesh/src/target-chooser.ts
@@ -1,51 +1,57 @@
 import type { RandomSource } from '@daisyferry/model/scheduler';
 import type { TargetLoad } from './call';
 import type { FleetDirectory } from './fleet-directory';
+import { lateRisk } from './late-risk';
 import type { DaemonRecord } from './target-record';
-
-/** What one entry knows of the load of a target and of the way to it. */
-class TargetView {
-  /** Calls of this entry that are on their way or being worked on. */
-  pending = 0;
-
-  load: TargetLoad | undefined;
-
-  loadAtMs = Number.NEGATIVE_INFINITY;
-
-  /** Calls of this priority and less urgent ones are not sent before `fullUntilMs`. */
-  fullPriority = Number.POSITIVE_INFINITY;
-
-  fullUntilMs = Number.NEGATIVE_INFINITY;
-
-  avoidUntilMs = Number.NEGATIVE_INFINITY;
-
-  failureShare = 0;
-}
+import { TargetView } from './target-view';
 
 export type Choice =
   | { readonly kind: 'chosen'; readonly record: DaemonRecord }
   | { readonly kind: 'none'; readonly reason: 'noTarget' | 'full'; readonly roomInMs: number };
 
+export interface ChoiceQuery {
+  readonly service: string;
+  readonly route: string;
+  /** 0 is the most urgent. */
+  readonly priority: number;
+  /** Time in which the answer is of full use. */
+  readonly usefulMs: number;
+  readonly excluded: ReadonlySet<string>;
+}
+
 export interface ChooserOptions {
   readonly ownZone: string;
   /** Candidates compared at the most; the rest is sampled. */
   readonly maxCandidates: number;
 }
 
-/** Share of its limit up to which a target of the own zone is filled before others are asked. */
-const LOCAL_FILL = 0.8;
-/** Expected cost of leaving the zone, as a share of the target's service time. */
-const ZONE_PENALTY = 0.25;
+interface Candidate {
+  readonly record: DaemonRecord;
+  readonly cost: number;
+}
+
+/** Time to another zone and back, in ms, until measured. */
+const ZONE_ROUND_TRIP_MS = 2;
+/** Cost of leaving the zone: the share of a request's use that its bytes are worth. */
+const ZONE_COST = 0.05;
+/** Weight of the expected time, as a share of the useful time, beside the risk of being late. */
+const TIME_WEIGHT = 0.3;
+/** Cost of a full target, relative to the use of a request; grows with the square of the fill. */
+const FILL_WEIGHT = 0.2;
+/** Costs that differ by less than about this are taken for equal. */
+const TEMPERATURE = 0.01;
 /** First guess of a target's service time, in ms. */
 const INITIAL_SERVICE_MS = 20;
-/** Weight of the newest outcome in the share of failures. */
-const FAILURE_GAIN = 0.1;
-/** Extra cost of a target that fails every request, in multiples of its service time. */
-const FAILURE_COST = 20;
 /** Retry advice when no target is known, in ms. */
 const NO_TARGET_ROOM_MS = 500;
-
-/** Chooses the target with the least expected time to an answer, in the own zone while it has room. */
+/** Cost that keeps a home whose connection broke for the case that there is no other. */
+const AVOID_COST = 10;
+
+/**
+ * Chooses a target by the risk that its answer comes too late, by its fill and by the price of
+ * leaving the zone. Targets of nearly the same cost share the calls, so that many entries do not
+ * pick the same one and newcomers are tried.
+ */
 export class TargetChooser {
   private readonly views = new Map<string, TargetView>();
 
@@ -55,28 +61,20 @@
     private readonly random: RandomSource,
   ) {}
 
-  choose(service: string, priority: number, excluded: ReadonlySet<string>, nowMs: number): Choice {
-    let best: DaemonRecord | undefined;
-    let bestCost = Number.POSITIVE_INFINITY;
+  choose(query: ChoiceQuery, nowMs: number): Choice {
+    const all = this.candidates(query);
+    if (all.length === 0) return { kind: 'none', reason: 'noTarget', roomInMs: NO_TARGET_ROOM_MS };
+    const open: Candidate[] = [];
+    const commonMs = this.commonMs(all, query.route);
     let earliestRoomMs = Number.POSITIVE_INFINITY;
-    for (const record of this.candidates(service)) {
-      if (excluded.has(record.daemonId)) continue;
+    for (const record of all) {
       const view = this.view(record.daemonId);
-      if (view.fullUntilMs > nowMs && priority >= view.fullPriority) {
-        earliestRoomMs = Math.min(earliestRoomMs, view.fullUntilMs - nowMs);
-        continue;
-      }
-      const cost = this.cost(record, view, nowMs);
-      if (cost < bestCost) {
-        best = record;
-        bestCost = cost;
-      }
+      const fullForMs = view.fullForMs(query.priority, nowMs);
+      if (fullForMs > 0) earliestRoomMs = Math.min(earliestRoomMs, fullForMs);
+      else open.push({ record, cost: this.cost(record, view, query, commonMs, nowMs) });
     }
-    if (best !== undefined) return { kind: 'chosen', record: best };
-    if (earliestRoomMs < Number.POSITIVE_INFINITY) {
-      return { kind: 'none', reason: 'full', roomInMs: earliestRoomMs };
-    }
-    return { kind: 'none', reason: 'noTarget', roomInMs: NO_TARGET_ROOM_MS };
+    if (open.length === 0) return { kind: 'none', reason: 'full', roomInMs: earliestRoomMs };
+    return { kind: 'chosen', record: this.draw(open) };
   }
 
   sent(daemonId: string): void {
@@ -86,30 +84,25 @@
   /** A call has ended; `load` is what the home said with its reply. */
   ended(
     daemonId: string,
+    route: string,
     load: TargetLoad | undefined,
     outcome: 'served' | 'failed' | 'refused',
     nowMs: number,
   ): void {
     const view = this.view(daemonId);
     view.pending = Math.max(0, view.pending - 1);
-    if (outcome !== 'refused') {
-      view.failureShare += ((outcome === 'failed' ? 1 : 0) - view.failureShare) * FAILURE_GAIN;
-    }
-    if (load === undefined) return;
-    view.load = load;
-    view.loadAtMs = nowMs;
+    if (outcome !== 'refused') view.countOutcome(outcome === 'failed', nowMs);
+    if (load !== undefined) view.learn(route, load, nowMs);
   }
 
   /** The home had no room for calls of this priority; spares it more of them for a while. */
   noteFull(daemonId: string, priority: number, untilMs: number): void {
-    const view = this.view(daemonId);
-    view.fullPriority = priority;
-    view.fullUntilMs = untilMs;
+    this.view(daemonId).noteFull(priority, untilMs);
   }
 
   /** The way to the home is broken; others are preferred until then. */
   avoid(daemonId: string, untilMs: number): void {
-    this.view(daemonId).avoidUntilMs = untilMs;
+    this.view(daemonId).avoid(untilMs);
   }
 
   forget(daemonId: string): void {
@@ -124,31 +117,78 @@
     return view;
   }
 
-  private candidates(service: string): readonly DaemonRecord[] {
-    const all = this.directory.serving(service);
+  private candidates({ service, excluded }: ChoiceQuery): readonly DaemonRecord[] {
+    const serving = this.directory.serving(service);
+    const all =
+      excluded.size === 0 ? serving : serving.filter(({ daemonId }) => !excluded.has(daemonId));
     const { maxCandidates, ownZone } = this.options;
     if (all.length <= maxCandidates) return all;
-    const sample = all.filter(({ zone }) => zone === ownZone).slice(0, maxCandidates / 2);
-    while (sample.length < maxCandidates) {
-      const record = all[Math.floor(this.random() * all.length)];
-      if (record !== undefined) sample.push(record);
+    const sample = new Set<DaemonRecord>();
+    const local = all.filter(({ zone }) => zone === ownZone);
+    this.addRandom(sample, local, Math.min(local.length, maxCandidates / 2));
+    this.addRandom(sample, all, maxCandidates);
+    return [...sample];
+  }
+
+  /** Adds random records until the sample has the given size. */
+  private addRandom(
+    sample: Set<DaemonRecord>,
+    records: readonly DaemonRecord[],
+    size: number,
+  ): void {
+    while (sample.size < size) {
+      const record = records[Math.floor(this.random() * records.length)];
+      if (record !== undefined) sample.add(record);
+    }
+  }
+
+  /** Mean service time of the route over the targets that told it. */
+  private commonMs(records: readonly DaemonRecord[], route: string): number {
+    let sumMs = 0;
+    let count = 0;
+    for (const { daemonId } of records) {
+      const knownMs = this.views.get(daemonId)?.knownRouteMs(route);
+      if (knownMs !== undefined) {
+        sumMs += knownMs;
+        count += 1;
+      }
     }
-    return sample;
+    return count === 0 ? INITIAL_SERVICE_MS : sumMs / count;
   }
 
-  private cost(record: DaemonRecord, view: TargetView, nowMs: number): number {
-    const slots = Math.max(1, record.target?.slots ?? 1);
-    const limit = view.load?.limit ?? slots;
-    const serviceMs = view.load?.serviceMs ?? INITIAL_SERVICE_MS;
-    const reported = view.load === undefined ? 0 : view.load.running + view.load.waiting;
-    const occupied = Math.max(view.pending, reported);
+  private cost(
+    record: DaemonRecord,
+    view: TargetView,
+    query: ChoiceQuery,
+    commonMs: number,
+    nowMs: number,
+  ): number {
     const isLocal = record.zone === this.options.ownZone;
-    const fill = occupied / limit;
-    let cost = serviceMs * (1 + Math.max(0, fill - (isLocal ? LOCAL_FILL : LOCAL_FILL / 2)));
-    if (!isLocal) cost += serviceMs * ZONE_PENALTY + serviceMs;
-    cost += serviceMs * fill * 0.1;
-    cost += serviceMs * FAILURE_COST * view.failureShare ** 2;
-    if (view.avoidUntilMs > nowMs) cost += 1e6;
-    return cost * (1 + this.random() * 0.02);
+    const serviceMs = view.routeMs(query.route, commonMs, nowMs);
+    const limit = view.limit(record.target?.slots ?? 1);
+    const occupied = view.occupied(nowMs);
+    const queueMs = (Math.max(0, occupied + 1 - limit) * view.meanMs(commonMs)) / limit;
+    const beforeMs = queueMs + (isLocal ? 0 : ZONE_ROUND_TRIP_MS);
+    const usefulMs = Math.max(1, query.usefulMs);
+    return (
+      lateRisk(serviceMs, usefulMs - beforeMs) +
+      (TIME_WEIGHT * (serviceMs + beforeMs)) / usefulMs +
+      FILL_WEIGHT * (occupied / limit) ** 2 +
+      view.failureShare(nowMs) +
+      (isLocal ? 0 : ZONE_COST) +
+      (view.isAvoided(nowMs) ? AVOID_COST : 0)
+    );
+  }
+
+  /** Draws a candidate with a probability that falls exponentially with its cost. */
+  private draw(open: readonly Candidate[]): DaemonRecord {
+    const least = open.reduce((best, next) => (next.cost < best.cost ? next : best));
+    const weights = open.map(({ cost }) => Math.exp((least.cost - cost) / TEMPERATURE));
+    let mark = this.random() * weights.reduce((sum, weight) => sum + weight, 0);
+    for (let index = 0; index < open.length; index += 1) {
+      mark -= weights[index] ?? 0;
+      if (mark < 0) return (open[index] as Candidate).record;
+    }
+    return least.record;
   }
 }
--- /dev/null
+++ b/packages/mesh/src/target-view.ts
@@ -0,0 +1,99 @@
+import type { TargetLoad } from './call';
+
+/** Weight of the newest outcome in the share of failures. */
+const FAILURE_GAIN = 0.1;
+/** Time in which an estimate that nothing confirms loses most of its weight, in ms. */
+const TRUST_MS = 2_000;
+
+interface RouteEstimate {
+  readonly serviceMs: number;
+  readonly atMs: number;
+}
+
+/** What one entry knows of the load of a target and of the way to it. */
+export class TargetView {
+  /** Calls of this entry that are on their way or being worked on. */
+  pending = 0;
+
+  private load: TargetLoad | undefined;
+
+  private loadAtMs = Number.NEGATIVE_INFINITY;
+
+  private failures = 0;
+
+  private failuresAtMs = 0;
+
+  private avoidUntilMs = Number.NEGATIVE_INFINITY;
+
+  /** Calls of this priority and less urgent ones are not sent before `fullUntilMs`. */
+  private fullPriority = Number.POSITIVE_INFINITY;
+
+  private fullUntilMs = Number.NEGATIVE_INFINITY;
+
+  private readonly routes = new Map<string, RouteEstimate>();
+
+  learn(route: string, load: TargetLoad, nowMs: number): void {
+    this.load = load;
+    this.loadAtMs = nowMs;
+    if (load.routeMs !== undefined) {
+      this.routes.set(route, { serviceMs: load.routeMs, atMs: nowMs });
+    }
+  }
+
+  countOutcome(isFailure: boolean, nowMs: number): void {
+    this.failures = this.failureShare(nowMs);
+    this.failures += ((isFailure ? 1 : 0) - this.failures) * FAILURE_GAIN;
+    this.failuresAtMs = nowMs;
+  }
+
+  /** Share of recent calls that failed, 0 to 1; forgotten while nothing is sent. */
+  failureShare(nowMs: number): number {
+    return this.failures * Math.exp(-(nowMs - this.failuresAtMs) / TRUST_MS);
+  }
+
+  avoid(untilMs: number): void {
+    this.avoidUntilMs = untilMs;
+  }
+
+  isAvoided(nowMs: number): boolean {
+    return this.avoidUntilMs > nowMs;
+  }
+
+  noteFull(priority: number, untilMs: number): void {
+    this.fullPriority = priority;
+    this.fullUntilMs = untilMs;
+  }
+
+  /** Time until calls of this priority may be sent again; 0 if they may be sent now. */
+  fullForMs(priority: number, nowMs: number): number {
+    return priority >= this.fullPriority ? Math.max(0, this.fullUntilMs - nowMs) : 0;
+  }
+
+  /** Requests that the target has or is about to get. */
+  occupied(nowMs: number): number {
+    const reported = this.load === undefined ? 0 : this.load.running + this.load.waiting;
+    const trust = Math.exp(-(nowMs - this.loadAtMs) / TRUST_MS);
+    return Math.max(this.pending, reported * trust);
+  }
+
+  limit(slots: number): number {
+    return Math.max(1, this.load?.limit ?? slots);
+  }
+
+  /** Mean time of all requests at the target. */
+  meanMs(otherwise: number): number {
+    return this.load?.serviceMs ?? otherwise;
+  }
+
+  /** Expected time for a request of the route; an old estimate gives way to `commonMs`. */
+  routeMs(route: string, commonMs: number, nowMs: number): number {
+    const estimate = this.routes.get(route);
+    if (estimate === undefined) return commonMs;
+    const trust = Math.exp(-(nowMs - estimate.atMs) / TRUST_MS);
+    return commonMs + (estimate.serviceMs - commonMs) * trust;
+  }
+
+  knownRouteMs(route: string): number | undefined {
+    return this.routes.get(route)?.serviceMs;
+  }
+}
--- a/packages/peering/src/call-codec.ts
+++ b/packages/peering/src/call-codec.ts
@@ -6,6 +6,7 @@
   requestId: string,
   service: string,
   targetId: string,
+  route: string,
   isIdempotent: boolean,
   priority: number,
   remainingMs: number,
@@ -16,7 +17,7 @@
   fields: string[],
 ];
 
-type LoadHead = [running: number, waiting: number, limit: number, serviceMs: number] | null;
+type LoadHead = number[] | null;
 
 type ReplyHead =
   | ['answered', LoadHead, number, string, string[]]
@@ -28,6 +29,7 @@
     call.requestId,
     call.service,
     call.targetId,
+    call.route,
     call.isIdempotent,
     call.priority,
     Math.round(call.remainingMs),
@@ -47,29 +49,33 @@
     requestId: head[0],
     service: head[1],
     targetId: head[2],
-    isIdempotent: head[3],
-    priority: head[4],
-    remainingMs: head[5],
-    callerRemainingMs: head[6],
-    usefulMs: head[7],
-    method: head[8],
-    path: head[9],
-    fields: head[10],
+    route: head[3],
+    isIdempotent: head[4],
+    priority: head[5],
+    remainingMs: head[6],
+    callerRemainingMs: head[7],
+    usefulMs: head[8],
+    method: head[9],
+    path: head[10],
+    fields: head[11],
   };
 }
 
+function tenths(value: number): number {
+  return Math.round(value * 10) / 10;
+}
+
 function encodeLoad(load: TargetLoad | undefined): LoadHead {
   if (load === undefined) return null;
-  return [load.running, load.waiting, load.limit, Math.round(load.serviceMs * 10) / 10];
+  const head = [load.running, load.waiting, load.limit, tenths(load.serviceMs)];
+  if (load.routeMs !== undefined) head.push(tenths(load.routeMs));
+  return head;
 }
 
 function decodeLoad(head: LoadHead): TargetLoad | undefined {
   if (head === null) return undefined;
-  return { running: head[0], waiting: head[1], limit: head[2], serviceMs: head[3] };
-}
-
-export function encodeReply({ outcome, load }: CallReply): string {
-  return JSON.stringify(replyHead(outcome, encodeLoad(load)));
+  const [running = 0, waiting = 0, limit = 1, serviceMs = 0, routeMs] = head;
+  return { running, waiting, limit, serviceMs, routeMs };
 }
 
 function replyHead(outcome: CallReply['outcome'], load: LoadHead): ReplyHead {
@@ -85,6 +91,10 @@
   }
 }
 
+export function encodeReply({ outcome, load }: CallReply): string {
+  return JSON.stringify(replyHead(outcome, encodeLoad(load)));
+}
+
 /** Decodes a reply's head as `encodeReply` wrote it. Throws on other text. */
 export function decodeReply(text: string, body: Buffer): CallReply {
   const head = JSON.parse(text) as ReplyHead;
--- a/packages/peering/src/peer-link.ts
+++ b/packages/peering/src/peer-link.ts
@@ -6,6 +6,7 @@
 import { encodeFrame, FrameKind, FrameReader } from './frame';
 import { FrameWriter } from './frame-writer';
 import type { Hello } from './hello';
+import { OutstandingCall } from './outstanding-call';
 
 /** Time for a connection to be made, in ms: several round trips within a region. */
 const CONNECT_TIMEOUT_MS = 600;
@@ -35,17 +36,6 @@
   onDown(reason: string, wasSilent: boolean): void;
 }
 
-interface OutstandingCall {
-  readonly stream: number;
-  readonly call: MeshCall;
-  readonly frame: Buffer;
-  readonly deliver: (reply: CallReply) => void;
-  isSent: boolean;
-  /** Life of the peer that the call was sent to. */
-  sentTo: number | undefined;
-  orphanedAtMs: number | undefined;
-}
-
 export interface SentCall {
   /** The caller no longer waits; the reply is not delivered. */
   cancel(): void;
@@ -53,6 +43,18 @@
 
 type LinkState = 'down' | 'connecting' | 'greeting' | 'up';
 
+function unknown(detail: string): CallReply {
+  return { outcome: { kind: 'unknown', detail }, load: undefined };
+}
+
+function notSent(): CallReply {
+  const reason = RefusalReason.unreachable;
+  return {
+    outcome: { kind: 'refused', reason, reachedTarget: false, roomInMs: 0 },
+    load: undefined,
+  };
+}
+
 /** The connection over which this daemon sends calls to one other daemon. */
 export class PeerLink {
   private state: LinkState = 'down';
@@ -109,15 +111,8 @@
   call(call: MeshCall, body: Buffer, deliver: (reply: CallReply) => void): SentCall {
     const stream = this.nextStream;
     this.nextStream = (this.nextStream % 0xffff_fff0) + 1;
-    const outstanding: OutstandingCall = {
-      stream,
-      call,
-      frame: encodeFrame(FrameKind.call, stream, encodeCall(call), body),
-      deliver,
-      isSent: false,
-      sentTo: undefined,
-      orphanedAtMs: undefined,
-    };
+    const frame = encodeFrame(FrameKind.call, stream, encodeCall(call), body);
+    const outstanding = new OutstandingCall(stream, call, frame, deliver);
     this.calls.set(stream, outstanding);
     if (this.state === 'up') this.send(outstanding);
     else this.connect();
@@ -225,7 +220,7 @@
     } else if (outstanding.sentTo !== this.incarnation) {
       this.settle(outstanding, unknown('the home was restarted'));
     } else {
-      outstanding.orphanedAtMs = undefined;
+      outstanding.adopted();
       const { stream, call } = outstanding;
       const head = JSON.stringify([call.requestId]);
       this.writer?.write(encodeFrame(FrameKind.resolve, stream, head));
@@ -233,8 +228,7 @@
   }
 
   private send(outstanding: OutstandingCall): void {
-    outstanding.isSent = true;
-    outstanding.sentTo = this.incarnation;
+    outstanding.sent(this.incarnation);
     this.writer?.write(outstanding.frame);
   }
 
@@ -273,7 +267,7 @@
     } else if (outstanding.call.isIdempotent || this.isClosed) {
       this.settle(outstanding, unknown('connection to the home broke'));
     } else {
-      outstanding.orphanedAtMs ??= nowMs;
+      outstanding.orphaned(nowMs);
     }
   }
 
@@ -293,15 +287,3 @@
     this.probedAtMs = undefined;
   }
 }
-
-function unknown(detail: string): CallReply {
-  return { outcome: { kind: 'unknown', detail }, load: undefined };
-}
-
-function notSent(): CallReply {
-  const reason = RefusalReason.unreachable;
-  return {
-    outcome: { kind: 'refused', reason, reachedTarget: false, roomInMs: 0 },
-    load: undefined,
-  };
-}
--- a/packages/sidecar/src/configuration-holder.ts
+++ b/packages/sidecar/src/configuration-holder.ts
@@ -8,9 +8,10 @@
 
   private document = '';
 
+  private readonly listeners: ((version: number) => void)[] = [];
+
   constructor(
     private readonly decode: (text: string) => RoutingConfiguration,
-    private readonly onApplied: (version: number) => void,
     private readonly log: EventLog,
   ) {}
 
@@ -27,6 +28,10 @@
     return this.document;
   }
 
+  subscribe(listener: (version: number) => void): void {
+    this.listeners.push(listener);
+  }
+
   /** Takes a document from the store or from another daemon. */
   offer(text: string, source: string): void {
     if (text === this.document) return;
@@ -43,6 +48,6 @@
     this.table = new RouteTable(configuration);
     this.document = text;
     this.log.belief('configuration applied', { version, previous, source });
-    this.onApplied(version);
+    for (const listener of this.listeners) listener(version);
   }
 }
--- a/packages/sidecar/src/entry-call.ts
+++ b/packages/sidecar/src/entry-call.ts
@@ -28,6 +28,19 @@
 const AVOID_MS = 300;
 const SERVER_ERROR = 500;
 
+function outcomeClass(outcome: CallOutcome): 'served' | 'failed' | 'refused' {
+  switch (outcome.kind) {
+    case 'answered':
+      return outcome.status >= SERVER_ERROR ? 'failed' : 'served';
+    case 'refused':
+      return outcome.reachedTarget ? 'failed' : 'refused';
+    case 'unknown':
+      return 'failed';
+    default:
+      return outcome satisfies never;
+  }
+}
+
 /** One request of a caller: its tries, one after the other, until its only answer. */
 export class EntryCall {
   private readonly excluded = new Set<string>();
@@ -85,7 +98,17 @@
       this.giveUp(roomInMs, nowMs, 'no time or tries left');
       return;
     }
-    const choice = parts.chooser.choose(input.service, input.route.priority, this.excluded, nowMs);
+    const usefulMs = input.route.targetLatencyMs - (nowMs - input.arrivedMs);
+    const choice = parts.chooser.choose(
+      {
+        service: input.service,
+        route: input.route.name,
+        priority: input.route.priority,
+        usefulMs,
+        excluded: this.excluded,
+      },
+      nowMs,
+    );
     if (choice.kind === 'none') {
       this.giveUp(Math.max(roomInMs, choice.roomInMs), nowMs, choice.reason);
       return;
@@ -100,11 +123,12 @@
         requestId: input.requestId,
         service: input.service,
         targetId: target?.targetId ?? '',
+        route: input.route.name,
         isIdempotent: input.route.isIdempotent,
         priority: input.route.priority,
         remainingMs,
         callerRemainingMs: input.callerDeadlineMs - nowMs,
-        usefulMs: input.route.targetLatencyMs - (nowMs - input.arrivedMs),
+        usefulMs,
         method: input.method,
         path: input.path,
         fields: input.fields,
@@ -121,7 +145,7 @@
 
   private replied(daemonId: string, { outcome, load }: CallReply, nowMs: number): void {
     const { chooser } = this.parts;
-    chooser.ended(daemonId, load, outcomeClass(outcome), nowMs);
+    chooser.ended(daemonId, this.input.route.name, load, outcomeClass(outcome), nowMs);
     if (this.isDone) return;
     switch (outcome.kind) {
       case 'answered':
@@ -240,19 +264,6 @@
     if (current === undefined) return;
     this.current = undefined;
     current.sent.cancel();
-    this.parts.chooser.ended(current.daemonId, undefined, 'refused', nowMs);
-  }
-}
-
-function outcomeClass(outcome: CallOutcome): 'served' | 'failed' | 'refused' {
-  switch (outcome.kind) {
-    case 'answered':
-      return outcome.status >= SERVER_ERROR ? 'failed' : 'served';
-    case 'refused':
-      return outcome.reachedTarget ? 'failed' : 'refused';
-    case 'unknown':
-      return 'failed';
-    default:
-      return outcome satisfies never;
+    this.parts.chooser.ended(current.daemonId, this.input.route.name, undefined, 'refused', nowMs);
   }
 }
--- a/packages/sidecar/src/event-log.ts
+++ b/packages/sidecar/src/event-log.ts
@@ -42,8 +42,7 @@
       return;
     }
     this.written += 1;
-    const { body: _body, fields: _fields, ...rest } = fields;
-    this.logger.info(rest, message);
+    this.logger.info(fields, message);
   }
 
   /** A change of what the process believes, or an event of its life. */
--- a/packages/sidecar/src/fleet.ts
+++ b/packages/sidecar/src/fleet.ts
@@ -33,6 +33,11 @@
   sendControl(kind: FrameKindNumber, head: string, body?: Buffer): void;
 }
 
+function parseAddress(address: string): PeerAddress {
+  const colon = address.lastIndexOf(':');
+  return { ip: address.slice(0, colon), port: Number(address.slice(colon + 1)) };
+}
+
 /** The connections to the other daemons, and what travels over them beside calls. */
 export class Fleet implements HomeTransport {
   private readonly links = new Map<string, PeerLink>();
@@ -211,8 +216,3 @@
     peer.sendControl(FrameKind.configuration, JSON.stringify({ version }), Buffer.from(text));
   }
 }
-
-function parseAddress(address: string): PeerAddress {
-  const colon = address.lastIndexOf(':');
-  return { ip: address.slice(0, colon), port: Number(address.slice(colon + 1)) };
-}
--- a/packages/sidecar/src/own-record.ts
+++ b/packages/sidecar/src/own-record.ts
@@ -8,12 +8,13 @@
 
   private isLeaving = false;
 
+  private readonly listeners: (() => void)[] = [];
+
   constructor(
     private readonly environment: DaemonEnvironment,
     private readonly target: LocalTarget,
     /** Unix time of the start of this process; later lives have greater numbers. */
     private incarnation: number,
-    private readonly onChange: () => void,
     private readonly clock: () => number,
   ) {}
 
@@ -41,10 +42,14 @@
     };
   }
 
+  subscribe(listener: () => void): void {
+    this.listeners.push(listener);
+  }
+
   /** The target has changed. */
   changed(): void {
     this.revision += 1;
-    this.onChange();
+    for (const listener of this.listeners) listener();
   }
 
   leave(): void {
--- a/packages/sidecar/src/retry-budget.ts
+++ b/packages/sidecar/src/retry-budget.ts
@@ -1,9 +1,12 @@
 import { RetryShare } from '@daisyferry/retries/retry-share';
 
 /**
- * This daemon's part of the retries that all daemons together may send to a service. Half of the
- * allowed share is kept back, as calls that a repeated request makes count as repeats as well.
+ * Levels of a call tree that the allowed share is divided among: a request that is sent again makes
+ * all its calls again, so retries at each level above a service count against that service as well.
  */
+const TREE_LEVELS = 5;
+
+/** This daemon's part of the retries that all daemons together may send to a service. */
 export class RetryBudget {
   private readonly shares = new Map<string, RetryShare>();
 
@@ -14,7 +17,7 @@
     /** Retries beyond the share that this daemon may make in one window. */
     private readonly burst: number,
   ) {
-    this.ownRatio = ratio / 2;
+    this.ownRatio = ratio / TREE_LEVELS;
   }
 
   countRequest(service: string, nowMs: number): void {
--- a/packages/sidecar/src/sidecar-life.ts
+++ b/packages/sidecar/src/sidecar-life.ts
@@ -6,14 +6,15 @@
 import type { Fleet } from './fleet';
 import type { Home } from './home';
 import type { OwnRecord } from './own-record';
-import type { PrefixFollower } from './prefix-follower';
+import type { ReadyState } from './ready-state';
 import type { Registration } from './registration';
+import type { StoreSync } from './store-sync';
 
 export interface SidecarLifeParts {
   readonly environment: DaemonEnvironment;
   readonly fleet: Fleet;
   readonly registration: Registration;
-  readonly followers: readonly PrefixFollower[];
+  readonly storeSync: StoreSync;
   readonly callers: CallerListener;
   readonly entry: Entry;
   readonly home: Home;
@@ -21,8 +22,7 @@
   readonly log: EventLog;
   readonly announcements: ControlListener;
   readonly readiness: ControlListener;
-  readonly hasConfiguration: () => boolean;
-  readonly knowsFleet: () => boolean;
+  readonly state: ReadyState;
   readonly flushMs: number;
 }
 
@@ -41,17 +41,10 @@
 
 /** Start, readiness and planned stop of one daemon. */
 export class SidecarLife {
-  private isStopping = false;
-
   private flushTimer: NodeJS.Timeout | undefined;
 
   constructor(private readonly parts: SidecarLifeParts) {}
 
-  /** True while callers should send new work to this daemon. */
-  get isReady(): boolean {
-    return !this.isStopping && this.parts.hasConfiguration() && this.parts.knowsFleet();
-  }
-
   async start(): Promise<void> {
     const { environment, fleet, callers, announcements, readiness, log } = this.parts;
     const { listen } = environment;
@@ -62,16 +55,15 @@
       readiness.listen(listen.readiness),
     ]);
     this.parts.own.changed();
-    for (const follower of this.parts.followers) follower.start();
+    this.parts.storeSync.start();
     this.flushTimer = setInterval(() => log.flush(), this.parts.flushMs);
-    const { daemonId: _daemonId, ...described } = environment;
-    log.belief('started', described);
+    log.belief('started', { environment });
   }
 
   /** Finishes what is in progress and ends; takes at most the grace time. */
   async stop(): Promise<void> {
-    if (this.isStopping) return;
-    this.isStopping = true;
+    if (this.parts.state.isStopping) return;
+    this.parts.state.stop();
     const { environment, callers, own, home, entry, log, fleet, registration } = this.parts;
     const endsAtMs = performance.now() + environment.bounds.graceMs - EXIT_MARGIN_MS;
     log.belief('stopping', { activeEntry: entry.activeCount, activeHome: home.activeCount });
@@ -85,7 +77,7 @@
     }
     home.close();
     callers.close();
-    for (const follower of this.parts.followers) follower.stop();
+    this.parts.storeSync.stop();
     await Promise.race([registration.stop(), pause(EXIT_MARGIN_MS / 2)]);
     fleet.stop();
     this.parts.announcements.close();
--- a/packages/sidecar/src/wire-sidecar.ts
+++ b/packages/sidecar/src/wire-sidecar.ts
@@ -1,14 +1,16 @@
+import { RefusalReason } from '@daisyferry/mesh/call';
 import { AdmissionQueue } from '@daisyferry/mesh/admission-queue';
 import { ExecutionLedger } from '@daisyferry/mesh/execution-ledger';
 import { FleetDirectory } from '@daisyferry/mesh/fleet-directory';
 import { LocalTarget } from '@daisyferry/mesh/local-target';
 import type { RoutingConfiguration } from '@daisyferry/mesh/routing-configuration';
+import { ServiceTimes } from '@daisyferry/mesh/service-times';
 import { SplitWheels } from '@daisyferry/mesh/split-wheels';
 import { TargetChooser } from '@daisyferry/mesh/target-chooser';
-import type { DaemonRecord } from '@daisyferry/mesh/target-record';
-import type { PlatformStore, StoredValue, WatchEvent } from '@daisyferry/store/platform-store';
+import type { PlatformStore } from '@daisyferry/store/platform-store';
 import { AnnouncementDesk, type AnnouncementDecoder } from './announcement-desk';
-import { CallerListener, type ListenerLimits } from './caller-listener';
+import type { ListenerLimits } from './caller-connection';
+import { CallerListener } from './caller-listener';
 import { ConfigurationHolder } from './configuration-holder';
 import { ControlListener } from './control-listener';
 import type { DaemonEnvironment } from './daemon-environment';
@@ -18,11 +20,13 @@
 import type { HeaderNames } from './header-names';
 import { Home } from './home';
 import { OwnRecord } from './own-record';
-import { PrefixFollower } from './prefix-follower';
-import { DAEMON_PREFIX, Registration } from './registration';
+import { ReadyState } from './ready-state';
+import { Registration } from './registration';
 import { RetryBudget } from './retry-budget';
 import type { SidecarMetrics } from './sidecar-metrics';
 import { SidecarLife } from './sidecar-life';
+import { StoreState } from './store-state';
+import { StoreSync } from './store-sync';
 import { TargetPool } from './target-pool';
 
 /** What the platform's adapter supplies. */
@@ -54,7 +58,10 @@
 const ASSUMED_DAEMONS = 30;
 /** Time between two flushes of the log, in ms. */
 const FLUSH_MS = 1_000;
+/** Daemons start dealing split routes at different places; a prime spreads them well. */
 const INCARNATION_SPREAD = 9_973;
+const STATUS_OK = 200;
+const STATUS_NOT_READY = 503;
 
 /** Builds one daemon out of its parts. */
 export function wireSidecar(
@@ -64,23 +71,28 @@
   startUnixMs: number,
 ): SidecarLife {
   const clock = () => performance.now();
-  const log = new EventLog({ daemonId: environment.daemonId }, clock);
+  const { store, headerNames } = platform;
+  const log = new EventLog({ node: environment.daemonId }, clock);
   const target = new LocalTarget();
-  const requestIdField = platform.headerNames.requestId.toLowerCase();
-  const pool = new TargetPool(environment.targetAddress, requestIdField, clock);
+  const pool = new TargetPool(
+    environment.targetAddress,
+    headerNames.requestId.toLowerCase(),
+    clock,
+  );
   const queue = new AdmissionQueue(INITIAL_SLOTS);
   const directory = new FleetDirectory();
-
-  const own: OwnRecord = new OwnRecord(environment, target, startUnixMs, () => ownChanged(), clock);
+  const state = new StoreState();
+  const own = new OwnRecord(environment, target, startUnixMs, clock);
   const home = new Home({
     target,
     pool,
     queue,
+    serviceTimes: new ServiceTimes(),
     ledger: new ExecutionLedger(),
-    headerNames: platform.headerNames,
+    headerNames,
     answerFields: {
-      notRun: platform.headerNames.notRun.toLowerCase(),
-      signature: platform.headerNames.signature.toLowerCase(),
+      notRun: headerNames.notRun.toLowerCase(),
+      signature: headerNames.signature.toLowerCase(),
     },
     log,
     clock,
@@ -91,77 +103,32 @@
     { ownZone: environment.zone, maxCandidates: MAX_CANDIDATES },
     Math.random,
   );
-  const configuration: ConfigurationHolder = new ConfigurationHolder(
-    platform.decodeConfiguration,
-    (version) => fleet.announceConfiguration(version),
-    log,
-  );
-  const fleet: Fleet = new Fleet({
+  const configuration = new ConfigurationHolder(platform.decodeConfiguration, log);
+  const fleet = new Fleet({
     directory,
     own,
     home,
     configuration,
     log,
     clock,
-    followsStore: () => daemonFollower.isFollowing,
+    followsStore: () => state.isFollowing,
     onSilence: platform.resetStore,
     onGone: (daemonId) => chooser.forget(daemonId),
   });
-  const registration = new Registration(
-    platform.store,
-    () => own.record(),
-    platform.resetStore,
+  const registration = new Registration(store, () => own.record(), platform.resetStore, log);
+  const storeSync = new StoreSync({
+    store,
+    state,
+    operatorPrefix: platform.operatorPrefix,
+    configurationKey: platform.configurationKey,
+    configuration,
+    directory,
+    fleet,
+    registration,
+    ownDaemonId: environment.daemonId,
     log,
-  );
-
-  function ownChanged(): void {
-    directory.learn(own.record(), 'direct', clock());
-    directory.setConnected(own.daemonId, true, clock());
-    fleet.announceOwn();
-    registration.changed();
-  }
-
-  const configurationFollower = new PrefixFollower(platform.store, platform.operatorPrefix, {
-    onSnapshot: (values) => {
-      log.belief('configuration read from the store');
-      values.forEach(takeConfiguration);
-    },
-    onEvents: (events) => events.forEach(takeConfiguration),
-    onLost: (detail) => log.warn('watch of the configuration lost', { detail }),
-  });
-  function takeConfiguration({ key, value }: StoredValue | WatchEvent): void {
-    if (key === platform.configurationKey && value !== '') configuration.offer(value, 'store');
-  }
-
-  const daemonFollower = new PrefixFollower(platform.store, DAEMON_PREFIX, {
-    onSnapshot: (values) => {
-      log.belief('records read from the store', { count: values.length });
-      const records = values.flatMap(({ value }) => parseRecord(value));
-      records.forEach((record) => fleet.learn(record, 'stored'));
-      directory.replaceStored(new Set(records.map(({ daemonId }) => daemonId)), clock());
-    },
-    onEvents: (events) => events.forEach(takeRecord),
-    onLost: (detail) => log.warn('watch of the daemons lost', { detail }),
+    clock,
   });
-  function takeRecord(event: WatchEvent): void {
-    if (event.kind === 'put') {
-      parseRecord(event.value).forEach((record) => fleet.learn(record, 'stored'));
-      return;
-    }
-    const daemonId = event.key.slice(DAEMON_PREFIX.length);
-    log.belief('record removed from the store', { daemonId });
-    if (daemonId === own.daemonId) registration.lost();
-    else directory.lapse(daemonId, clock());
-  }
-  function parseRecord(text: string): DaemonRecord[] {
-    try {
-      return [JSON.parse(text) as DaemonRecord];
-    } catch (error) {
-      log.warn('unreadable record', { error: String(error) });
-      return [];
-    }
-  }
-
   const entry = new Entry({
     routes: () => configuration.routes,
     wheels: new SplitWheels(startUnixMs % INCARNATION_SPREAD),
@@ -171,7 +138,7 @@
       environment.bounds.retrySlack / (2 * ASSUMED_DAEMONS),
     ),
     transport: fleet,
-    headerNames: platform.headerNames,
+    headerNames,
     callerService: environment.service,
     log,
     metrics,
@@ -183,7 +150,6 @@
     onProblem: (detail) => log.decision('request rejected', { detail }),
     clock,
   });
-
   const desk = new AnnouncementDesk({
     target,
     decoder: platform.announcements,
@@ -193,38 +159,48 @@
     onChange: (isServing) => {
       const slots = target.announcement?.slots;
       if (slots !== undefined) queue.setLimit(slots, clock());
-      if (!isServing) queue.refuseAll('leaving');
+      if (!isServing) queue.refuseAll(RefusalReason.leaving);
       own.changed();
     },
     log,
     clock,
   });
-  const life: SidecarLife = new SidecarLife({
+  const readyState = new ReadyState(
+    () => configuration.version > 0,
+    () => state.isFollowing || fleet.connectedCount > 0,
+  );
+
+  own.subscribe(() => {
+    directory.learn(own.record(), 'direct', clock());
+    directory.setConnected(own.daemonId, true, clock());
+    fleet.announceOwn();
+    registration.changed();
+  });
+  configuration.subscribe((version) => fleet.announceConfiguration(version));
+  metrics.addGauge('daisyferry_target_running', () => queue.running);
+  metrics.addGauge('daisyferry_target_waiting', () => queue.waitingCount);
+  metrics.addGauge('daisyferry_target_connections_opened', () => pool.openedCount);
+  metrics.addGauge('daisyferry_peers_connected', () => fleet.connectedCount);
+  metrics.addGauge('daisyferry_daemons_known', () => directory.size);
+  metrics.addGauge('daisyferry_configuration_version', () => configuration.version);
+  metrics.addGauge('daisyferry_caller_connections', () => callers.connectionCount);
+
+  return new SidecarLife({
     environment,
     fleet,
     registration,
-    followers: [configurationFollower, daemonFollower],
+    storeSync,
     callers,
     entry,
     home,
     own,
     log,
     announcements: new ControlListener((request) => desk.handle(request)),
-    readiness: new ControlListener(({ path }) =>
-      path === platform.readinessPath && life.isReady
-        ? { status: 200, text: '{}' }
-        : { status: 503, text: '{}' },
-    ),
-    hasConfiguration: () => configuration.version > 0,
-    knowsFleet: () => daemonFollower.isFollowing || fleet.connectedCount > 0,
+    readiness: new ControlListener(({ path }) => ({
+      status: path === platform.readinessPath && readyState.isReady ? STATUS_OK : STATUS_NOT_READY,
+      text: '{}',
+    })),
+    state: readyState,
     flushMs: FLUSH_MS,
   });
-  metrics.addGauge('daisyferry_target_running', () => queue.running);
-  metrics.addGauge('daisyferry_target_waiting', () => queue.waitingCount);
-  metrics.addGauge('daisyferry_target_connections_opened', () => pool.openedCount);
-  metrics.addGauge('daisyferry_peers_connected', () => fleet.connectedCount);
-  metrics.addGauge('daisyferry_daemons_known', () => directory.size);
-  metrics.addGauge('daisyferry_configuration_version', () => configuration.version);
-  metrics.addGauge('daisyferry_caller_connections', () => callers.connectionCount);
-  return life;
 }
