Pass answers that end with their connection on without a length

Change: the home marks such answers, the entry writes them without a length and closes behind them, so that the caller knows no more than the daemon.

--- a/packages/http1/src/message-writer.ts
+++ b/packages/http1/src/message-writer.ts
@@ -75,13 +75,19 @@
   readonly reason: string;
   readonly fields: HeaderFields;
   readonly body: Buffer;
+  /**
+   * True for a body whose completeness is not known. It is sent on without a length, so that the
+   * receiver knows no more than the sender; the connection ends behind it.
+   */
+  readonly endsWithConnection?: boolean;
 }
 
 /** A response in one buffer. A HEAD request, 204 and 304 get no body. */
 export function responseBytes(parts: ResponseParts, isHead: boolean, isLast: boolean): Buffer {
   const { status, reason, fields, body } = parts;
   const isBodiless = isHead || status === 204 || status === 304;
-  const length = isBodiless ? '' : `Content-Length: ${body.length}\r\n`;
+  const isUnframed = isBodiless || parts.endsWithConnection === true;
+  const length = isUnframed ? '' : `Content-Length: ${body.length}\r\n`;
   const connection = isLast ? 'Connection: close\r\n' : '';
   const head = `HTTP/1.1 ${status} ${reason}\r\n${fieldLines(fields)}${length}${connection}\r\n`;
   return isBodiless ? Buffer.from(head, 'latin1') : withBody(head, body);
--- a/packages/http1/src/message.ts
+++ b/packages/http1/src/message.ts
@@ -24,6 +24,8 @@
   readonly body: Buffer;
   /** False when the server closes the connection after this response. */
   readonly isPersistent: boolean;
+  /** True where only the end of the connection told the end of the body, so it may be cut short. */
+  readonly endsWithConnection: boolean;
   /** Idle time in ms after which the server closes the connection, where it says so. */
   readonly keepAliveMs: number | undefined;
 }
--- a/packages/http1/src/response-reader.ts
+++ b/packages/http1/src/response-reader.ts
@@ -65,7 +65,16 @@
     this.head = undefined;
     this.body = undefined;
     const { status, reason, fields, isPersistent, keepAliveMs } = head;
-    const response = { status, reason, fields, body: body.body(), isPersistent, keepAliveMs };
+    const endsWithConnection = head.framing.kind === 'untilClose';
+    const response: ResponseMessage = {
+      status,
+      reason,
+      fields,
+      body: body.body(),
+      isPersistent,
+      endsWithConnection,
+      keepAliveMs,
+    };
     return { kind: 'response', response };
   }
 }
--- a/packages/http1/tests/message-writer.test.ts
+++ b/packages/http1/tests/message-writer.test.ts
@@ -49,3 +49,11 @@
     expect(responseBytes(some, isHead, false).toString()).not.toContain('xy');
   });
 });
+
+describe('a response whose body may have been cut short', () => {
+  it('carries no length, so that it does not look complete', () => {
+    const cut = { status: 200, reason: 'OK', fields: [], body: Buffer.from('xy') };
+    const text = responseBytes({ ...cut, endsWithConnection: true }, false, true).toString();
+    expect(text).toBe('HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nxy');
+  });
+});
--- a/packages/http1/tests/response-reader.test.ts
+++ b/packages/http1/tests/response-reader.test.ts
@@ -41,7 +41,9 @@
   });
 
   it('passes over interim responses', () => {
-    const reader = readerOf('HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n');
+    const reader = readerOf(
+      'HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n',
+    );
     expect(reader.next(false)).toMatchObject({ response: { status: 200 } });
   });
 
--- a/packages/mesh/src/call.ts
+++ b/packages/mesh/src/call.ts
@@ -53,6 +53,8 @@
       readonly reason: string;
       readonly fields: readonly string[];
       readonly body: Buffer;
+      /** True where the end of the target's connection was the only sign of the body's end. */
+      readonly endsWithConnection: boolean;
     }
   /** The target did not run the request and never will under this id at this home. */
   | {
--- a/packages/mesh/tests/execution-ledger.test.ts
+++ b/packages/mesh/tests/execution-ledger.test.ts
@@ -3,7 +3,14 @@
 import { describe, expect, it } from 'vitest';
 
 const ANSWER: CallReply = {
-  outcome: { kind: 'answered', status: 200, reason: 'OK', fields: [], body: Buffer.from('done') },
+  outcome: {
+    kind: 'answered',
+    status: 200,
+    reason: 'OK',
+    fields: [],
+    body: Buffer.from('done'),
+    endsWithConnection: false,
+  },
   load: undefined,
 };
 
--- a/packages/mesh/tests/fleet-directory.test.ts
+++ b/packages/mesh/tests/fleet-directory.test.ts
@@ -44,7 +44,12 @@
 
   it.each([
     ['an older revision', record({ revision: 0 }), 'stored', false],
-    ['an older life from another daemon', record({ incarnation: 9, revision: 9 }), 'relayed', false],
+    [
+      'an older life from another daemon',
+      record({ incarnation: 9, revision: 9 }),
+      'relayed',
+      false,
+    ],
     ['a life that a set-back clock numbers lower', record({ incarnation: 9 }), 'direct', true],
     ['a newer life', record({ incarnation: 11 }), 'relayed', true],
   ] as const)('judges %s', (_name, candidate, source, isNews) => {
--- a/packages/peering/src/call-codec.ts
+++ b/packages/peering/src/call-codec.ts
@@ -20,7 +20,7 @@
 type LoadHead = number[] | null;
 
 type ReplyHead =
-  | ['answered', LoadHead, number, string, string[]]
+  | ['answered', LoadHead, number, string, string[], boolean]
   | ['refused', LoadHead, RefusalReasonName, boolean, number]
   | ['unknown', LoadHead, string];
 
@@ -81,7 +81,14 @@
 function replyHead(outcome: CallReply['outcome'], load: LoadHead): ReplyHead {
   switch (outcome.kind) {
     case 'answered':
-      return ['answered', load, outcome.status, outcome.reason, outcome.fields as string[]];
+      return [
+        'answered',
+        load,
+        outcome.status,
+        outcome.reason,
+        outcome.fields as string[],
+        outcome.endsWithConnection,
+      ];
     case 'refused':
       return ['refused', load, outcome.reason, outcome.reachedTarget, outcome.roomInMs];
     case 'unknown':
@@ -101,8 +108,11 @@
   const load = decodeLoad(head[1]);
   switch (head[0]) {
     case 'answered': {
-      const [, , status, reason, fields] = head;
-      return { outcome: { kind: 'answered', status, reason, fields, body }, load };
+      const [, , status, reason, fields, endsWithConnection] = head;
+      return {
+        outcome: { kind: 'answered', status, reason, fields, body, endsWithConnection },
+        load,
+      };
     }
     case 'refused': {
       const [, , reason, reachedTarget, roomInMs] = head;
--- a/packages/sidecar/src/answer-check.ts
+++ b/packages/sidecar/src/answer-check.ts
@@ -23,7 +23,7 @@
   names: AnswerFields,
   roomInMs: number,
 ): CallOutcome {
-  const { status, reason, fields, body } = response;
+  const { status, reason, fields, body, endsWithConnection } = response;
   if (status === MISDIRECTED) return refused('notHere', 0);
   if (fieldValue(fields, names.notRun) !== undefined) return refused('shedByTarget', roomInMs);
   if (fieldValue(fields, 'content-encoding') !== undefined) {
@@ -32,5 +32,12 @@
   if (fieldValue(fields, names.signature) === undefined) {
     return { kind: 'unknown', detail: `answer ${status} without the target's signature` };
   }
-  return { kind: 'answered', status, reason, fields: endToEndFields(fields, NO_FIELDS), body };
+  return {
+    kind: 'answered',
+    status,
+    reason,
+    fields: endToEndFields(fields, NO_FIELDS),
+    body,
+    endsWithConnection,
+  };
 }
--- a/packages/sidecar/src/caller-connection.ts
+++ b/packages/sidecar/src/caller-connection.ts
@@ -117,7 +117,8 @@
     this.isBusy = false;
     this.current = undefined;
     if (this.socket.destroyed) return;
-    const isLast = !head.isPersistent || this.listener.isClosing;
+    const isLast =
+      !head.isPersistent || this.listener.isClosing || parts.endsWithConnection === true;
     const bytes = responseBytes(parts, head.method === 'HEAD', isLast);
     this.sinceMs = this.listener.parts.clock();
     if (isLast) {
--- a/packages/sidecar/src/entry-call.ts
+++ b/packages/sidecar/src/entry-call.ts
@@ -223,7 +223,13 @@
   }
 
   private finishAnswered(
-    { status, reason, fields, body }: Extract<CallOutcome, { kind: 'answered' }>,
+    {
+      status,
+      reason,
+      fields,
+      body,
+      endsWithConnection,
+    }: Extract<CallOutcome, { kind: 'answered' }>,
     nowMs: number,
   ): void {
     this.isDone = true;
@@ -233,7 +239,7 @@
     if (outcome !== 'served') {
       parts.log.decision('failed by target', { requestId: input.requestId, status });
     }
-    this.answer({ status, reason, fields, body });
+    this.answer({ status, reason, fields, body, endsWithConnection });
   }
 
   private finishOwn(
