Turn load away at the entry by the level that homes ask for

Change: each home integrates its wait for a slot into a shed level, reports it with every reply and hands on the level of services its target calls; entries turn the least urgent callers away by it. Routes that one service alone calls are let through and wait as long as their parents.

--- a/packages/mesh/src/admission-queue.ts
+++ b/packages/mesh/src/admission-queue.ts
@@ -58,7 +58,7 @@
     return this.failures;
   }
 
-  load(): Omit<TargetLoad, 'routeMs'> {
+  load(): Pick<TargetLoad, 'running' | 'waiting' | 'limit' | 'serviceMs'> {
     return {
       running: this.runningCount,
       waiting: this.waiting.length,
@@ -73,6 +73,11 @@
     this.startNext(nowMs);
   }
 
+  /** Forecast of the time that a call which came now would wait for a slot. */
+  get waitMs(): number {
+    return this.waiting.length === 0 ? 0 : this.forecastMs(this.waiting.length);
+  }
+
   /** Starts the request, lets it wait, or refuses it; all by calling back. */
   submit(request: SlotRequest, nowMs: number): void {
     if (this.runningCount < this.maxRunning && this.waiting.length === 0) {
--- a/packages/mesh/src/call.ts
+++ b/packages/mesh/src/call.ts
@@ -4,6 +4,8 @@
   readonly requestId: string;
   readonly service: string;
   readonly targetId: string;
+  /** Service in whose name the request was made. */
+  readonly callerService: string;
   /** Name of the route; service times are kept by it. */
   readonly route: string;
   readonly isIdempotent: boolean;
@@ -28,6 +30,10 @@
   readonly limit: number;
   /** Mean time that the target takes for one request. */
   readonly serviceMs: number;
+  /** Load that is to be turned away before it is sent, see `ShedLevel`. */
+  readonly level: number;
+  /** True where only other targets make calls on the call's route, see `CallerTally`. */
+  readonly isInternal: boolean;
   /** The same for the requests of the call's route, where known. */
   readonly routeMs: number | undefined;
 }
--- a/packages/mesh/src/route-table.ts
+++ b/packages/mesh/src/route-table.ts
@@ -2,9 +2,13 @@
 
 /** Finds the route of a request: among the routes of its host the longest prefix of its path. */
 export class RouteTable {
+  /** Greatest number of a priority in use. */
+  readonly leastUrgent: number;
+
   private readonly hosts = new Map<string, Map<string, Route>>();
 
   constructor(readonly configuration: RoutingConfiguration) {
+    this.leastUrgent = Math.max(0, ...configuration.routes.map(({ priority }) => priority));
     for (const route of configuration.routes) {
       const host = route.host.toLowerCase();
       const prefixes = this.hosts.get(host) ?? new Map<string, Route>();
--- a/packages/mesh/src/target-chooser.ts
+++ b/packages/mesh/src/target-chooser.ts
@@ -55,6 +55,8 @@
 export class TargetChooser {
   private readonly views = new Map<string, TargetView>();
 
+  private readonly internalRoutes = new Set<string>();
+
   constructor(
     private readonly directory: FleetDirectory,
     private readonly options: ChooserOptions,
@@ -77,6 +79,22 @@
     return { kind: 'chosen', record: this.draw(open) };
   }
 
+  /** Load of the service that is to be turned away: the mean of what its homes ask for. */
+  levelOf(service: string, nowMs: number): number {
+    const records = this.directory.serving(service);
+    if (records.length === 0) return 0;
+    const sum = records.reduce(
+      (total, { daemonId }) => total + (this.views.get(daemonId)?.level(nowMs) ?? 0),
+      0,
+    );
+    return sum / records.length;
+  }
+
+  /** True where only other targets make calls on the route, as far as is known. */
+  isInternal(route: string): boolean {
+    return this.internalRoutes.has(route);
+  }
+
   sent(daemonId: string): void {
     this.view(daemonId).pending += 1;
   }
@@ -92,7 +110,10 @@
     const view = this.view(daemonId);
     view.pending = Math.max(0, view.pending - 1);
     if (outcome !== 'refused') view.countOutcome(outcome === 'failed', nowMs);
-    if (load !== undefined) view.learn(route, load, nowMs);
+    if (load === undefined) return;
+    view.learn(route, load, nowMs);
+    if (load.isInternal) this.internalRoutes.add(route);
+    else this.internalRoutes.delete(route);
   }
 
   /** The home had no room for calls of this priority; spares it more of them for a while. */
--- a/packages/mesh/src/target-view.ts
+++ b/packages/mesh/src/target-view.ts
@@ -76,6 +76,12 @@
     return Math.max(this.pending, reported * trust);
   }
 
+  /** Load that the home wants turned away; forgotten while nothing is heard of it. */
+  level(nowMs: number): number {
+    if (this.load === undefined) return 0;
+    return this.load.level * Math.exp(-(nowMs - this.loadAtMs) / TRUST_MS);
+  }
+
   limit(slots: number): number {
     return Math.max(1, this.load?.limit ?? slots);
   }
--- a/packages/peering/src/call-codec.ts
+++ b/packages/peering/src/call-codec.ts
@@ -6,6 +6,7 @@
   requestId: string,
   service: string,
   targetId: string,
+  callerService: string,
   route: string,
   isIdempotent: boolean,
   priority: number,
@@ -29,6 +30,7 @@
     call.requestId,
     call.service,
     call.targetId,
+    call.callerService,
     call.route,
     call.isIdempotent,
     call.priority,
@@ -49,15 +51,16 @@
     requestId: head[0],
     service: head[1],
     targetId: head[2],
-    route: head[3],
-    isIdempotent: head[4],
-    priority: head[5],
-    remainingMs: head[6],
-    callerRemainingMs: head[7],
-    usefulMs: head[8],
-    method: head[9],
-    path: head[10],
-    fields: head[11],
+    callerService: head[3],
+    route: head[4],
+    isIdempotent: head[5],
+    priority: head[6],
+    remainingMs: head[7],
+    callerRemainingMs: head[8],
+    usefulMs: head[9],
+    method: head[10],
+    path: head[11],
+    fields: head[12],
   };
 }
 
@@ -65,17 +68,28 @@
   return Math.round(value * 10) / 10;
 }
 
+function hundredths(value: number): number {
+  return Math.round(value * 100) / 100;
+}
+
 function encodeLoad(load: TargetLoad | undefined): LoadHead {
   if (load === undefined) return null;
-  const head = [load.running, load.waiting, load.limit, tenths(load.serviceMs)];
+  const head = [
+    load.running,
+    load.waiting,
+    load.limit,
+    tenths(load.serviceMs),
+    hundredths(load.level),
+    load.isInternal ? 1 : 0,
+  ];
   if (load.routeMs !== undefined) head.push(tenths(load.routeMs));
   return head;
 }
 
 function decodeLoad(head: LoadHead): TargetLoad | undefined {
   if (head === null) return undefined;
-  const [running = 0, waiting = 0, limit = 1, serviceMs = 0, routeMs] = head;
-  return { running, waiting, limit, serviceMs, routeMs };
+  const [running = 0, waiting = 0, limit = 1, serviceMs = 0, level = 0, internal, routeMs] = head;
+  return { running, waiting, limit, serviceMs, level, isInternal: internal === 1, routeMs };
 }
 
 function replyHead(outcome: CallReply['outcome'], load: LoadHead): ReplyHead {
--- a/packages/sidecar/src/entry-call.ts
+++ b/packages/sidecar/src/entry-call.ts
@@ -1,5 +1,6 @@
 import type { CallOutcome, CallReply } from '@daisyferry/mesh/call';
 import { RefusalReason } from '@daisyferry/mesh/call';
+import { shedMargin } from '@daisyferry/mesh/entry-admission';
 import type { Route } from '@daisyferry/mesh/routing-configuration';
 import type { SentCall } from '@daisyferry/peering/peer-link';
 import type { Answer, EntryParts } from './entry';
@@ -9,6 +10,8 @@
   readonly requestId: string;
   readonly route: Route;
   readonly service: string;
+  /** Greatest number of a priority in use. */
+  readonly leastUrgent: number;
   readonly method: string;
   readonly path: string;
   readonly fields: readonly string[];
@@ -26,6 +29,11 @@
 const FULL_PAUSE_MS = 20;
 /** Time for which a home is avoided after its connection broke, in ms. */
 const AVOID_MS = 300;
+/** Shortest advice to a caller that was shed, and the time in which the level falls by one class. */
+const MIN_RETURN_MS = 100;
+const RETURN_MS_PER_CLASS = 2_000;
+/** Callers follow advice of up to a third of their remaining time. */
+const MAX_RETURN_SHARE = 0.3;
 const SERVER_ERROR = 500;
 
 function outcomeClass(outcome: CallOutcome): 'served' | 'failed' | 'refused' {
@@ -66,7 +74,19 @@
   ) {}
 
   start(nowMs: number): void {
-    this.parts.budget.countRequest(this.input.service, nowMs);
+    const { budget, chooser } = this.parts;
+    const { service, route, requestId, leastUrgent } = this.input;
+    budget.countRequest(service, nowMs);
+    if (!chooser.isInternal(route.name)) {
+      const level = chooser.levelOf(service, nowMs);
+      const { priority } = route;
+      const margin = shedMargin({ requestId, priority, leastUrgent, level });
+      if (margin > 0) {
+        const detail = `shed at level ${level.toFixed(2)}`;
+        this.finishOwn(OwnAnswerReason.noRoom, this.returnMs(margin, nowMs), nowMs, detail);
+        return;
+      }
+    }
     this.tryNext(nowMs, 0);
   }
 
@@ -91,6 +111,13 @@
     this.finishOwn(OwnAnswerReason.timedOut, 0, nowMs, 'deadline passed');
   }
 
+  /** Time after which a caller that was shed by this margin may come back; spread at random. */
+  private returnMs(margin: number, nowMs: number): number {
+    const forecastMs = MIN_RETURN_MS + margin * RETURN_MS_PER_CLASS;
+    const spreadMs = forecastMs * (0.5 + this.parts.random());
+    return Math.min(spreadMs, (this.input.callerDeadlineMs - nowMs) * MAX_RETURN_SHARE);
+  }
+
   private tryNext(nowMs: number, roomInMs: number): void {
     const { input, parts } = this;
     const remainingMs = Math.min(input.routeDeadlineMs, input.callerDeadlineMs) - nowMs;
@@ -98,7 +125,10 @@
       this.giveUp(roomInMs, nowMs, 'no time or tries left');
       return;
     }
-    const usefulMs = input.route.targetLatencyMs - (nowMs - input.arrivedMs);
+    // A call that a target makes for a request is of use as long as that request waits for it.
+    const usefulMs = parts.chooser.isInternal(input.route.name)
+      ? remainingMs
+      : input.route.targetLatencyMs - (nowMs - input.arrivedMs);
     const choice = parts.chooser.choose(
       {
         service: input.service,
@@ -123,6 +153,7 @@
         requestId: input.requestId,
         service: input.service,
         targetId: target?.targetId ?? '',
+        callerService: parts.callerService,
         route: input.route.name,
         isIdempotent: input.route.isIdempotent,
         priority: input.route.priority,
@@ -144,8 +175,12 @@
   }
 
   private replied(daemonId: string, { outcome, load }: CallReply, nowMs: number): void {
-    const { chooser } = this.parts;
-    chooser.ended(daemonId, this.input.route.name, load, outcomeClass(outcome), nowMs);
+    const { chooser, downstream } = this.parts;
+    const { route, service } = this.input;
+    chooser.ended(daemonId, route.name, load, outcomeClass(outcome), nowMs);
+    if (chooser.isInternal(route.name)) {
+      downstream.note(service, chooser.levelOf(service, nowMs), nowMs);
+    }
     if (this.isDone) return;
     switch (outcome.kind) {
       case 'answered':
--- a/packages/sidecar/src/entry.ts
+++ b/packages/sidecar/src/entry.ts
@@ -3,9 +3,11 @@
 import type { RequestMessage } from '@daisyferry/http1/message';
 import { fieldValue } from '@daisyferry/http1/message';
 import type { CallReply, MeshCall } from '@daisyferry/mesh/call';
+import type { DownstreamLevel } from '@daisyferry/mesh/downstream-level';
 import type { RouteTable } from '@daisyferry/mesh/route-table';
 import type { SplitWheels } from '@daisyferry/mesh/split-wheels';
 import type { TargetChooser } from '@daisyferry/mesh/target-chooser';
+import type { RandomSource } from '@daisyferry/model/scheduler';
 import type { SentCall } from '@daisyferry/peering/peer-link';
 import { EntryCall } from './entry-call';
 import type { EventLog } from './event-log';
@@ -28,6 +30,8 @@
   readonly routes: () => RouteTable | undefined;
   readonly wheels: SplitWheels;
   readonly chooser: TargetChooser;
+  readonly downstream: DownstreamLevel;
+  readonly random: RandomSource;
   readonly budget: RetryBudget;
   readonly transport: HomeTransport;
   readonly headerNames: HeaderNames;
@@ -90,12 +94,12 @@
     const given = Number(fieldValue(head.fields, headerNames.deadline.toLowerCase()));
     const callerMs = Number.isFinite(given) && given > 0 ? given : DEFAULT_DEADLINE_MS;
     const fields = endToEndFields(head.fields, this.replacedFields);
-    fields.push(headerNames.callerService, this.parts.callerService);
     const call = new EntryCall(
       {
         requestId,
         route,
         service: wheels.next(route),
+        leastUrgent: routes.leastUrgent,
         method: head.method,
         path: head.target,
         fields,
--- a/packages/sidecar/src/home-call.ts
+++ b/packages/sidecar/src/home-call.ts
@@ -4,7 +4,10 @@
 import { RefusalReason } from '@daisyferry/mesh/call';
 import type { ExecutionLedger } from '@daisyferry/mesh/execution-ledger';
 import type { AttemptEvent, ExecutionRecord } from '@daisyferry/mesh/execution-record';
+import type { CallerTally } from '@daisyferry/mesh/caller-tally';
+import type { DownstreamLevel } from '@daisyferry/mesh/downstream-level';
 import type { LocalTarget } from '@daisyferry/mesh/local-target';
+import type { ShedLevel } from '@daisyferry/mesh/shed-level';
 import type { ServiceTimes } from '@daisyferry/mesh/service-times';
 import type { HandledCall } from '@daisyferry/peering/inbound-peer';
 import { judgeAnswer, type AnswerFields } from './answer-check';
@@ -18,6 +21,11 @@
   readonly pool: TargetPool;
   readonly queue: AdmissionQueue;
   readonly serviceTimes: ServiceTimes;
+  readonly callers: CallerTally;
+  readonly shedLevel: ShedLevel;
+  readonly downstream: DownstreamLevel;
+  /** Number of priority classes in use. */
+  readonly classCount: () => number;
   readonly ledger: ExecutionLedger;
   readonly headerNames: HeaderNames;
   readonly answerFields: AnswerFields;
@@ -97,6 +105,8 @@
     const { call } = this;
     const fields = [
       ...call.fields,
+      headerNames.callerService,
+      call.callerService,
       headerNames.deadline,
       String(Math.max(1, Math.floor(this.deadlineMs - nowMs))),
       headerNames.expectedTarget,
--- a/packages/sidecar/src/home.ts
+++ b/packages/sidecar/src/home.ts
@@ -1,4 +1,10 @@
-import type { CallOutcome, CallReply, MeshCall, RefusalReasonName } from '@daisyferry/mesh/call';
+import type {
+  CallOutcome,
+  CallReply,
+  MeshCall,
+  RefusalReasonName,
+  TargetLoad,
+} from '@daisyferry/mesh/call';
 import { RefusalReason } from '@daisyferry/mesh/call';
 import type { ExecutionRecord } from '@daisyferry/mesh/execution-record';
 import type { HandledCall } from '@daisyferry/peering/inbound-peer';
@@ -37,6 +43,7 @@
 
   submit(call: MeshCall, body: Buffer, deliver: (reply: CallReply) => void): HandledCall {
     const nowMs = this.parts.clock();
+    this.parts.callers.record(call.route, call.callerService);
     const obstacle = this.obstacle(call);
     const record = this.openRecord(call, deliver, nowMs);
     if (record === 'present') return NOTHING_TO_CANCEL;
@@ -64,8 +71,20 @@
   }
 
   reply(outcome: CallOutcome, route: string): CallReply {
-    const { queue, serviceTimes } = this.parts;
-    return { outcome, load: { ...queue.load(), routeMs: serviceTimes.meanMs(route) } };
+    const { queue, serviceTimes, callers, clock } = this.parts;
+    const load: TargetLoad = {
+      ...queue.load(),
+      level: this.level(clock()),
+      isInternal: callers.isInternal(route),
+      routeMs: serviceTimes.meanMs(route),
+    };
+    return { outcome, load };
+  }
+
+  /** Load that is to be turned away before it is sent here, for lack of room here or downstream. */
+  level(nowMs: number): number {
+    const { shedLevel, downstream } = this.parts;
+    return Math.max(shedLevel.value, downstream.value(nowMs));
   }
 
   done(call: HomeCall): void {
@@ -106,12 +125,14 @@
     this.sweepTimer ??= setTimeout(() => {
       this.sweepTimer = undefined;
       this.sweep(this.parts.clock());
-      if (this.active.size > 0) this.armSweep();
+      if (this.active.size > 0 || this.parts.shedLevel.value > 0) this.armSweep();
     }, SWEEP_MS);
   }
 
   private sweep(nowMs: number): void {
-    this.parts.queue.refuseHopeless(nowMs);
+    const { queue, shedLevel, classCount } = this.parts;
+    shedLevel.update(queue.waitMs, classCount(), nowMs);
+    queue.refuseHopeless(nowMs);
     for (const call of this.active) call.checkDeadline(nowMs);
     this.parts.ledger.sweep(nowMs);
   }
--- a/packages/sidecar/src/wire-sidecar.ts
+++ b/packages/sidecar/src/wire-sidecar.ts
@@ -1,9 +1,12 @@
 import { RefusalReason } from '@daisyferry/mesh/call';
 import { AdmissionQueue } from '@daisyferry/mesh/admission-queue';
+import { CallerTally } from '@daisyferry/mesh/caller-tally';
+import { DownstreamLevel } from '@daisyferry/mesh/downstream-level';
 import { ExecutionLedger } from '@daisyferry/mesh/execution-ledger';
 import { FleetDirectory } from '@daisyferry/mesh/fleet-directory';
 import { LocalTarget } from '@daisyferry/mesh/local-target';
 import type { RoutingConfiguration } from '@daisyferry/mesh/routing-configuration';
+import { ShedLevel } from '@daisyferry/mesh/shed-level';
 import { ServiceTimes } from '@daisyferry/mesh/service-times';
 import { SplitWheels } from '@daisyferry/mesh/split-wheels';
 import { TargetChooser } from '@daisyferry/mesh/target-chooser';
@@ -56,6 +59,8 @@
 const MAX_CANDIDATES = 12;
 /** Daemons assumed for the share of common retries until more are known. */
 const ASSUMED_DAEMONS = 30;
+/** Share of its slots up to which a target is filled: some slow down when nearly full. */
+const FILL_SHARE = 0.95;
 /** Time between two flushes of the log, in ms. */
 const FLUSH_MS = 1_000;
 /** Daemons start dealing split routes at different places; a prime spreads them well. */
@@ -82,12 +87,19 @@
   const queue = new AdmissionQueue(INITIAL_SLOTS);
   const directory = new FleetDirectory();
   const state = new StoreState();
+  const shedLevel = new ShedLevel();
+  const downstream = new DownstreamLevel();
+  const configuration = new ConfigurationHolder(platform.decodeConfiguration, log);
   const own = new OwnRecord(environment, target, startUnixMs, clock);
   const home = new Home({
     target,
     pool,
     queue,
     serviceTimes: new ServiceTimes(),
+    callers: new CallerTally(),
+    shedLevel,
+    downstream,
+    classCount: () => (configuration.routes?.leastUrgent ?? 0) + 1,
     ledger: new ExecutionLedger(),
     headerNames,
     answerFields: {
@@ -103,7 +115,6 @@
     { ownZone: environment.zone, maxCandidates: MAX_CANDIDATES },
     Math.random,
   );
-  const configuration = new ConfigurationHolder(platform.decodeConfiguration, log);
   const fleet = new Fleet({
     directory,
     own,
@@ -133,6 +144,8 @@
     routes: () => configuration.routes,
     wheels: new SplitWheels(startUnixMs % INCARNATION_SPREAD),
     chooser,
+    downstream,
+    random: Math.random,
     budget: new RetryBudget(
       environment.bounds.retryRatio,
       environment.bounds.retrySlack / (2 * ASSUMED_DAEMONS),
@@ -158,7 +171,7 @@
       configuration.routes?.configuration.services.some(({ name }) => name === service) === true,
     onChange: (isServing) => {
       const slots = target.announcement?.slots;
-      if (slots !== undefined) queue.setLimit(slots, clock());
+      if (slots !== undefined) queue.setLimit(Math.floor(slots * FILL_SHARE), clock());
       if (!isServing) queue.refuseAll(RefusalReason.leaving);
       own.changed();
     },
@@ -178,6 +191,7 @@
   });
   configuration.subscribe((version) => fleet.announceConfiguration(version));
   metrics.addGauge('daisyferry_target_running', () => queue.running);
+  metrics.addGauge('daisyferry_shed_level', () => home.level(clock()));
   metrics.addGauge('daisyferry_target_waiting', () => queue.waitingCount);
   metrics.addGauge('daisyferry_target_connections_opened', () => pool.openedCount);
   metrics.addGauge('daisyferry_peers_connected', () => fleet.connectedCount);
