Push shed levels to the entries, and let failures common to all targets not steer

Cause: levels came only with replies, which are slow just when the level rises; a service whose targets all fail alike drove calls into other zones. Change: a home tells its level to its connected entries when it moves; the least failure share of a service is taken off its targets' costs.

--- a/packages/mesh/src/downstream-level.ts
+++ b/packages/mesh/src/downstream-level.ts
@@ -1,4 +1,4 @@
-/** Time for which a level that a called service told counts, in ms. */
+/** Time for which a level counts after the last call to its service, in ms. */
 const KEEP_MS = 1_000;
 
 interface NotedLevel {
@@ -17,6 +17,13 @@
     this.services.set(service, { level, atMs: nowMs });
   }
 
+  /** Takes a level that was told without a call; counts only for services called lately. */
+  refresh(service: string, level: number, nowMs: number): void {
+    const noted = this.services.get(service);
+    if (noted === undefined || nowMs - noted.atMs >= KEEP_MS) return;
+    this.services.set(service, { level, atMs: noted.atMs });
+  }
+
   value(nowMs: number): number {
     let greatest = 0;
     for (const { level, atMs } of this.services.values()) {
--- a/packages/mesh/src/entry-admission.ts
+++ b/packages/mesh/src/entry-admission.ts
@@ -1,4 +1,4 @@
-import { fnv1a } from './fnv1a';
+import { rootHashOf } from '@daisyferry/admission/priority';
 
 export interface AdmissionInput {
   readonly requestId: string;
@@ -10,14 +10,11 @@
   readonly level: number;
 }
 
-/** Span of a 32-bit hash. */
-const HASH_SPAN = 2 ** 32;
-
 /**
  * How far the level is above a request's place, in classes; 0 or less for a request that goes on.
  * The least urgent class is turned away first; within a class a hash of the request's id decides.
  */
 export function shedMargin({ requestId, priority, leastUrgent, level }: AdmissionInput): number {
   if (level <= 0) return 0;
-  return level - (leastUrgent - priority + fnv1a(requestId) / HASH_SPAN);
+  return level - (leastUrgent - priority + rootHashOf(requestId));
 }
--- a/packages/mesh/src/shed-level.ts
+++ b/packages/mesh/src/shed-level.ts
@@ -1,8 +1,8 @@
 /** Wait for a slot that a target's home aims at under overload, in ms: a fraction of common objectives. */
 const TARGET_WAIT_MS = 10;
-/** Fastest rise and fall of the level, in classes a second; a fall takes about two seconds a class. */
-const RISE_PER_S = 1.2;
-const FALL_PER_S = 0.5;
+/** Fastest rise and fall of the level, in classes a second: recovery takes at most two seconds. */
+const RISE_PER_S = 2;
+const FALL_PER_S = 0.7;
 /** Excess of the wait over its target at which the level rises fastest. */
 const MAX_EXCESS = 2;
 /** Steps longer than this count as this long: the process was paused in between, in ms. */
--- a/packages/mesh/src/target-chooser.ts
+++ b/packages/mesh/src/target-chooser.ts
@@ -67,13 +67,19 @@
     const all = this.candidates(query);
     if (all.length === 0) return { kind: 'none', reason: 'noTarget', roomInMs: NO_TARGET_ROOM_MS };
     const open: Candidate[] = [];
+    const commonFailures = Math.min(
+      ...all.map(({ daemonId }) => this.view(daemonId).failureShare(nowMs)),
+    );
     const commonMs = this.commonMs(all, query.route);
     let earliestRoomMs = Number.POSITIVE_INFINITY;
     for (const record of all) {
       const view = this.view(record.daemonId);
       const fullForMs = view.fullForMs(query.priority, nowMs);
       if (fullForMs > 0) earliestRoomMs = Math.min(earliestRoomMs, fullForMs);
-      else open.push({ record, cost: this.cost(record, view, query, commonMs, nowMs) });
+      else {
+        const cost = this.cost(record, view, query, commonMs, nowMs) - commonFailures;
+        open.push({ record, cost });
+      }
     }
     if (open.length === 0) return { kind: 'none', reason: 'full', roomInMs: earliestRoomMs };
     return { kind: 'chosen', record: this.draw(open) };
@@ -90,6 +96,11 @@
     return sum / records.length;
   }
 
+  /** A home tells its level outside of a reply. */
+  learnLevel(daemonId: string, level: number, nowMs: number): void {
+    this.view(daemonId).learnLevel(level, nowMs);
+  }
+
   /** True where only other targets make calls on the route, as far as is known. */
   isInternal(route: string): boolean {
     return this.internalRoutes.has(route);
--- a/packages/mesh/src/target-view.ts
+++ b/packages/mesh/src/target-view.ts
@@ -19,6 +19,10 @@
 
   private loadAtMs = Number.NEGATIVE_INFINITY;
 
+  private shedLevel = 0;
+
+  private shedLevelAtMs = Number.NEGATIVE_INFINITY;
+
   private failures = 0;
 
   private failuresAtMs = 0;
@@ -35,11 +39,17 @@
   learn(route: string, load: TargetLoad, nowMs: number): void {
     this.load = load;
     this.loadAtMs = nowMs;
+    this.learnLevel(load.level, nowMs);
     if (load.routeMs !== undefined) {
       this.routes.set(route, { serviceMs: load.routeMs, atMs: nowMs });
     }
   }
 
+  learnLevel(level: number, nowMs: number): void {
+    this.shedLevel = level;
+    this.shedLevelAtMs = nowMs;
+  }
+
   countOutcome(isFailure: boolean, nowMs: number): void {
     this.failures = this.failureShare(nowMs);
     this.failures += ((isFailure ? 1 : 0) - this.failures) * FAILURE_GAIN;
@@ -78,8 +88,7 @@
 
   /** Load that the home wants turned away; forgotten while nothing is heard of it. */
   level(nowMs: number): number {
-    if (this.load === undefined) return 0;
-    return this.load.level * Math.exp(-(nowMs - this.loadAtMs) / TRUST_MS);
+    return this.shedLevel * Math.exp(-(nowMs - this.shedLevelAtMs) / TRUST_MS);
   }
 
   limit(slots: number): number {
--- a/packages/peering/src/frame.ts
+++ b/packages/peering/src/frame.ts
@@ -11,6 +11,7 @@
   configuration: 9,
   configurationRequest: 10,
   view: 11,
+  level: 12,
 } as const;
 
 export type FrameKindNumber = (typeof FrameKind)[keyof typeof FrameKind];
--- a/packages/sidecar/src/configuration-holder.ts
+++ b/packages/sidecar/src/configuration-holder.ts
@@ -1,6 +1,7 @@
 import { RouteTable } from '@daisyferry/mesh/route-table';
 import type { RoutingConfiguration } from '@daisyferry/mesh/routing-configuration';
 import type { EventLog } from './event-log';
+import { Signal } from './signal';
 
 /** The configuration in force. It is only ever replaced by one of a greater version. */
 export class ConfigurationHolder {
@@ -8,7 +9,7 @@
 
   private document = '';
 
-  private readonly listeners: ((version: number) => void)[] = [];
+  private readonly changes = new Signal<number>();
 
   constructor(
     private readonly decode: (text: string) => RoutingConfiguration,
@@ -29,7 +30,7 @@
   }
 
   subscribe(listener: (version: number) => void): void {
-    this.listeners.push(listener);
+    this.changes.subscribe(listener);
   }
 
   /** Takes a document from the store or from another daemon. */
@@ -48,6 +49,6 @@
     this.table = new RouteTable(configuration);
     this.document = text;
     this.log.belief('configuration applied', { version, previous, source });
-    for (const listener of this.listeners) listener(version);
+    this.changes.emit(version);
   }
 }
--- a/packages/sidecar/src/fleet.ts
+++ b/packages/sidecar/src/fleet.ts
@@ -23,6 +23,8 @@
   readonly followsStore: () => boolean;
   /** A connection to a peer went silent; others may have as well. */
   readonly onSilence: () => void;
+  /** A home told which load it wants turned away. */
+  readonly onLevel: (daemonId: string, level: number, nowMs: number) => void;
   readonly onGone: (daemonId: string) => void;
 }
 
@@ -118,6 +120,14 @@
     this.broadcast(FrameKind.configuration, JSON.stringify({ version }));
   }
 
+  /** Tells all entries that hold a connection to this home which load it wants turned away. */
+  announceLevel(level: number): void {
+    const { own, clock } = this.parts;
+    const head = JSON.stringify({ daemonId: own.daemonId, level });
+    this.parts.onLevel(own.daemonId, level, clock());
+    for (const peer of this.server.peers) peer.sendControl(FrameKind.level, head);
+  }
+
   private broadcast(kind: FrameKindNumber, head: string): void {
     for (const link of this.links.values()) link.sendControl(kind, head);
   }
@@ -192,6 +202,11 @@
           this.compareVersion((JSON.parse(frame.head) as { version: number }).version, peer);
         }
         return;
+      case FrameKind.level: {
+        const { daemonId, level } = JSON.parse(frame.head) as { daemonId: string; level: number };
+        this.parts.onLevel(daemonId, level, this.parts.clock());
+        return;
+      }
       case FrameKind.configurationRequest:
         this.sendConfiguration(peer);
         return;
--- a/packages/sidecar/src/home-call.ts
+++ b/packages/sidecar/src/home-call.ts
@@ -6,6 +6,7 @@
 import type { AttemptEvent, ExecutionRecord } from '@daisyferry/mesh/execution-record';
 import type { CallerTally } from '@daisyferry/mesh/caller-tally';
 import type { DownstreamLevel } from '@daisyferry/mesh/downstream-level';
+import type { LevelNotice } from '@daisyferry/mesh/level-notice';
 import type { LocalTarget } from '@daisyferry/mesh/local-target';
 import type { ShedLevel } from '@daisyferry/mesh/shed-level';
 import type { ServiceTimes } from '@daisyferry/mesh/service-times';
@@ -24,6 +25,9 @@
   readonly callers: CallerTally;
   readonly shedLevel: ShedLevel;
   readonly downstream: DownstreamLevel;
+  readonly levelNotice: LevelNotice;
+  /** Tells all entries the level of this home. */
+  readonly onLevel: (level: number) => void;
   /** Number of priority classes in use. */
   readonly classCount: () => number;
   readonly ledger: ExecutionLedger;
--- a/packages/sidecar/src/home.ts
+++ b/packages/sidecar/src/home.ts
@@ -125,13 +125,15 @@
     this.sweepTimer ??= setTimeout(() => {
       this.sweepTimer = undefined;
       this.sweep(this.parts.clock());
-      if (this.active.size > 0 || this.parts.shedLevel.value > 0) this.armSweep();
+      if (this.active.size > 0 || this.level(this.parts.clock()) > 0) this.armSweep();
     }, SWEEP_MS);
   }
 
   private sweep(nowMs: number): void {
-    const { queue, shedLevel, classCount } = this.parts;
+    const { queue, shedLevel, classCount, levelNotice, onLevel } = this.parts;
     shedLevel.update(queue.waitMs, classCount(), nowMs);
+    const level = this.level(nowMs);
+    if (levelNotice.isDue(level, nowMs)) onLevel(level);
     queue.refuseHopeless(nowMs);
     for (const call of this.active) call.checkDeadline(nowMs);
     this.parts.ledger.sweep(nowMs);
--- a/packages/sidecar/src/own-record.ts
+++ b/packages/sidecar/src/own-record.ts
@@ -1,6 +1,7 @@
 import type { LocalTarget } from '@daisyferry/mesh/local-target';
 import type { DaemonRecord } from '@daisyferry/mesh/target-record';
 import type { DaemonEnvironment } from './daemon-environment';
+import { Signal } from './signal';
 
 /** The record that this daemon publishes of itself and its target. */
 export class OwnRecord {
@@ -8,7 +9,7 @@
 
   private isLeaving = false;
 
-  private readonly listeners: (() => void)[] = [];
+  private readonly changes = new Signal<DaemonRecord>();
 
   constructor(
     private readonly environment: DaemonEnvironment,
@@ -42,14 +43,14 @@
     };
   }
 
-  subscribe(listener: () => void): void {
-    this.listeners.push(listener);
+  subscribe(listener: (record: DaemonRecord) => void): void {
+    this.changes.subscribe(listener);
   }
 
   /** The target has changed. */
   changed(): void {
     this.revision += 1;
-    for (const listener of this.listeners) listener();
+    this.changes.emit(this.record());
   }
 
   leave(): void {
--- a/packages/sidecar/src/wire-sidecar.ts
+++ b/packages/sidecar/src/wire-sidecar.ts
@@ -4,6 +4,7 @@
 import { DownstreamLevel } from '@daisyferry/mesh/downstream-level';
 import { ExecutionLedger } from '@daisyferry/mesh/execution-ledger';
 import { FleetDirectory } from '@daisyferry/mesh/fleet-directory';
+import { LevelNotice } from '@daisyferry/mesh/level-notice';
 import { LocalTarget } from '@daisyferry/mesh/local-target';
 import type { RoutingConfiguration } from '@daisyferry/mesh/routing-configuration';
 import { ShedLevel } from '@daisyferry/mesh/shed-level';
@@ -28,6 +29,7 @@
 import { RetryBudget } from './retry-budget';
 import type { SidecarMetrics } from './sidecar-metrics';
 import { SidecarLife } from './sidecar-life';
+import { Signal } from './signal';
 import { StoreState } from './store-state';
 import { StoreSync } from './store-sync';
 import { TargetPool } from './target-pool';
@@ -88,6 +90,7 @@
   const directory = new FleetDirectory();
   const state = new StoreState();
   const shedLevel = new ShedLevel();
+  const levelChanges = new Signal<number>();
   const downstream = new DownstreamLevel();
   const configuration = new ConfigurationHolder(platform.decodeConfiguration, log);
   const own = new OwnRecord(environment, target, startUnixMs, clock);
@@ -109,6 +112,8 @@
     log,
     clock,
     onTargetChange: () => own.changed(),
+    levelNotice: new LevelNotice(),
+    onLevel: (level) => levelChanges.emit(level),
   });
   const chooser = new TargetChooser(
     directory,
@@ -124,6 +129,12 @@
     clock,
     followsStore: () => state.isFollowing,
     onSilence: platform.resetStore,
+    onLevel: (daemonId, level, nowMs) => {
+      chooser.learnLevel(daemonId, level, nowMs);
+      const service = directory.get(daemonId)?.target?.service;
+      if (service !== undefined)
+        downstream.refresh(service, chooser.levelOf(service, nowMs), nowMs);
+    },
     onGone: (daemonId) => chooser.forget(daemonId),
   });
   const registration = new Registration(store, () => own.record(), platform.resetStore, log);
@@ -183,12 +194,13 @@
     () => state.isFollowing || fleet.connectedCount > 0,
   );
 
-  own.subscribe(() => {
-    directory.learn(own.record(), 'direct', clock());
+  own.subscribe((record) => {
+    directory.learn(record, 'direct', clock());
     directory.setConnected(own.daemonId, true, clock());
     fleet.announceOwn();
     registration.changed();
   });
+  levelChanges.subscribe((level) => fleet.announceLevel(level));
   configuration.subscribe((version) => fleet.announceConfiguration(version));
   metrics.addGauge('daisyferry_target_running', () => queue.running);
   metrics.addGauge('daisyferry_shed_level', () => home.level(clock()));
