Know internal routes by how many services call them, and stop the level's rise while the queue shrinks

A root's refusal also barred nested calls. Change: a route that at most half of the services call is internal; unknown is not no; fullness is kept for each route and not for internal ones; no rise while the wait falls.

--- a/packages/mesh/src/call.ts
+++ b/packages/mesh/src/call.ts
@@ -32,8 +32,8 @@
   readonly serviceMs: number;
   /** Load that is to be turned away before it is sent, see `ShedLevel`. */
   readonly level: number;
-  /** True where only other targets make calls on the call's route, see `CallerTally`. */
-  readonly isInternal: boolean;
+  /** Whether only other targets make calls on the call's route; undefined until it is known. */
+  readonly isInternal: boolean | undefined;
   /** The same for the requests of the call's route, where known. */
   readonly routeMs: number | undefined;
 }
--- a/packages/mesh/src/caller-tally.ts
+++ b/packages/mesh/src/caller-tally.ts
@@ -1,32 +1,44 @@
-interface RouteCallers {
-  /** The only service seen so far, or undefined once there were several. */
-  soleCaller: string | undefined;
-  calls: number;
-}
-
-/** Calls after which a route with one calling service counts as internal. */
+/** Calls after which the callers of a route are known well enough. */
 const MIN_CALLS = 100;
+/** Part of a route's calls below which a calling service is taken for a stray. */
+const STRAY_SHARE = 0.02;
+/** Routes called by at most this part of all calling services count as internal. */
+const INTERNAL_SHARE = 0.5;
+
+interface RouteCalls {
+  total: number;
+  readonly byService: Map<string, number>;
+}
 
 /**
- * Tells routes that only one service's instances call from routes that callers everywhere use. The
+ * Tells routes that only some services' targets call from routes that callers everywhere use. The
  * former are calls that a target makes while it works on a request; turning one away wastes the work
  * done for that request.
  */
 export class CallerTally {
-  private readonly routes = new Map<string, RouteCallers>();
+  private readonly routes = new Map<string, RouteCalls>();
+
+  private readonly services = new Set<string>();
 
   record(route: string, callerService: string): void {
-    const callers = this.routes.get(route);
-    if (callers === undefined) {
-      this.routes.set(route, { soleCaller: callerService, calls: 1 });
-      return;
+    this.services.add(callerService);
+    let calls = this.routes.get(route);
+    if (calls === undefined) {
+      calls = { total: 0, byService: new Map() };
+      this.routes.set(route, calls);
     }
-    callers.calls += 1;
-    if (callers.soleCaller !== callerService) callers.soleCaller = undefined;
+    calls.total += 1;
+    calls.byService.set(callerService, (calls.byService.get(callerService) ?? 0) + 1);
   }
 
-  isInternal(route: string): boolean {
-    const callers = this.routes.get(route);
-    return callers?.soleCaller !== undefined && callers.calls >= MIN_CALLS;
+  /** Undefined until there were enough calls to tell. */
+  isInternal(route: string): boolean | undefined {
+    const calls = this.routes.get(route);
+    if (calls === undefined || calls.total < MIN_CALLS) return undefined;
+    let callers = 0;
+    for (const count of calls.byService.values()) {
+      if (count >= calls.total * STRAY_SHARE) callers += 1;
+    }
+    return callers <= this.services.size * INTERNAL_SHARE;
   }
 }
--- a/packages/mesh/src/shed-level.ts
+++ b/packages/mesh/src/shed-level.ts
@@ -19,6 +19,8 @@
 
   private updatedAtMs: number | undefined;
 
+  private lastWaitMs = 0;
+
   get value(): number {
     return this.level;
   }
@@ -27,8 +29,17 @@
   update(waitMs: number, maxLevel: number, nowMs: number): void {
     const stepMs = Math.min(MAX_STEP_MS, nowMs - (this.updatedAtMs ?? nowMs));
     this.updatedAtMs = nowMs;
-    const excess = Math.min(MAX_EXCESS, waitMs / TARGET_WAIT_MS - 1);
-    const rate = excess > 0 ? (RISE_PER_S * excess) / MAX_EXCESS : FALL_PER_S * excess;
+    const isFalling = waitMs < this.lastWaitMs;
+    this.lastWaitMs = waitMs;
+    const rate = this.rate(waitMs, isFalling);
     this.level = Math.min(maxLevel, Math.max(0, this.level + (rate * stepMs) / MS_PER_S));
   }
+
+  /** Change of the level in classes a second. */
+  private rate(waitMs: number, isFalling: boolean): number {
+    const excess = Math.min(MAX_EXCESS, waitMs / TARGET_WAIT_MS - 1);
+    if (excess <= 0) return FALL_PER_S * excess;
+    // The queue is getting shorter: what was turned away so far is enough.
+    return isFalling ? 0 : (RISE_PER_S * excess) / MAX_EXCESS;
+  }
 }
--- a/packages/mesh/src/target-chooser.ts
+++ b/packages/mesh/src/target-chooser.ts
@@ -12,8 +12,6 @@
 export interface ChoiceQuery {
   readonly service: string;
   readonly route: string;
-  /** 0 is the most urgent. */
-  readonly priority: number;
   /** Time in which the answer is of full use. */
   readonly usefulMs: number;
   readonly excluded: ReadonlySet<string>;
@@ -74,7 +72,7 @@
     let earliestRoomMs = Number.POSITIVE_INFINITY;
     for (const record of all) {
       const view = this.view(record.daemonId);
-      const fullForMs = view.fullForMs(query.priority, nowMs);
+      const fullForMs = view.fullForMs(query.route, nowMs);
       if (fullForMs > 0) earliestRoomMs = Math.min(earliestRoomMs, fullForMs);
       else {
         const cost = this.cost(record, view, query, commonMs, nowMs) - commonFailures;
@@ -123,13 +121,13 @@
     if (outcome !== 'refused') view.countOutcome(outcome === 'failed', nowMs);
     if (load === undefined) return;
     view.learn(route, load, nowMs);
-    if (load.isInternal) this.internalRoutes.add(route);
-    else this.internalRoutes.delete(route);
+    if (load.isInternal === true) this.internalRoutes.add(route);
+    else if (load.isInternal === false) this.internalRoutes.delete(route);
   }
 
-  /** The home had no room for calls of this priority; spares it more of them for a while. */
-  noteFull(daemonId: string, priority: number, untilMs: number): void {
-    this.view(daemonId).noteFull(priority, untilMs);
+  /** The home had no room for calls of this route; spares it more of them for a while. */
+  noteFull(daemonId: string, route: string, untilMs: number): void {
+    this.view(daemonId).noteFull(route, untilMs);
   }
 
   /** The way to the home is broken; others are preferred until then. */
--- a/packages/mesh/src/target-view.ts
+++ b/packages/mesh/src/target-view.ts
@@ -29,10 +29,8 @@
 
   private avoidUntilMs = Number.NEGATIVE_INFINITY;
 
-  /** Calls of this priority and less urgent ones are not sent before `fullUntilMs`. */
-  private fullPriority = Number.POSITIVE_INFINITY;
-
-  private fullUntilMs = Number.NEGATIVE_INFINITY;
+  /** Time until which calls of a route are not sent, as there was no room for one. */
+  private readonly fullUntilMs = new Map<string, number>();
 
   private readonly routes = new Map<string, RouteEstimate>();
 
@@ -69,14 +67,13 @@
     return this.avoidUntilMs > nowMs;
   }
 
-  noteFull(priority: number, untilMs: number): void {
-    this.fullPriority = priority;
-    this.fullUntilMs = untilMs;
+  noteFull(route: string, untilMs: number): void {
+    this.fullUntilMs.set(route, untilMs);
   }
 
-  /** Time until calls of this priority may be sent again; 0 if they may be sent now. */
-  fullForMs(priority: number, nowMs: number): number {
-    return priority >= this.fullPriority ? Math.max(0, this.fullUntilMs - nowMs) : 0;
+  /** Time until calls of this route may be sent again; 0 if they may be sent now. */
+  fullForMs(route: string, nowMs: number): number {
+    return Math.max(0, (this.fullUntilMs.get(route) ?? 0) - nowMs);
   }
 
   /** Requests that the target has or is about to get. */
--- a/packages/peering/src/call-codec.ts
+++ b/packages/peering/src/call-codec.ts
@@ -25,6 +25,9 @@
   | ['refused', LoadHead, RefusalReasonName, boolean, number]
   | ['unknown', LoadHead, string];
 
+/** Places in this list stand for what a home knows of a route's callers. */
+const INTERNAL_CODES = [undefined, false, true];
+
 export function encodeCall(call: MeshCall): string {
   const head: CallHead = [
     call.requestId,
@@ -80,7 +83,7 @@
     load.limit,
     tenths(load.serviceMs),
     hundredths(load.level),
-    load.isInternal ? 1 : 0,
+    INTERNAL_CODES.indexOf(load.isInternal),
   ];
   if (load.routeMs !== undefined) head.push(tenths(load.routeMs));
   return head;
@@ -89,7 +92,15 @@
 function decodeLoad(head: LoadHead): TargetLoad | undefined {
   if (head === null) return undefined;
   const [running = 0, waiting = 0, limit = 1, serviceMs = 0, level = 0, internal, routeMs] = head;
-  return { running, waiting, limit, serviceMs, level, isInternal: internal === 1, routeMs };
+  return {
+    running,
+    waiting,
+    limit,
+    serviceMs,
+    level,
+    isInternal: INTERNAL_CODES[internal ?? 0],
+    routeMs,
+  };
 }
 
 function replyHead(outcome: CallReply['outcome'], load: LoadHead): ReplyHead {
--- a/packages/sidecar/src/entry-call.ts
+++ b/packages/sidecar/src/entry-call.ts
@@ -133,7 +133,6 @@
       {
         service: input.service,
         route: input.route.name,
-        priority: input.route.priority,
         usefulMs,
         excluded: this.excluded,
       },
@@ -221,8 +220,9 @@
   ): void {
     const { chooser } = this.parts;
     this.refusals += 1;
-    if (outcome.reason === RefusalReason.full) {
-      chooser.noteFull(daemonId, this.input.route.priority, nowMs + FULL_PAUSE_MS);
+    const { route } = this.input;
+    if (outcome.reason === RefusalReason.full && !chooser.isInternal(route.name)) {
+      chooser.noteFull(daemonId, route.name, nowMs + FULL_PAUSE_MS);
     }
     if (outcome.reason === RefusalReason.unreachable) chooser.avoid(daemonId, nowMs + AVOID_MS);
     if (!outcome.reachedTarget) {
