--- a/packages/mesh/src/target-chooser.ts
+++ b/packages/mesh/src/target-chooser.ts
@@ -68,7 +68,7 @@
     const commonFailures = Math.min(
       ...all.map(({ daemonId }) => this.view(daemonId).failureShare(nowMs)),
     );
-    const commonMs = this.commonMs(all, query.route);
+    const commonMs = this.commonMs(all, query.route, nowMs);
     let earliestRoomMs = Number.POSITIVE_INFINITY;
     for (const record of all) {
       const view = this.view(record.daemonId);
@@ -172,18 +172,18 @@
     }
   }
 
-  /** Mean service time of the route over the targets that told it. */
-  private commonMs(records: readonly DaemonRecord[], route: string): number {
+  /** Mean service time of the route over the targets that told it, the latest counting most. */
+  private commonMs(records: readonly DaemonRecord[], route: string, nowMs: number): number {
     let sumMs = 0;
-    let count = 0;
+    let sumWeight = 0;
     for (const { daemonId } of records) {
-      const knownMs = this.views.get(daemonId)?.knownRouteMs(route);
-      if (knownMs !== undefined) {
-        sumMs += knownMs;
-        count += 1;
+      const estimate = this.views.get(daemonId)?.routeEstimate(route, nowMs);
+      if (estimate !== undefined) {
+        sumMs += estimate.serviceMs * estimate.weight;
+        sumWeight += estimate.weight;
       }
     }
-    return count === 0 ? INITIAL_SERVICE_MS : sumMs / count;
+    return sumWeight === 0 ? INITIAL_SERVICE_MS : sumMs / sumWeight;
   }
 
   private cost(
--- a/packages/mesh/src/target-view.ts
+++ b/packages/mesh/src/target-view.ts
@@ -10,6 +10,12 @@
   readonly atMs: number;
 }
 
+export interface WeightedTime {
+  readonly serviceMs: number;
+  /** 1 for what was told just now, towards 0 with age. */
+  readonly weight: number;
+}
+
 /** What one entry knows of the load of a target and of the way to it. */
 export class TargetView {
   /** Calls of this entry that are on their way or being worked on. */
@@ -99,13 +105,16 @@
 
   /** Expected time for a request of the route; an old estimate gives way to `commonMs`. */
   routeMs(route: string, commonMs: number, nowMs: number): number {
-    const estimate = this.routes.get(route);
+    const estimate = this.routeEstimate(route, nowMs);
     if (estimate === undefined) return commonMs;
-    const trust = Math.exp(-(nowMs - estimate.atMs) / TRUST_MS);
-    return commonMs + (estimate.serviceMs - commonMs) * trust;
+    return commonMs + (estimate.serviceMs - commonMs) * estimate.weight;
   }
 
-  knownRouteMs(route: string): number | undefined {
-    return this.routes.get(route)?.serviceMs;
+  /** The last word on a route's time, with its weight: less for an old one. */
+  routeEstimate(route: string, nowMs: number): WeightedTime | undefined {
+    const estimate = this.routes.get(route);
+    if (estimate === undefined) return undefined;
+    const weight = Math.exp(-(nowMs - estimate.atMs) / TRUST_MS);
+    return { serviceMs: estimate.serviceMs, weight };
   }
 }
--- /dev/null
+++ b/packages/peering/tests/frame.test.ts
@@ -0,0 +1,81 @@
+import { decodeCall, decodeReply, encodeCall, encodeReply } from '@daisyferry/peering/call-codec';
+import type { CallReply, MeshCall } from '@daisyferry/mesh/call';
+import { encodeFrame, FrameKind, FrameReader, type Frame } from '@daisyferry/peering/frame';
+import { describe, expect, it } from 'vitest';
+
+describe('FrameReader', () => {
+  const bytes = Buffer.concat([
+    encodeFrame(FrameKind.call, 7, '["grüße"]', Buffer.from('body')),
+    encodeFrame(FrameKind.ping, 0, ''),
+  ]);
+
+  it.each([1, 5, 13, 1_000])('reads frames that arrive %i bytes at a time', (size) => {
+    const reader = new FrameReader();
+    const frames: Frame[] = [];
+    for (let from = 0; from < bytes.length; from += size) {
+      expect(reader.push(bytes.subarray(from, from + size), (frame) => frames.push(frame))).toBe(
+        true,
+      );
+    }
+    expect(frames.map(({ kind, stream, head }) => [kind, stream, head])).toEqual([
+      [FrameKind.call, 7, '["grüße"]'],
+      [FrameKind.ping, 0, ''],
+    ]);
+    expect(frames[0]?.body.toString()).toBe('body');
+  });
+
+  it.each([
+    ['a length past the limit', Buffer.from('ffffffff00000000000000000000', 'hex')],
+    ['a head longer than its frame', Buffer.from('000000090100000000000000ff', 'hex')],
+  ])('refuses %s', (_name, wrong) => {
+    expect(new FrameReader().push(wrong, () => undefined)).toBe(false);
+  });
+});
+
+const CALL: MeshCall = {
+  requestId: 'r-1',
+  service: 's',
+  targetId: 'i-1',
+  callerService: 'c',
+  route: 'r',
+  isIdempotent: false,
+  priority: 1,
+  remainingMs: 500,
+  callerRemainingMs: 600,
+  usefulMs: 100,
+  method: 'POST',
+  path: '/a?b=c',
+  fields: ['Host', 'h'],
+};
+
+const LOAD = { running: 1, waiting: 2, limit: 3, serviceMs: 4.5, level: 0.25 };
+
+describe('call codec', () => {
+  it('keeps a call', () => {
+    expect(decodeCall(encodeCall(CALL))).toEqual(CALL);
+  });
+
+  const replies: readonly CallReply[] = [
+    {
+      outcome: {
+        kind: 'answered',
+        status: 200,
+        reason: 'OK',
+        fields: ['A', 'b'],
+        body: Buffer.from('x'),
+        endsWithConnection: false,
+      },
+      load: { ...LOAD, isInternal: true, routeMs: 12.5 },
+    },
+    {
+      outcome: { kind: 'refused', reason: 'full', reachedTarget: false, roomInMs: 10 },
+      load: { ...LOAD, isInternal: undefined, routeMs: undefined },
+    },
+    { outcome: { kind: 'unknown', detail: 'lost' }, load: undefined },
+  ];
+
+  it.each(replies)('keeps a reply that is $outcome.kind', (reply) => {
+    const body = reply.outcome.kind === 'answered' ? reply.outcome.body : Buffer.alloc(0);
+    expect(decodeReply(encodeReply(reply), body)).toEqual(reply);
+  });
+});
--- /dev/null
+++ b/packages/peering/tests/peer-link.test.ts
@@ -0,0 +1,201 @@
+import type { CallReply, MeshCall } from '@daisyferry/mesh/call';
+import { ExecutionLedger } from '@daisyferry/mesh/execution-ledger';
+import type { DaemonRecord } from '@daisyferry/mesh/target-record';
+import type { Hello } from '@daisyferry/peering/hello';
+import { PeerLink } from '@daisyferry/peering/peer-link';
+import { PeerServer } from '@daisyferry/peering/peer-server';
+import { createServer, type AddressInfo } from 'node:net';
+import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
+import { CutProxy } from './support/cut-proxy';
+
+const CALL: MeshCall = {
+  requestId: 'r-1',
+  service: 's',
+  targetId: 'i-1',
+  callerService: 'c',
+  route: 'r',
+  isIdempotent: false,
+  priority: 0,
+  remainingMs: 30_000,
+  callerRemainingMs: 30_000,
+  usefulMs: 30_000,
+  method: 'POST',
+  path: '/',
+  fields: [],
+};
+const BODY = Buffer.from('body');
+const ANSWER: CallReply = {
+  outcome: {
+    kind: 'answered',
+    status: 200,
+    reason: 'OK',
+    fields: [],
+    body: Buffer.from('done'),
+    endsWithConnection: false,
+  },
+  load: undefined,
+};
+
+function record(daemonId: string, incarnation: number): DaemonRecord {
+  const common = { revision: 1, address: '', zone: 'z', isLeaving: false, target: undefined };
+  return { daemonId, incarnation, ...common };
+}
+
+async function freePort(): Promise<number> {
+  const server = createServer();
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  const { port } = server.address() as AddressInfo;
+  await new Promise((resolve) => {
+    server.close(resolve);
+  });
+  return port;
+}
+
+function refusal(): CallReply['outcome'] {
+  return { kind: 'refused', reason: 'barred', reachedTarget: false, roomInMs: 0 };
+}
+
+/** A home that runs each call until the test finishes it. */
+class TestHome {
+  incarnation = 1;
+
+  readonly ledger = new ExecutionLedger();
+
+  runs: string[] = [];
+
+  cancelled = 0;
+
+  lostConnections = 0;
+
+  finish: () => void = () => undefined;
+
+  readonly server = new PeerServer({
+    hello: (): Hello => ({
+      record: record('home', this.incarnation),
+      configurationVersion: 1,
+      wantsView: false,
+    }),
+    onHello: () => undefined,
+    onCall: (call, _body, deliver) => {
+      const opened = this.ledger.open(call.requestId, deliver, 0);
+      if (opened.kind === 'opened' && opened.record.step('HAND_OVER')) {
+        this.runs.push(call.requestId);
+        this.finish = () => this.ledger.settle(opened.record, 'ANSWER', ANSWER, 0);
+      }
+      return {
+        cancel: () => {
+          this.cancelled += 1;
+        },
+        connectionLost: () => {
+          this.lostConnections += 1;
+        },
+      };
+    },
+    onResolve: (requestId, deliver) => {
+      const found = this.ledger.resolve(requestId, 0);
+      if (found.reply !== undefined) deliver(found.reply);
+      else if (found.isOpen) found.redirect(deliver);
+      else deliver({ outcome: refusal(), load: undefined });
+    },
+    onControl: () => undefined,
+  });
+}
+
+describe('PeerLink', () => {
+  let home: TestHome;
+  let proxy: CutProxy;
+  let link: PeerLink;
+  let timer: NodeJS.Timeout;
+
+  beforeEach(async () => {
+    home = new TestHome();
+    const address = { ip: '127.0.0.1', port: await freePort() };
+    await home.server.listen(address);
+    proxy = new CutProxy(address);
+    link = new PeerLink(
+      await proxy.listen(),
+      {
+        hello: () => ({ record: record('entry', 1), configurationVersion: 1, wantsView: false }),
+        onHello: () => undefined,
+        onControl: () => undefined,
+        onUp: () => undefined,
+        onDown: () => undefined,
+      },
+      () => performance.now(),
+    );
+    timer = setInterval(() => link.tick(performance.now()), 20);
+  });
+
+  afterEach(() => {
+    clearInterval(timer);
+    link.close();
+    proxy.close();
+    home.server.close();
+  });
+
+  it('carries a call and its reply', async () => {
+    const replies: CallReply[] = [];
+    link.call(CALL, BODY, (reply) => replies.push(reply));
+    await vi.waitFor(() => expect(home.runs).toEqual(['r-1']), 5_000);
+    home.finish();
+    await vi.waitFor(() => expect(replies).toEqual([ANSWER]), 5_000);
+  });
+
+  it('gets the reply of a call that runs while its connection breaks', async () => {
+    const replies: CallReply[] = [];
+    link.call(CALL, BODY, (reply) => replies.push(reply));
+    await vi.waitFor(() => expect(home.runs).toEqual(['r-1']), 5_000);
+    proxy.cut();
+    await vi.waitFor(() => expect(home.lostConnections).toBe(1), 5_000);
+    home.finish();
+    await vi.waitFor(() => expect(replies).toEqual([ANSWER]), 5_000);
+    expect(home.runs).toEqual(['r-1']);
+  });
+
+  it('takes the outcome for unknown when the home was restarted', async () => {
+    const replies: CallReply[] = [];
+    link.call(CALL, BODY, (reply) => replies.push(reply));
+    await vi.waitFor(() => expect(home.runs).toEqual(['r-1']), 5_000);
+    home.incarnation = 2;
+    proxy.cut();
+    await vi.waitFor(() => expect(replies[0]?.outcome.kind).toBe('unknown'), 5_000);
+  });
+
+  it('takes the outcome for unknown when the home cannot be asked', async () => {
+    const replies: CallReply[] = [];
+    link.call(CALL, BODY, (reply) => replies.push(reply));
+    await vi.waitFor(() => expect(home.runs).toEqual(['r-1']), 5_000);
+    proxy.isClosed = true;
+    proxy.cut();
+    await vi.waitFor(() => expect(replies[0]?.outcome.kind).toBe('unknown'), 10_000);
+  });
+
+  it('reports a repeatable call as unknown at once when its connection breaks', async () => {
+    const replies: CallReply[] = [];
+    link.call({ ...CALL, isIdempotent: true }, BODY, (reply) => replies.push(reply));
+    await vi.waitFor(() => expect(home.runs).toEqual(['r-1']), 5_000);
+    proxy.cut();
+    await vi.waitFor(() => expect(replies[0]?.outcome.kind).toBe('unknown'), 5_000);
+  });
+
+  it('refuses a call that was never sent', async () => {
+    proxy.isClosed = true;
+    const replies: CallReply[] = [];
+    link.call(CALL, BODY, (reply) => replies.push(reply));
+    await vi.waitFor(
+      () => expect(replies[0]?.outcome).toMatchObject({ kind: 'refused', reason: 'unreachable' }),
+      5_000,
+    );
+    expect(home.runs).toEqual([]);
+  });
+
+  it('tells the home that the caller left', async () => {
+    const sent = link.call(CALL, BODY, () => undefined);
+    await vi.waitFor(() => expect(home.runs).toEqual(['r-1']), 5_000);
+    sent.cancel();
+    await vi.waitFor(() => expect(home.cancelled).toBe(1), 5_000);
+    expect(link.outstanding).toBe(0);
+  });
+});
--- a/packages/sidecar/src/entry-call.ts
+++ b/packages/sidecar/src/entry-call.ts
@@ -105,12 +105,15 @@
   }
 
   checkDeadline(nowMs: number): void {
-    if (this.isDone) return;
-    if (nowMs < this.input.routeDeadlineMs && nowMs < this.input.callerDeadlineMs) return;
+    if (this.isDone || !this.isPastDeadline(nowMs)) return;
     this.cancelCurrent(nowMs);
     this.finishOwn(OwnAnswerReason.timedOut, 0, nowMs, 'deadline passed');
   }
 
+  private isPastDeadline(nowMs: number): boolean {
+    return nowMs >= this.input.routeDeadlineMs || nowMs >= this.input.callerDeadlineMs;
+  }
+
   /** Time after which a caller that was shed by this margin may come back; spread at random. */
   private returnMs(margin: number, nowMs: number): number {
     const forecastMs = MIN_RETURN_MS + margin * RETURN_MS_PER_CLASS;
@@ -192,6 +195,10 @@
         this.mayHaveRun = true;
         this.targetsReached += 1;
         chooser.avoid(daemonId, nowMs + AVOID_MS);
+        if (this.isPastDeadline(nowMs)) {
+          this.finishOwn(OwnAnswerReason.timedOut, 0, nowMs, outcome.detail);
+          return;
+        }
         this.retryOr(nowMs, () =>
           this.finishOwn(OwnAnswerReason.outcomeUnknown, 0, nowMs, outcome.detail),
         );
--- a/packages/sidecar/src/sidecar-life.ts
+++ b/packages/sidecar/src/sidecar-life.ts
@@ -28,6 +28,8 @@
 
 /** Time after the request to stop in which callers and peers learn of it, in ms. */
 const NOTICE_MS = 2_600;
+/** The same as the greatest part of the grace time. */
+const MAX_NOTICE_SHARE = 0.45;
 /** Time before the kill at which the process ends in any case, in ms. */
 const EXIT_MARGIN_MS = 350;
 /** Time between two looks at the work in progress while stopping, in ms. */
@@ -60,6 +62,12 @@
     log.belief('started', { environment });
   }
 
+  /** The settings file was read again; `problem` tells why it cannot be used. */
+  noteReload(problem: string | undefined): void {
+    if (problem === undefined) this.parts.log.belief('settings read again');
+    else this.parts.log.warn('settings unusable, the former ones stay', { problem });
+  }
+
   /** Finishes what is in progress and ends; takes at most the grace time. */
   async stop(): Promise<void> {
     if (this.parts.state.isStopping) return;
@@ -69,7 +77,7 @@
     log.belief('stopping', { activeEntry: entry.activeCount, activeHome: home.activeCount });
     callers.isClosing = true;
     own.leave();
-    await pause(NOTICE_MS);
+    await pause(Math.min(NOTICE_MS, environment.bounds.graceMs * MAX_NOTICE_SHARE));
     callers.closeIdle();
     while (performance.now() < endsAtMs && (entry.activeCount > 0 || home.activeCount > 0)) {
       await pause(STOP_POLL_MS);
