--- a/packages/cli/src/command-line.ts
+++ b/packages/cli/src/command-line.ts
@@ -11,6 +11,7 @@
 import { ExitCode } from './exit-code';
 import { failureOf } from './failure';
 import { InputError } from './input-error';
+import { addLogCommands } from './log-commands';
 import { addPolicyCommands } from './policy-commands';
 import { addSettingsCommands } from './settings-commands';
 
@@ -55,6 +56,7 @@
   addPolicyCommands(parser, run);
   addFleetCommands(parser, run);
   addSettingsCommands(parser, run);
+  addLogCommands(parser, run);
   return parser
     .completion('completion', 'Print a script for shell completion')
     .epilogue(EPILOGUE)
--- a/packages/mesh/src/shed-level.ts
+++ b/packages/mesh/src/shed-level.ts
@@ -2,7 +2,9 @@
 const TARGET_WAIT_MS = 10;
 /** Fastest rise and fall of the level, in classes a second: recovery takes at most two seconds. */
 const RISE_PER_S = 2;
-const FALL_PER_S = 0.7;
+const FALL_PER_S = 0.5;
+/** Part of the level that falls in a second beside that. */
+const FALL_SHARE_PER_S = 1;
 /** Excess of the wait over its target at which the level rises fastest. */
 const MAX_EXCESS = 2;
 /** Steps longer than this count as this long: the process was paused in between, in ms. */
@@ -38,7 +40,7 @@
   /** Change of the level in classes a second. */
   private rate(waitMs: number, isFalling: boolean): number {
     const excess = Math.min(MAX_EXCESS, waitMs / TARGET_WAIT_MS - 1);
-    if (excess <= 0) return FALL_PER_S * excess;
+    if (excess <= 0) return excess * (FALL_PER_S + this.level * FALL_SHARE_PER_S);
     // The queue is getting shorter: what was turned away so far is enough.
     return isFalling ? 0 : (RISE_PER_S * excess) / MAX_EXCESS;
   }
--- a/packages/sidecar/src/caller-connection.ts
+++ b/packages/sidecar/src/caller-connection.ts
@@ -35,6 +35,8 @@
 };
 /** An answer that its caller leaves unread for this time ends the connection, in ms. */
 const UNREAD_LIMIT_MS = 10_000;
+/** Bytes of further requests that are read while one is answered. */
+const MAX_AHEAD_BYTES = 65_536;
 const CONTINUE = Buffer.from('HTTP/1.1 100 Continue\r\n\r\n');
 
 /** One connection of a caller; its requests are answered one after the other. */
@@ -85,6 +87,7 @@
     if (!this.isBusy && !this.reader.hasPartialRequest) this.sinceMs = this.listener.parts.clock();
     this.reader.push(chunk);
     if (!this.isBusy) this.readRequest();
+    else if (this.reader.heldBytes > MAX_AHEAD_BYTES) this.socket.pause();
   }
 
   private readRequest(): void {
@@ -126,6 +129,7 @@
       return;
     }
     this.socket.write(bytes);
+    this.socket.resume();
     if (this.reader.hasPartialRequest) setImmediate(() => this.readNext());
   }
 
--- a/packages/sidecar/src/entry-call.ts
+++ b/packages/sidecar/src/entry-call.ts
@@ -10,6 +10,7 @@
   readonly requestId: string;
   readonly route: Route;
   readonly service: string;
+  readonly configurationVersion: number;
   /** Greatest number of a priority in use. */
   readonly leastUrgent: number;
   readonly method: string;
@@ -36,6 +37,10 @@
 const MAX_RETURN_SHARE = 0.3;
 const SERVER_ERROR = 500;
 
+function hundredths(value: number): number {
+  return Math.round(value * 100) / 100;
+}
+
 function outcomeClass(outcome: CallOutcome): 'served' | 'failed' | 'refused' {
   switch (outcome.kind) {
     case 'answered':
@@ -82,7 +87,7 @@
       const { priority } = route;
       const margin = shedMargin({ requestId, priority, leastUrgent, level });
       if (margin > 0) {
-        const detail = `shed at level ${level.toFixed(2)}`;
+        const detail = 'shed before any work';
         this.finishOwn(OwnAnswerReason.noRoom, this.returnMs(margin, nowMs), nowMs, detail);
         return;
       }
@@ -300,6 +305,8 @@
       service: input.service,
       answer: reason,
       detail,
+      configuration: input.configurationVersion,
+      level: hundredths(parts.chooser.levelOf(input.service, nowMs)),
       tried: [...this.excluded],
       waitedMs: Math.round(waitedMs),
       roomInMs: Math.round(roomInMs),
--- a/packages/sidecar/src/entry.ts
+++ b/packages/sidecar/src/entry.ts
@@ -99,6 +99,7 @@
         requestId,
         route,
         service: wheels.next(route),
+        configurationVersion: routes.configuration.version,
         leastUrgent: routes.leastUrgent,
         method: head.method,
         path: head.target,
--- a/packages/sidecar/src/home-call.ts
+++ b/packages/sidecar/src/home-call.ts
@@ -87,11 +87,11 @@
     private readonly deliver: (reply: CallReply) => void,
     private readonly record: ExecutionRecord | undefined,
     private readonly home: HomeCallHost,
-    nowMs: number,
+    private readonly arrivedMs: number,
   ) {
     this.priority = call.priority;
-    this.usefulUntilMs = nowMs + call.usefulMs;
-    this.deadlineMs = nowMs + call.remainingMs;
+    this.usefulUntilMs = arrivedMs + call.usefulMs;
+    this.deadlineMs = arrivedMs + call.remainingMs;
   }
 
   start(nowMs: number): void {
@@ -190,10 +190,14 @@
     if (this.isDone) return;
     this.isDone = true;
     this.home.done(this);
-    const { log, ledger, clock } = this.home.parts;
-    const { requestId } = this.call;
-    if (outcome.kind !== 'answered')
-      log.decision('call not served at home', { requestId, ...outcome });
+    const { log, ledger, queue, clock } = this.home.parts;
+    if (outcome.kind !== 'answered') {
+      const { requestId, route, targetId } = this.call;
+      const { running, waiting, limit } = queue.load();
+      const waitedMs = Math.round(clock() - this.arrivedMs);
+      const inputs = { requestId, route, targetId, waitedMs, running, waiting, limit };
+      log.decision('call not served at home', { ...inputs, ...outcome });
+    }
     const reply = this.home.reply(outcome, this.call.route);
     if (this.record === undefined) this.deliver(reply);
     else ledger.settle(this.record, event, reply, clock());
