--- a/packages/sidecar/src/home-call.ts
+++ b/packages/sidecar/src/home-call.ts
@@ -9,6 +9,7 @@
 import type { LevelNotice } from '@daisyferry/mesh/level-notice';
 import type { LocalTarget } from '@daisyferry/mesh/local-target';
 import type { ShedLevel } from '@daisyferry/mesh/shed-level';
+import type { SilenceWatch } from '@daisyferry/mesh/silence-watch';
 import type { ServiceTimes } from '@daisyferry/mesh/service-times';
 import type { HandledCall } from '@daisyferry/peering/inbound-peer';
 import { judgeAnswer, type AnswerFields } from './answer-check';
@@ -23,6 +24,7 @@
   readonly queue: AdmissionQueue;
   readonly serviceTimes: ServiceTimes;
   readonly callers: CallerTally;
+  readonly silence: SilenceWatch;
   readonly shedLevel: ShedLevel;
   readonly downstream: DownstreamLevel;
   readonly levelNotice: LevelNotice;
@@ -45,6 +47,7 @@
   reply(outcome: CallOutcome, route: string): CallReply;
   done(call: HomeCall): void;
   targetUnreachable(detail: string): void;
+  targetReached(): void;
 }
 
 /** Time beyond its deadline for which the target may still answer, in ms. */
@@ -95,7 +98,7 @@
   }
 
   start(nowMs: number): void {
-    const { pool, headerNames, target } = this.home.parts;
+    const { pool, headerNames, target, silence, queue } = this.home.parts;
     if (nowMs >= this.deadlineMs || !target.isServing) {
       this.home.parts.queue.finished(0, true, nowMs);
       this.refuse(target.isServing ? RefusalReason.expired : RefusalReason.leaving, 0);
@@ -106,6 +109,8 @@
       return;
     }
     this.startedAtMs = nowMs;
+    // This request holds one of the slots already.
+    silence.started(queue.running - 1, nowMs);
     const { call } = this;
     const fields = [
       ...call.fields,
@@ -160,7 +165,7 @@
 
   private exchanged(result: ExchangeResult): void {
     if (this.isDone) return;
-    const { queue, clock, answerFields } = this.home.parts;
+    const { queue, clock, answerFields, silence, serviceTimes } = this.home.parts;
     const nowMs = clock();
     const serviceMs = nowMs - this.startedAtMs;
     switch (result.kind) {
@@ -168,14 +173,19 @@
         const outcome = judgeAnswer(result.response, answerFields, queue.load().serviceMs);
         const isFailure = outcome.kind !== 'answered' || outcome.status >= 500;
         queue.finished(serviceMs, isFailure, nowMs);
-        if (!isFailure) this.home.parts.serviceTimes.record(this.call.route, serviceMs);
+        if (!isFailure) serviceTimes.record(this.call.route, serviceMs);
+        silence.answered(nowMs);
+        this.home.targetReached();
         this.settle(outcomeEvent(outcome), outcome);
+        if (outcome.kind === 'refused' && outcome.reason === RefusalReason.notHere) {
+          this.home.targetUnreachable('another target answers at the address');
+        }
         return;
       }
       case 'notSent':
         queue.finished(serviceMs, true, nowMs);
         this.settle('SHED', refusal(RefusalReason.unreachable, 0));
-        if (result.isRefused) this.home.targetUnreachable(result.detail);
+        this.home.targetUnreachable(result.detail);
         return;
       case 'lost':
         queue.finished(serviceMs, true, nowMs);
--- a/packages/sidecar/src/home.ts
+++ b/packages/sidecar/src/home.ts
@@ -99,6 +99,13 @@
     this.parts.onTargetChange();
   }
 
+  /** The target answered, so it takes work again if it was out of reach. */
+  targetReached(): void {
+    if (!this.parts.target.noteReachable()) return;
+    this.parts.log.belief('target reached again');
+    this.parts.onTargetChange();
+  }
+
   private obstacle(call: MeshCall): RefusalReasonName | undefined {
     const { target } = this.parts;
     if (this.isClosing) return RefusalReason.leaving;
@@ -130,12 +137,15 @@
   }
 
   private sweep(nowMs: number): void {
-    const { queue, shedLevel, classCount, levelNotice, onLevel } = this.parts;
+    const { queue, shedLevel, classCount, levelNotice, onLevel, silence } = this.parts;
     shedLevel.update(queue.waitMs, classCount(), nowMs);
     const level = this.level(nowMs);
     if (levelNotice.isDue(level, nowMs)) onLevel(level);
     queue.refuseHopeless(nowMs);
     for (const call of this.active) call.checkDeadline(nowMs);
+    if (silence.isSilent(queue.running, queue.load().serviceMs, nowMs)) {
+      this.targetUnreachable('no answer to any request');
+    }
     this.parts.ledger.sweep(nowMs);
   }
 }
--- a/packages/sidecar/src/target-connection.ts
+++ b/packages/sidecar/src/target-connection.ts
@@ -8,7 +8,7 @@
 export type ExchangeResult =
   | { readonly kind: 'response'; readonly response: ResponseMessage }
   /** No byte of the request can have reached the target. */
-  | { readonly kind: 'notSent'; readonly detail: string; readonly isRefused: boolean }
+  | { readonly kind: 'notSent'; readonly detail: string }
   /** The target may have run the request. */
   | { readonly kind: 'lost'; readonly detail: string };
 
@@ -60,9 +60,7 @@
     this.socket.on('connect', () => this.connected());
     this.socket.on('data', (chunk: Buffer) => this.receive(chunk));
     this.socket.on('end', () => this.ended());
-    this.socket.on('error', (error: NodeJS.ErrnoException) =>
-      this.fail(error.message, error.code === 'ECONNREFUSED'),
-    );
+    this.socket.on('error', (error) => this.fail(error.message));
     this.socket.on('close', () => {
       this.fail('connection closed');
       this.events.onClosed();
@@ -157,12 +155,12 @@
     this.fail('connection closed by the target');
   }
 
-  private fail(detail: string, isRefused = false): void {
+  private fail(detail: string): void {
     const { exchange } = this;
     this.exchange = undefined;
     this.destroy();
     if (exchange === undefined) return;
     if (this.isConnected) exchange.done({ kind: 'lost', detail });
-    else exchange.done({ kind: 'notSent', detail, isRefused });
+    else exchange.done({ kind: 'notSent', detail });
   }
 }
--- a/packages/sidecar/src/wire-sidecar.ts
+++ b/packages/sidecar/src/wire-sidecar.ts
@@ -8,6 +8,7 @@
 import { LocalTarget } from '@daisyferry/mesh/local-target';
 import type { RoutingConfiguration } from '@daisyferry/mesh/routing-configuration';
 import { ShedLevel } from '@daisyferry/mesh/shed-level';
+import { SilenceWatch } from '@daisyferry/mesh/silence-watch';
 import { ServiceTimes } from '@daisyferry/mesh/service-times';
 import { SplitWheels } from '@daisyferry/mesh/split-wheels';
 import { TargetChooser } from '@daisyferry/mesh/target-chooser';
@@ -100,6 +101,7 @@
     queue,
     serviceTimes: new ServiceTimes(),
     callers: new CallerTally(),
+    silence: new SilenceWatch(),
     shedLevel,
     downstream,
     classCount: () => (configuration.routes?.leastUrgent ?? 0) + 1,
