Give callers' own requests more of the retries, and try no second target where all fail alike

Change: homes tell the share of internal calls, callers may use a part of the share of all; an answer of 5xx is tried elsewhere only while some target of the service is sound.

--- a/packages/mesh/src/call.ts
+++ b/packages/mesh/src/call.ts
@@ -32,6 +32,8 @@
   readonly serviceMs: number;
   /** Load that is to be turned away before it is sent, see `ShedLevel`. */
   readonly level: number;
+  /** Share of the home's calls that come on internal routes, 0 to 1. */
+  readonly internalShare: number;
   /** Whether only other targets make calls on the call's route; undefined until it is known. */
   readonly isInternal: boolean | undefined;
   /** The same for the requests of the call's route, where known. */
--- a/packages/mesh/src/caller-tally.ts
+++ b/packages/mesh/src/caller-tally.ts
@@ -31,6 +31,17 @@
     calls.byService.set(callerService, (calls.byService.get(callerService) ?? 0) + 1);
   }
 
+  /** Share of all calls that came on internal routes, 0 to 1. */
+  get internalShare(): number {
+    let internal = 0;
+    let all = 0;
+    for (const [route, { total }] of this.routes) {
+      all += total;
+      if (this.isInternal(route) === true) internal += total;
+    }
+    return all === 0 ? 0 : internal / all;
+  }
+
   /** Undefined until there were enough calls to tell. */
   isInternal(route: string): boolean | undefined {
     const calls = this.routes.get(route);
--- a/packages/mesh/src/target-chooser.ts
+++ b/packages/mesh/src/target-chooser.ts
@@ -42,6 +42,8 @@
 const INITIAL_SERVICE_MS = 20;
 /** Retry advice when no target is known, in ms. */
 const NO_TARGET_ROOM_MS = 500;
+/** Share of failures below which a target counts as sound. */
+const SOUND_FAILURE_SHARE = 0.1;
 /** Cost that keeps a home whose connection broke for the case that there is no other. */
 const AVOID_COST = 10;
 
@@ -65,9 +67,7 @@
     const all = this.candidates(query);
     if (all.length === 0) return { kind: 'none', reason: 'noTarget', roomInMs: NO_TARGET_ROOM_MS };
     const open: Candidate[] = [];
-    const commonFailures = Math.min(
-      ...all.map(({ daemonId }) => this.view(daemonId).failureShare(nowMs)),
-    );
+    const commonFailures = this.leastFailureShare(all, nowMs);
     const commonMs = this.commonMs(all, query.route, nowMs);
     let earliestRoomMs = Number.POSITIVE_INFINITY;
     for (const record of all) {
@@ -94,6 +94,20 @@
     return sum / records.length;
   }
 
+  /** Share of the service's calls that come on internal routes: the least that a home told. */
+  internalShareOf(service: string): number {
+    const told = this.directory
+      .serving(service)
+      .flatMap(({ daemonId }) => this.views.get(daemonId)?.internalShare ?? []);
+    return told.length === 0 ? 0 : Math.min(...told);
+  }
+
+  /** True while some target of the service fails few calls, so that another one may succeed. */
+  hasSoundTarget(service: string, nowMs: number): boolean {
+    const records = this.directory.serving(service);
+    return this.leastFailureShare(records, nowMs) < SOUND_FAILURE_SHARE;
+  }
+
   /** A home tells its level outside of a reply. */
   learnLevel(daemonId: string, level: number, nowMs: number): void {
     this.view(daemonId).learnLevel(level, nowMs);
@@ -160,6 +174,10 @@
     return [...sample];
   }
 
+  private leastFailureShare(records: readonly DaemonRecord[], nowMs: number): number {
+    return Math.min(1, ...records.map(({ daemonId }) => this.view(daemonId).failureShare(nowMs)));
+  }
+
   /** Adds random records until the sample has the given size. */
   private addRandom(
     sample: Set<DaemonRecord>,
--- a/packages/mesh/src/target-view.ts
+++ b/packages/mesh/src/target-view.ts
@@ -49,6 +49,11 @@
     }
   }
 
+  /** Share of the home's calls that come on internal routes; undefined until it was told. */
+  get internalShare(): number | undefined {
+    return this.load?.internalShare;
+  }
+
   learnLevel(level: number, nowMs: number): void {
     this.shedLevel = level;
     this.shedLevelAtMs = nowMs;
--- a/packages/mesh/tests/caller-tally.test.ts
+++ b/packages/mesh/tests/caller-tally.test.ts
@@ -45,6 +45,10 @@
     expect(tallyOf([...EVERYWHERE, ...calls]).isInternal('r')).toBe(expected);
   });
 
+  it('tells the share of calls on internal routes', () => {
+    expect(tallyOf([...EVERYWHERE, ['r', 'a', 600]]).internalShare).toBe(0.75);
+  });
+
   it('takes no route for internal where one service is all there is', () => {
     expect(tallyOf([['r', 'a', 200]]).isInternal('r')).toBe(false);
   });
--- a/packages/mesh/tests/target-chooser.test.ts
+++ b/packages/mesh/tests/target-chooser.test.ts
@@ -9,6 +9,7 @@
   limit: 10,
   serviceMs: 20,
   level: 0,
+  internalShare: 0,
   isInternal: false,
   routeMs: 20,
 };
@@ -103,6 +104,18 @@
     expect(shares(chooser, 0)['good']).toBeGreaterThan(980);
   });
 
+  it('tells whether another target may succeed where one fails', () => {
+    const chooser = chooserOf({ grey: 'near', good: 'far' });
+    const fail = (id: string) => {
+      for (let count = 0; count < 10; count += 1) chooser.ended(id, 'r', IDLE, 'failed', 0);
+    };
+    fail('grey');
+    expect(chooser.hasSoundTarget('s', 0)).toBe(true);
+    fail('good');
+    expect(chooser.hasSoundTarget('s', 0)).toBe(false);
+    expect(chooser.hasSoundTarget('s', 10_000)).toBe(true);
+  });
+
   it('does not leave its zone because all targets fail alike', () => {
     const chooser = chooserOf({ near: 'near', far: 'far' });
     for (let count = 0; count < 10; count += 1) {
--- a/packages/peering/src/call-codec.ts
+++ b/packages/peering/src/call-codec.ts
@@ -83,6 +83,7 @@
     load.limit,
     tenths(load.serviceMs),
     hundredths(load.level),
+    hundredths(load.internalShare),
     INTERNAL_CODES.indexOf(load.isInternal),
   ];
   if (load.routeMs !== undefined) head.push(tenths(load.routeMs));
@@ -91,13 +92,15 @@
 
 function decodeLoad(head: LoadHead): TargetLoad | undefined {
   if (head === null) return undefined;
-  const [running = 0, waiting = 0, limit = 1, serviceMs = 0, level = 0, internal, routeMs] = head;
+  const [running = 0, waiting = 0, limit = 1, serviceMs = 0, level = 0, internalShare = 0] = head;
+  const [, , , , , , internal, routeMs] = head;
   return {
     running,
     waiting,
     limit,
     serviceMs,
     level,
+    internalShare,
     isInternal: INTERNAL_CODES[internal ?? 0],
     routeMs,
   };
--- a/packages/peering/tests/frame.test.ts
+++ b/packages/peering/tests/frame.test.ts
@@ -48,7 +48,7 @@
   fields: ['Host', 'h'],
 };
 
-const LOAD = { running: 1, waiting: 2, limit: 3, serviceMs: 4.5, level: 0.25 };
+const LOAD = { running: 1, waiting: 2, limit: 3, serviceMs: 4.5, level: 0.25, internalShare: 0.9 };
 
 describe('call codec', () => {
   it('keeps a call', () => {
--- a/packages/sidecar/src/entry-call.ts
+++ b/packages/sidecar/src/entry-call.ts
@@ -5,6 +5,7 @@
 import type { SentCall } from '@daisyferry/peering/peer-link';
 import type { Answer, EntryParts } from './entry';
 import { ownAnswer, OwnAnswerReason, type OwnAnswerReasonName } from './own-answer';
+import type { RetryOrigin } from './retry-budget';
 
 export interface EntryCallInput {
   readonly requestId: string;
@@ -81,7 +82,7 @@
   start(nowMs: number): void {
     const { budget, chooser } = this.parts;
     const { service, route, requestId, leastUrgent } = this.input;
-    budget.countRequest(service, nowMs);
+    budget.countRequest(this.retryOrigin(), nowMs);
     if (!chooser.isInternal(route.name)) {
       const level = chooser.levelOf(service, nowMs);
       const { priority } = route;
@@ -115,6 +116,16 @@
     this.finishOwn(OwnAnswerReason.timedOut, 0, nowMs, 'deadline passed');
   }
 
+  private retryOrigin(): RetryOrigin {
+    const { service, route } = this.input;
+    const { chooser } = this.parts;
+    return {
+      service,
+      isInternal: chooser.isInternal(route.name),
+      internalShare: chooser.internalShareOf(service),
+    };
+  }
+
   private isPastDeadline(nowMs: number): boolean {
     return nowMs >= this.input.routeDeadlineMs || nowMs >= this.input.callerDeadlineMs;
   }
@@ -218,11 +229,16 @@
       this.finishAnswered(outcome, nowMs);
       return;
     }
-    // A repeatable request that its target failed may succeed at another one.
+    // A repeatable request that its target failed may succeed at another one, unless all fail alike,
+    // as they do when a service that they call is short of room.
     this.mayHaveRun = true;
     this.targetsReached += 1;
     this.fallback = outcome;
-    this.retryOr(nowMs, () => this.finishAnswered(outcome, nowMs));
+    if (this.parts.chooser.hasSoundTarget(this.input.service, nowMs)) {
+      this.retryOr(nowMs, () => this.finishAnswered(outcome, nowMs));
+    } else {
+      this.finishAnswered(outcome, nowMs);
+    }
   }
 
   private refused(
@@ -247,10 +263,10 @@
 
   /** Sends the request to another target if that is allowed and within the budget. */
   private retryOr(nowMs: number, otherwise: () => void): void {
-    const { route, service } = this.input;
+    const { route } = this.input;
     const isAllowed = route.isIdempotent || !this.mayHaveRun;
     const hasTargets = this.targetsReached < route.maxTargets;
-    if (isAllowed && hasTargets && this.parts.budget.tryRetry(service, nowMs)) {
+    if (isAllowed && hasTargets && this.parts.budget.tryRetry(this.retryOrigin(), nowMs)) {
       this.tryNext(nowMs, 0);
     } else {
       otherwise();
--- a/packages/sidecar/src/home.ts
+++ b/packages/sidecar/src/home.ts
@@ -75,6 +75,7 @@
     const load: TargetLoad = {
       ...queue.load(),
       level: this.level(clock()),
+      internalShare: callers.internalShare,
       isInternal: callers.isInternal(route),
       routeMs: serviceTimes.meanMs(route),
     };
--- a/packages/sidecar/src/retry-budget.ts
+++ b/packages/sidecar/src/retry-budget.ts
@@ -5,34 +5,58 @@
  * all its calls again, so retries at each level above a service count against that service as well.
  */
 const TREE_LEVELS = 5;
+/** Greatest share of the callers' requests that may be retried, however few they are. */
+const MAX_CALLER_SHARE = 0.6;
+/** Part of the allowed share that the callers' own requests may use where others are the most. */
+const CALLER_PART = 0.2;
 
-/** This daemon's part of the retries that all daemons together may send to a service. */
+/** Where a request comes from, as far as retries are concerned. */
+export interface RetryOrigin {
+  readonly service: string;
+  /** True for a call that a target makes while it works on a request. */
+  readonly isInternal: boolean;
+  /** Share of the service's requests that are such calls, 0 to 1. */
+  readonly internalShare: number;
+}
+
+/**
+ * This daemon's part of the retries that all daemons together may send to a service. The callers'
+ * own requests are often few beside the calls that targets make; they may use a part of the share of
+ * all, as one retry saves a whole request of theirs.
+ */
 export class RetryBudget {
   private readonly shares = new Map<string, RetryShare>();
 
-  private readonly ownRatio: number;
-
   constructor(
-    ratio: number,
+    /** Retries of all daemons to a service, as a share of the requests for it. */
+    private readonly ratio: number,
     /** Retries beyond the share that this daemon may make in one window. */
     private readonly burst: number,
-  ) {
-    this.ownRatio = ratio / TREE_LEVELS;
+  ) {}
+
+  countRequest(origin: RetryOrigin, nowMs: number): void {
+    this.share(origin).attempt(nowMs);
   }
 
-  countRequest(service: string, nowMs: number): void {
-    this.share(service).attempt(nowMs);
+  tryRetry(origin: RetryOrigin, nowMs: number): boolean {
+    return this.share(origin).tryRetry(this.ownRatio(origin), nowMs);
   }
 
-  tryRetry(service: string, nowMs: number): boolean {
-    return this.share(service).tryRetry(this.ownRatio, nowMs);
+  /** Share of the requests of this origin that may be retried. */
+  ownRatio({ isInternal, internalShare }: RetryOrigin): number {
+    const levelRatio = this.ratio / TREE_LEVELS;
+    if (isInternal) return levelRatio;
+    const others = Math.max(Number.EPSILON, 1 - internalShare);
+    const common = (this.ratio * CALLER_PART * internalShare) / others;
+    return Math.min(MAX_CALLER_SHARE, levelRatio + common);
   }
 
-  private share(service: string): RetryShare {
-    const present = this.shares.get(service);
+  private share({ service, isInternal }: RetryOrigin): RetryShare {
+    const key = `${isInternal ? 'targets' : 'callers'} ${service}`;
+    const present = this.shares.get(key);
     if (present !== undefined) return present;
     const share = new RetryShare(this.burst);
-    this.shares.set(service, share);
+    this.shares.set(key, share);
     return share;
   }
 }
