Keep one list of hop-by-hop fields, and take the share of internal calls out of the path of each request

Cause: two lists of the same fields; the share was counted over all routes for each reply and asked for each request, though only a retry needs it. Change: http1/hop-fields serves both daemons; the share is brought up to date every 200 calls.

--- a/packages/daemon/src/hop-headers.ts
+++ b/packages/daemon/src/hop-headers.ts
@@ -1,26 +1,11 @@
 import type { HeaderPair } from '@daisyferry/callpath/call-message';
-
-/** Headers that belong to one connection (RFC 9110, section 7.6.1) or that each hop sets anew. */
-const HOP_HEADERS: ReadonlySet<string> = new Set([
-  'connection',
-  'keep-alive',
-  'proxy-connection',
-  'proxy-authenticate',
-  'proxy-authorization',
-  'te',
-  'trailer',
-  'transfer-encoding',
-  'upgrade',
-  'expect',
-  'host',
-  'content-length',
-]);
+import { HOP_FIELDS } from '@daisyferry/http1/hop-fields';
 
 const OWN_PREFIX = 'daisyferry-';
 
-/** True for headers that pass from hop to hop unchanged. */
+/** True for headers that pass from hop to hop unchanged; each hop sets `host` anew. */
 function passes(name: string): boolean {
-  return !HOP_HEADERS.has(name) && !name.startsWith(OWN_PREFIX);
+  return !HOP_FIELDS.has(name) && name !== 'host' && !name.startsWith(OWN_PREFIX);
 }
 
 /** Headers of a received message that pass on, from the flat list that Node gives. */
--- /dev/null
+++ b/packages/http1/src/hop-fields.ts
@@ -0,0 +1,14 @@
+/** Fields that concern one connection only (RFC 9110, section 7.6.1), and the framing fields. */
+export const HOP_FIELDS: ReadonlySet<string> = new Set([
+  'connection',
+  'keep-alive',
+  'proxy-connection',
+  'proxy-authenticate',
+  'proxy-authorization',
+  'te',
+  'trailer',
+  'transfer-encoding',
+  'upgrade',
+  'content-length',
+  'expect',
+]);
--- a/packages/http1/src/message-writer.ts
+++ b/packages/http1/src/message-writer.ts
@@ -1,20 +1,6 @@
+import { HOP_FIELDS } from './hop-fields';
 import type { HeaderFields } from './message';
 
-/** Fields that concern one connection only (RFC 9110, section 7.6.1), and the framing fields. */
-const HOP_FIELDS = new Set([
-  'connection',
-  'keep-alive',
-  'proxy-connection',
-  'proxy-authenticate',
-  'proxy-authorization',
-  'te',
-  'trailer',
-  'transfer-encoding',
-  'upgrade',
-  'content-length',
-  'expect',
-]);
-
 const NO_OPTIONS: ReadonlySet<string> = new Set();
 
 function connectionOptions(fields: HeaderFields): ReadonlySet<string> {
--- a/packages/mesh/src/caller-tally.ts
+++ b/packages/mesh/src/caller-tally.ts
@@ -2,6 +2,8 @@
 const MIN_CALLS = 100;
 /** Part of a route's calls below which a calling service is taken for a stray. */
 const STRAY_SHARE = 0.02;
+/** Calls between two looks at the share of internal calls, as it takes a pass over all routes. */
+const CALLS_PER_SHARE = 200;
 /** Routes called by at most this part of all calling services count as internal. */
 const INTERNAL_SHARE = 0.5;
 
@@ -20,7 +22,14 @@
 
   private readonly services = new Set<string>();
 
+  private calls = 0;
+
+  private share = 0;
+
+  private shareDueAtCalls = 0;
+
   record(route: string, callerService: string): void {
+    this.calls += 1;
     this.services.add(callerService);
     let calls = this.routes.get(route);
     if (calls === undefined) {
@@ -31,15 +40,13 @@
     calls.byService.set(callerService, (calls.byService.get(callerService) ?? 0) + 1);
   }
 
-  /** Share of all calls that came on internal routes, 0 to 1. */
+  /** Share of all calls that came on internal routes, 0 to 1; brought up to date now and then. */
   get internalShare(): number {
-    let internal = 0;
-    let all = 0;
-    for (const [route, { total }] of this.routes) {
-      all += total;
-      if (this.isInternal(route) === true) internal += total;
+    if (this.calls >= this.shareDueAtCalls) {
+      this.share = this.countShare();
+      this.shareDueAtCalls = this.calls + CALLS_PER_SHARE;
     }
-    return all === 0 ? 0 : internal / all;
+    return this.share;
   }
 
   /** Undefined until there were enough calls to tell. */
@@ -52,4 +59,14 @@
     }
     return callers <= this.services.size * INTERNAL_SHARE;
   }
+
+  private countShare(): number {
+    let internal = 0;
+    let all = 0;
+    for (const [route, { total }] of this.routes) {
+      all += total;
+      if (this.isInternal(route) === true) internal += total;
+    }
+    return all === 0 ? 0 : internal / all;
+  }
 }
--- a/packages/sidecar/src/entry-call.ts
+++ b/packages/sidecar/src/entry-call.ts
@@ -82,8 +82,9 @@
   start(nowMs: number): void {
     const { budget, chooser } = this.parts;
     const { service, route, requestId, leastUrgent } = this.input;
-    budget.countRequest(this.retryOrigin(), nowMs);
-    if (!chooser.isInternal(route.name)) {
+    const isInternal = chooser.isInternal(route.name);
+    budget.countRequest({ service, isInternal }, nowMs);
+    if (!isInternal) {
       const level = chooser.levelOf(service, nowMs);
       const { priority } = route;
       const margin = shedMargin({ requestId, priority, leastUrgent, level });
--- a/packages/sidecar/src/retry-budget.ts
+++ b/packages/sidecar/src/retry-budget.ts
@@ -11,11 +11,14 @@
 const CALLER_PART = 0.2;
 
 /** Where a request comes from, as far as retries are concerned. */
-export interface RetryOrigin {
+export interface RequestOrigin {
   readonly service: string;
   /** True for a call that a target makes while it works on a request. */
   readonly isInternal: boolean;
-  /** Share of the service's requests that are such calls, 0 to 1. */
+}
+
+export interface RetryOrigin extends RequestOrigin {
+  /** Share of the service's requests that are calls of targets, 0 to 1. */
   readonly internalShare: number;
 }
 
@@ -34,7 +37,7 @@
     private readonly burst: number,
   ) {}
 
-  countRequest(origin: RetryOrigin, nowMs: number): void {
+  countRequest(origin: RequestOrigin, nowMs: number): void {
     this.share(origin).attempt(nowMs);
   }
 
@@ -51,7 +54,7 @@
     return Math.min(MAX_CALLER_SHARE, levelRatio + common);
   }
 
-  private share({ service, isInternal }: RetryOrigin): RetryShare {
+  private share({ service, isInternal }: RequestOrigin): RetryShare {
     const key = `${isInternal ? 'targets' : 'callers'} ${service}`;
     const present = this.shares.get(key);
     if (present !== undefined) return present;
--- a/packages/sidecar/src/sidecar-life.ts
+++ b/packages/sidecar/src/sidecar-life.ts
@@ -24,6 +24,7 @@
   readonly readiness: ControlListener;
   readonly state: ReadyState;
   readonly flushMs: number;
+  readonly clock: () => number;
 }
 
 /** Time after the request to stop in which callers and peers learn of it, in ms. */
@@ -73,13 +74,13 @@
     if (this.parts.state.isStopping) return;
     this.parts.state.stop();
     const { environment, callers, own, home, entry, log, fleet, registration } = this.parts;
-    const endsAtMs = performance.now() + environment.bounds.graceMs - EXIT_MARGIN_MS;
+    const endsAtMs = this.parts.clock() + environment.bounds.graceMs - EXIT_MARGIN_MS;
     log.belief('stopping', { activeEntry: entry.activeCount, activeHome: home.activeCount });
     callers.isClosing = true;
     own.leave();
     await pause(Math.min(NOTICE_MS, environment.bounds.graceMs * MAX_NOTICE_SHARE));
     callers.closeIdle();
-    while (performance.now() < endsAtMs && (entry.activeCount > 0 || home.activeCount > 0)) {
+    while (this.parts.clock() < endsAtMs && (entry.activeCount > 0 || home.activeCount > 0)) {
       await pause(STOP_POLL_MS);
       callers.closeIdle();
     }
--- a/packages/sidecar/src/wire-sidecar.ts
+++ b/packages/sidecar/src/wire-sidecar.ts
@@ -230,5 +230,6 @@
     })),
     state: readyState,
     flushMs: FLUSH_MS,
+    clock,
   });
 }
