--- a/packages/sidecar/src/sidecar-life.ts
+++ b/packages/sidecar/src/sidecar-life.ts
@@ -32,7 +32,7 @@
 /** The same as the greatest part of the grace time. */
 const MAX_NOTICE_SHARE = 0.45;
 /** Time before the kill at which the process ends in any case, in ms. */
-const EXIT_MARGIN_MS = 350;
+const EXIT_MARGIN_MS = 800;
 /** Time between two looks at the work in progress while stopping, in ms. */
 const STOP_POLL_MS = 50;
 
