Count priority classes in use, however they are numbered

Cause: a configuration whose least urgent priority is a great number would make the level pass through empty classes for seconds before it turned anyone away. Change: the route table ranks the priorities in use.

--- a/packages/mesh/src/route-table.ts
+++ b/packages/mesh/src/route-table.ts
@@ -2,13 +2,14 @@
 
 /** Finds the route of a request: among the routes of its host the longest prefix of its path. */
 export class RouteTable {
-  /** Greatest number of a priority in use. */
-  readonly leastUrgent: number;
+  /** The priorities in use, the least urgent (greatest number) first. */
+  private readonly classes: readonly number[];
 
   private readonly hosts = new Map<string, Map<string, Route>>();
 
   constructor(readonly configuration: RoutingConfiguration) {
-    this.leastUrgent = Math.max(0, ...configuration.routes.map(({ priority }) => priority));
+    const priorities = new Set(configuration.routes.map(({ priority }) => priority));
+    this.classes = [...priorities].sort((left, right) => right - left);
     for (const route of configuration.routes) {
       const host = route.host.toLowerCase();
       const prefixes = this.hosts.get(host) ?? new Map<string, Route>();
@@ -17,6 +18,16 @@
     }
   }
 
+  /** Number of priority classes in use, however their priorities are numbered. */
+  get classCount(): number {
+    return this.classes.length;
+  }
+
+  /** Number of classes in use that are less urgent. */
+  classesBelow(priority: number): number {
+    return this.classes.filter((other) => other > priority).length;
+  }
+
   /** `target` is the path with its query; `host` is in lower case. */
   find(host: string, target: string): Route | undefined {
     const prefixes = this.hosts.get(host);
--- a/packages/mesh/tests/overload-replay.test.ts
+++ b/packages/mesh/tests/overload-replay.test.ts
@@ -94,8 +94,7 @@
         treeNumber += 1;
         const margin = shedMargin({
           requestId: `tree-${treeNumber}`,
-          priority,
-          leastUrgent: CLASSES - 1,
+          classesBelow: CLASSES - 1 - priority,
           level: known,
         });
         if (margin <= 0) callNext(new Tree(priority, nowMs), nowMs);
--- a/packages/mesh/tests/route-table.test.ts
+++ b/packages/mesh/tests/route-table.test.ts
@@ -2,7 +2,7 @@
 import { RouteTable } from '@daisyferry/mesh/route-table';
 import { describe, expect, it } from 'vitest';
 
-function route(host: string, prefix: string): Route {
+function route(host: string, prefix: string, priority = 0): Route {
   return {
     name: `${host}${prefix}`,
     host,
@@ -12,7 +12,7 @@
     timeoutMs: 1_000,
     targetLatencyMs: 100,
     maxTargets: 2,
-    priority: 0,
+    priority,
   };
 }
 
@@ -24,6 +24,13 @@
 };
 
 describe('RouteTable', () => {
+  it('counts the classes in use, whatever their numbers', () => {
+    const routes = [route('h', '/a/', 0), route('h', '/b/', 7), route('h', '/c/', 7)];
+    const table = new RouteTable({ ...configuration, routes });
+    expect(table.classCount).toBe(2);
+    expect([table.classesBelow(0), table.classesBelow(7)]).toEqual([1, 0]);
+  });
+
   const table = new RouteTable(configuration);
 
   it.each([
--- a/packages/sidecar/src/entry-call.ts
+++ b/packages/sidecar/src/entry-call.ts
@@ -12,8 +12,8 @@
   readonly route: Route;
   readonly service: string;
   readonly configurationVersion: number;
-  /** Greatest number of a priority in use. */
-  readonly leastUrgent: number;
+  /** Number of priority classes in use that are less urgent than this request's. */
+  readonly classesBelow: number;
   readonly method: string;
   readonly path: string;
   readonly fields: readonly string[];
@@ -81,13 +81,12 @@
 
   start(nowMs: number): void {
     const { budget, chooser } = this.parts;
-    const { service, route, requestId, leastUrgent } = this.input;
+    const { service, route, requestId, classesBelow } = this.input;
     const isInternal = chooser.isInternal(route.name);
     budget.countRequest({ service, isInternal }, nowMs);
     if (!isInternal) {
       const level = chooser.levelOf(service, nowMs);
-      const { priority } = route;
-      const margin = shedMargin({ requestId, priority, leastUrgent, level });
+      const margin = shedMargin({ requestId, classesBelow, level });
       if (margin > 0) {
         const detail = 'shed before any work';
         this.finishOwn(OwnAnswerReason.noRoom, this.returnMs(margin, nowMs), nowMs, detail);
--- a/packages/sidecar/src/entry.ts
+++ b/packages/sidecar/src/entry.ts
@@ -100,7 +100,7 @@
         route,
         service: wheels.next(route),
         configurationVersion: routes.configuration.version,
-        leastUrgent: routes.leastUrgent,
+        classesBelow: routes.classesBelow(route.priority),
         method: head.method,
         path: head.target,
         fields,
--- a/packages/sidecar/src/wire-sidecar.ts
+++ b/packages/sidecar/src/wire-sidecar.ts
@@ -104,7 +104,7 @@
     silence: new SilenceWatch(),
     shedLevel,
     downstream,
-    classCount: () => (configuration.routes?.leastUrgent ?? 0) + 1,
+    classCount: () => configuration.routes?.classCount ?? 1,
     ledger: new ExecutionLedger(),
     headerNames,
     answerFields: {
