Remove what nothing reads, and ask for leases no shorter than the store takes

Cause: fields of the environment, a call's second deadline and four getters had no reader; a store whose least lease is longer than four seconds would refuse ours. Change: removed; the lease is the longer of four seconds and the store's least.

--- a/packages/mesh/src/admission-queue.ts
+++ b/packages/mesh/src/admission-queue.ts
@@ -20,8 +20,6 @@
 
 /** Weight of the newest sample in the mean service time. */
 const SERVICE_TIME_GAIN = 0.05;
-/** Weight of the newest outcome in the share of failures. */
-const FAILURE_GAIN = 0.05;
 /** First guess of the time that a target takes for a request, in ms. */
 const INITIAL_SERVICE_MS = 20;
 /** Below this a wait counts as no wait: scheduling noise of the process, in ms. */
@@ -41,8 +39,6 @@
 
   private meanServiceMs = INITIAL_SERVICE_MS;
 
-  private failures = 0;
-
   constructor(private maxRunning: number) {}
 
   get running(): number {
@@ -53,11 +49,6 @@
     return this.waiting.length;
   }
 
-  /** Share of recent requests that the target failed or turned away, 0 to 1. */
-  get failureShare(): number {
-    return this.failures;
-  }
-
   load(): Pick<TargetLoad, 'running' | 'waiting' | 'limit' | 'serviceMs'> {
     return {
       running: this.runningCount,
@@ -105,7 +96,6 @@
   /** A started request has ended after `serviceMs` at the target. */
   finished(serviceMs: number, isFailure: boolean, nowMs: number): void {
     this.runningCount -= 1;
-    this.failures += ((isFailure ? 1 : 0) - this.failures) * FAILURE_GAIN;
     if (!isFailure) this.meanServiceMs += (serviceMs - this.meanServiceMs) * SERVICE_TIME_GAIN;
     this.startNext(nowMs);
   }
--- a/packages/mesh/src/call.ts
+++ b/packages/mesh/src/call.ts
@@ -13,8 +13,6 @@
   readonly priority: number;
   /** Time for which an answer is still of use, from the hand-over between the daemons. */
   readonly remainingMs: number;
-  /** Time for which the caller waits at the most; greater than `remainingMs` or equal. */
-  readonly callerRemainingMs: number;
   /** Part of `remainingMs` in which an answer earns its full worth. */
   readonly usefulMs: number;
   readonly method: string;
--- a/packages/mesh/src/fleet-directory.ts
+++ b/packages/mesh/src/fleet-directory.ts
@@ -26,9 +26,6 @@
 
   private readonly byService = new Map<string, DaemonRecord[]>();
 
-  /** Grows with each change of the directory. */
-  version = 0;
-
   get size(): number {
     return this.entries.size;
   }
@@ -99,7 +96,6 @@
   }
 
   private reindex(): void {
-    this.version += 1;
     this.byService.clear();
     for (const { record } of this.entries.values()) {
       const { target } = record;
--- a/packages/mesh/src/local-target.ts
+++ b/packages/mesh/src/local-target.ts
@@ -44,11 +44,6 @@
     return this.present;
   }
 
-  /** Time of the last accepted announcement. */
-  get lastHeardMs(): number {
-    return this.heardAtMs;
-  }
-
   /** True while new work may be handed to the target. */
   get isServing(): boolean {
     return (
--- a/packages/peering/src/call-codec.ts
+++ b/packages/peering/src/call-codec.ts
@@ -11,7 +11,6 @@
   isIdempotent: boolean,
   priority: number,
   remainingMs: number,
-  callerRemainingMs: number,
   usefulMs: number,
   method: string,
   path: string,
@@ -38,7 +37,6 @@
     call.isIdempotent,
     call.priority,
     Math.round(call.remainingMs),
-    Math.round(call.callerRemainingMs),
     Math.round(call.usefulMs),
     call.method,
     call.path,
@@ -59,11 +57,10 @@
     isIdempotent: head[5],
     priority: head[6],
     remainingMs: head[7],
-    callerRemainingMs: head[8],
-    usefulMs: head[9],
-    method: head[10],
-    path: head[11],
-    fields: head[12],
+    usefulMs: head[8],
+    method: head[9],
+    path: head[10],
+    fields: head[11],
   };
 }
 
--- a/packages/peering/src/peer-link.ts
+++ b/packages/peering/src/peer-link.ts
@@ -93,11 +93,6 @@
     return this.calls.size;
   }
 
-  /** Bytes written and not yet taken by the network. */
-  get unsentBytes(): number {
-    return this.socket?.writableLength ?? 0;
-  }
-
   setAddress(address: PeerAddress): void {
     if (address.ip === this.address.ip && address.port === this.address.port) return;
     this.address = address;
--- a/packages/peering/tests/frame.test.ts
+++ b/packages/peering/tests/frame.test.ts
@@ -41,7 +41,6 @@
   isIdempotent: false,
   priority: 1,
   remainingMs: 500,
-  callerRemainingMs: 600,
   usefulMs: 100,
   method: 'POST',
   path: '/a?b=c',
--- a/packages/peering/tests/peer-link.test.ts
+++ b/packages/peering/tests/peer-link.test.ts
@@ -17,7 +17,6 @@
   isIdempotent: false,
   priority: 0,
   remainingMs: 30_000,
-  callerRemainingMs: 30_000,
   usefulMs: 30_000,
   method: 'POST',
   path: '/',
--- a/packages/sidecar/src/daemon-environment.ts
+++ b/packages/sidecar/src/daemon-environment.ts
@@ -20,18 +20,12 @@
     /** Announcements of the local target. */
     readonly announcements: SocketAddress;
   };
-  readonly memoryBytes: number;
-  readonly maxOpenFiles: number;
-  /** Time between two announcements of a target. */
-  readonly heartbeatMs: number;
   readonly store: {
     readonly address: SocketAddress;
     /** Least time to live that a lease can have. */
     readonly minLeaseMs: number;
   };
   readonly bounds: {
-    /** Time after which a leaving target gets no new work. */
-    readonly drainMs: number;
     /** Time between the request to stop and the kill. */
     readonly graceMs: number;
     /** Retries allowed for a service, as a share of its requests. */
--- a/packages/sidecar/src/entry-call.ts
+++ b/packages/sidecar/src/entry-call.ts
@@ -176,7 +176,6 @@
         isIdempotent: input.route.isIdempotent,
         priority: input.route.priority,
         remainingMs,
-        callerRemainingMs: input.callerDeadlineMs - nowMs,
         usefulMs,
         method: input.method,
         path: input.path,
--- a/packages/sidecar/src/registration.ts
+++ b/packages/sidecar/src/registration.ts
@@ -5,8 +5,9 @@
 /** Keys of the daemons' records. */
 export const DAEMON_PREFIX = 'daisyferry/daemons/';
 
-/** Life of a record whose daemon no longer renews it, in s. */
-const LEASE_S = 4;
+/** Life of a record whose daemon no longer renews it, in ms; more where the store asks for more. */
+const LEASE_MS = 4_000;
+const MS_PER_S = 1_000;
 /** Time between two renewals, in ms; also the longest wait after the store's return. */
 const RENEW_MS = 1_200;
 /** Pause after a call that failed, in ms: a lapsed record is back well within two seconds. */
@@ -29,6 +30,8 @@
 
   constructor(
     private readonly store: PlatformStore,
+    /** Least time to live that the store takes. */
+    private readonly minLeaseMs: number,
     private readonly ownRecord: () => DaemonRecord,
     /** A call found no answer: connections to the store may have gone silent. */
     private readonly onSilence: () => void,
@@ -90,7 +93,8 @@
 
   private async ensureLease(): Promise<boolean> {
     if (this.leaseId !== undefined) return true;
-    const granted = await this.store.grantLease(LEASE_S, CALL_TIMEOUT_MS);
+    const leaseMs = Math.max(LEASE_MS, this.minLeaseMs);
+    const granted = await this.store.grantLease(leaseMs / MS_PER_S, CALL_TIMEOUT_MS);
     if (!granted.ok) return false;
     this.leaseId = granted.value.leaseId;
     return true;
--- a/packages/sidecar/src/target-pool.ts
+++ b/packages/sidecar/src/target-pool.ts
@@ -11,8 +11,6 @@
 export class TargetPool {
   private readonly idle: TargetConnection[] = [];
 
-  private open = 0;
-
   private opened = 0;
 
   constructor(
@@ -26,10 +24,6 @@
     return this.opened;
   }
 
-  get openCount(): number {
-    return this.open;
-  }
-
   send(
     requestId: string,
     isHead: boolean,
@@ -56,7 +50,6 @@
   }
 
   private connect(): TargetConnection {
-    this.open += 1;
     this.opened += 1;
     const connection: TargetConnection = new TargetConnection(
       this.address,
@@ -71,7 +64,6 @@
   }
 
   private closed(connection: TargetConnection): void {
-    this.open -= 1;
     const index = this.idle.indexOf(connection);
     if (index >= 0) this.idle.splice(index, 1);
   }
--- a/packages/sidecar/src/wire-sidecar.ts
+++ b/packages/sidecar/src/wire-sidecar.ts
@@ -139,7 +139,13 @@
     },
     onGone: (daemonId) => chooser.forget(daemonId),
   });
-  const registration = new Registration(store, () => own.record(), platform.resetStore, log);
+  const registration = new Registration(
+    store,
+    environment.store.minLeaseMs,
+    () => own.record(),
+    platform.resetStore,
+    log,
+  );
   const storeSync = new StoreSync({
     store,
     state,
