--- a/packages/mesh/src/routing-configuration.ts
+++ b/packages/mesh/src/routing-configuration.ts
@@ -12,6 +12,7 @@
   readonly prefix: string;
   /** True if a request may be executed more than once. */
   readonly isIdempotent: boolean;
+  /** Empty if the destinations cannot be read; the route's requests are then refused. */
   readonly destinations: readonly Destination[];
   /** Maximum time that a request may wait for its response. */
   readonly timeoutMs: number;
@@ -25,9 +26,6 @@
 
 export interface ServiceConfiguration {
   readonly name: string;
-  readonly healthPath: string;
-  /** Maximum number of connections that one target accepts. */
-  readonly maxConnections: number;
 }
 
 /** Limits for the requests and connections of callers. */
@@ -44,4 +42,6 @@
   readonly routes: readonly Route[];
   readonly services: readonly ServiceConfiguration[];
   readonly limits: CallerLimits;
+  /** What could not be read of the operator's document, each with the path of its field. */
+  readonly problems: readonly string[];
 }
--- a/packages/mesh/tests/route-table.test.ts
+++ b/packages/mesh/tests/route-table.test.ts
@@ -21,6 +21,7 @@
   routes: [route('a.example', '/x/'), route('a.example', '/x/y/'), route('B.example', '/')],
   services: [],
   limits: { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
+  problems: [],
 };
 
 describe('RouteTable', () => {
--- a/packages/sidecar/src/configuration-holder.ts
+++ b/packages/sidecar/src/configuration-holder.ts
@@ -3,6 +3,9 @@
 import type { EventLog } from './event-log';
 import { Emitter } from './emitter';
 
+/** Maximum number of problems of one document that are logged. */
+const MAX_LOGGED_PROBLEMS = 20;
+
 /** Holds the active configuration and replaces it only by one with a greater version. */
 export class ConfigurationHolder {
   private routeTable: RouteTable | undefined;
@@ -29,6 +32,11 @@
     return this.currentDocument;
   }
 
+  /** Number of parts of the active document that could not be read. */
+  get problemCount(): number {
+    return this.routeTable?.configuration.problems.length ?? 0;
+  }
+
   subscribe(listener: (version: number) => void): void {
     this.changes.subscribe(listener);
   }
@@ -49,6 +57,14 @@
     this.routeTable = new RouteTable(configuration);
     this.currentDocument = text;
     this.log.stateChange('configuration applied', { version, previous, source });
+    this.logProblems();
     this.changes.emit(version);
   }
+
+  private logProblems(): void {
+    const { version, problemCount } = this;
+    if (problemCount === 0) return;
+    const problems = this.routeTable?.configuration.problems.slice(0, MAX_LOGGED_PROBLEMS);
+    this.log.warn('configuration read in part', { version, problemCount, problems });
+  }
 }
--- a/packages/sidecar/src/daemon-response.ts
+++ b/packages/sidecar/src/daemon-response.ts
@@ -4,6 +4,7 @@
 export const DaemonResponseReason = {
   noConfiguration: 'noConfiguration',
   noRoute: 'noRoute',
+  unreadableRoute: 'unreadableRoute',
   noRoom: 'noRoom',
   noTarget: 'noTarget',
   timedOut: 'timedOut',
@@ -23,6 +24,7 @@
 const STATUS_LINES: Readonly<Record<DaemonResponseReasonName, StatusLine>> = {
   noConfiguration: { status: 503, reason: 'Service Unavailable', guaranteesNotRun: true },
   noRoute: { status: 404, reason: 'Not Found', guaranteesNotRun: false },
+  unreadableRoute: { status: 503, reason: 'Service Unavailable', guaranteesNotRun: true },
   noRoom: { status: 503, reason: 'Service Unavailable', guaranteesNotRun: true },
   noTarget: { status: 503, reason: 'Service Unavailable', guaranteesNotRun: true },
   timedOut: { status: 504, reason: 'Gateway Timeout', guaranteesNotRun: false },
--- a/packages/sidecar/src/entry.ts
+++ b/packages/sidecar/src/entry.ts
@@ -95,6 +95,11 @@
       respond(daemonResponse(DaemonResponseReason.noRoute, 0));
       return undefined;
     }
+    if (route.destinations.length === 0) {
+      metrics.recordRequest(route.name, DaemonResponseReason.unreadableRoute, 0);
+      respond(daemonResponse(DaemonResponseReason.unreadableRoute, 0));
+      return undefined;
+    }
     const nowMs = clock();
     const requestId = fieldValue(head.fields, headerNames.requestId.toLowerCase()) ?? '';
     const requestedMs = Number(fieldValue(head.fields, headerNames.deadline.toLowerCase()));
--- a/packages/sidecar/src/wire-sidecar.ts
+++ b/packages/sidecar/src/wire-sidecar.ts
@@ -217,6 +217,7 @@
   metrics.addGauge('daisyferry_peers_connected', () => peerConnections.connectedCount);
   metrics.addGauge('daisyferry_daemons_known', () => directory.size);
   metrics.addGauge('daisyferry_configuration_version', () => configuration.version);
+  metrics.addGauge('daisyferry_configuration_problems', () => configuration.problemCount);
   metrics.addGauge('daisyferry_caller_connections', () => callers.connectionCount);
 
   return new SidecarLifecycle({
