--- a/packages/admission/src/concurrency-limit.ts
+++ b/packages/admission/src/concurrency-limit.ts
@@ -130,8 +130,7 @@
 
   /**
    * Starts the warm-up of a cold target and resets the limit to the number of slots. Discards the
-   * baseline, a probe in progress and the time of the last shed call; the concurrency and the limit
-   * recorded for shed calls stay.
+   * baseline, a probe in progress and what shed calls taught about the target that was replaced.
    */
   beginWarmUp(nowMs: number): void {
     this.warmUpStartMs = nowMs;
@@ -139,6 +138,8 @@
     this.baseline = undefined;
     this.probe = undefined;
     this.shedAtMs = Number.NEGATIVE_INFINITY;
+    this.inFlightAtShed = Number.POSITIVE_INFINITY;
+    this.limitBeforeShed = 0;
     this.period = this.period.next(nowMs);
   }
 
--- a/packages/admission/tests/concurrency-limit.test.ts
+++ b/packages/admission/tests/concurrency-limit.test.ts
@@ -102,4 +102,20 @@
     limit.configure(60, 0);
     expect(limit.current(0)).toBe(60);
   });
+
+  it('forgets what shed calls taught about the target that a cold one replaces', () => {
+    const limit = limitWith({ hasWarmUp: false });
+    saturate(limit, () => 10, 0, 1_000);
+    limit.updateInFlight(4, 1_000);
+    limit.recordShed(1_000);
+    limit.beginWarmUp(1_100);
+    limit.updateInFlight(SLOTS, 1_100);
+    limit.recordShed(1_100);
+    const fresh = limitWith({ hasWarmUp: false });
+    fresh.updateInFlight(SLOTS, 1_100);
+    fresh.recordShed(1_100);
+    expect(saturate(limit, () => 10, 1_100, 2_000)).toEqual(
+      saturate(fresh, () => 10, 1_100, 2_000),
+    );
+  });
 });
--- a/packages/http1/src/body-reader.ts
+++ b/packages/http1/src/body-reader.ts
@@ -3,6 +3,8 @@
 const CHUNK_SIZE_LINE = /^([0-9A-Fa-f]{1,8})(?:[ \t]*;.*)?$/;
 /** Maximum length of a chunk-size or trailer line; far above common lengths. */
 const MAX_LINE_BYTES = 4_096;
+/** Maximum total length of the trailer lines of a body. */
+const MAX_TRAILER_BYTES = 16_384;
 const CR = 13;
 const LF = 10;
 const EMPTY = Buffer.alloc(0);
@@ -27,6 +29,8 @@
 
   private line = '';
 
+  private trailerBytes = 0;
+
   constructor(private readonly framing: BodyFraming) {
     this.remainingBytes = framing.kind === 'length' ? framing.bytes : 0;
     this.isComplete = framing.kind === 'length' && framing.bytes === 0;
@@ -107,7 +111,14 @@
     const text = line.slice(0, -2);
     if (this.step === ChunkStep.size) this.parseChunkSize(text);
     else if (this.step === ChunkStep.dataEnd) this.parseDataEnd(text);
-    else if (text === '') this.isComplete = true;
+    else this.parseTrailer(text);
+  }
+
+  /** Trailer fields are dropped; an empty line ends them. */
+  private parseTrailer(text: string): void {
+    this.trailerBytes += text.length;
+    if (text === '') this.isComplete = true;
+    else if (this.trailerBytes > MAX_TRAILER_BYTES) this.problem = 'trailer too long';
   }
 
   private parseDataEnd(text: string): void {
--- a/packages/http1/src/framing-fields.ts
+++ b/packages/http1/src/framing-fields.ts
@@ -1,4 +1,5 @@
 import type { BodyFraming } from './message';
+import { parseConnectionOptions } from './hop-by-hop-fields';
 import { syntaxProblem, type SyntaxProblem } from './syntax-problem';
 
 /** At most 15 digits, so that the value is a safe integer. */
@@ -19,7 +20,7 @@
 
   private transferEncoding: string | undefined;
 
-  private connection = '';
+  private readonly connectionOptions = new Set<string>();
 
   /**
    * Processes a field. A second `transfer-encoding` or `host` field is an error, and so is a second
@@ -39,7 +40,7 @@
         this.transferEncoding = value;
         return undefined;
       case 'connection':
-        this.connection += `,${value.toLowerCase()}`;
+        for (const option of parseConnectionOptions(value)) this.connectionOptions.add(option);
         return undefined;
       case 'keep-alive':
         this.keepAlive = value;
@@ -72,12 +73,9 @@
     return { kind: 'length', bytes: Number(contentLength) };
   }
 
-  /**
-   * True if the connection may be reused after this message. The options are searched as text, so a
-   * longer option that contains `close` or `keep-alive` matches too.
-   */
+  /** True if the connection may be reused after this message. */
   isPersistent(minorVersion: string | undefined): boolean {
-    if (this.connection.includes('close')) return false;
-    return minorVersion === '1' || this.connection.includes('keep-alive');
+    if (this.connectionOptions.has('close')) return false;
+    return minorVersion === '1' || this.connectionOptions.has('keep-alive');
   }
 }
--- a/packages/http1/src/hop-by-hop-fields.ts
+++ b/packages/http1/src/hop-by-hop-fields.ts
@@ -15,3 +15,8 @@
   'content-length',
   'expect',
 ]);
+
+/** Splits the value of a Connection field into its options, in lower case. */
+export function parseConnectionOptions(value: string): string[] {
+  return value.toLowerCase().split(/[\s,]+/);
+}
--- a/packages/http1/src/message-writer.ts
+++ b/packages/http1/src/message-writer.ts
@@ -1,15 +1,15 @@
-import { HOP_BY_HOP_FIELDS } from './hop-by-hop-fields';
+import { HOP_BY_HOP_FIELDS, parseConnectionOptions } from './hop-by-hop-fields';
 import type { HeaderFields } from './message';
 
-const NO_CONNECTION_OPTIONS: ReadonlySet<string> = new Set();
-
+/** Options of all Connection fields: the names of further fields that are not forwarded. */
 function connectionOptions(fields: HeaderFields): ReadonlySet<string> {
+  const options = new Set<string>();
   for (let index = 0; index < fields.length; index += 2) {
     if (fields[index]?.toLowerCase() === 'connection') {
-      return new Set((fields[index + 1] ?? '').toLowerCase().split(/[\s,]+/));
+      for (const option of parseConnectionOptions(fields[index + 1] ?? '')) options.add(option);
     }
   }
-  return NO_CONNECTION_OPTIONS;
+  return options;
 }
 
 /** Returns the fields to forward to the next hop, except those in `replacedNames` (lower case). */
@@ -38,23 +38,28 @@
   return text;
 }
 
-function joinHeadAndBody(head: string, body: Buffer): Buffer {
+/** Size from which a body is written apart from its head instead of being copied. */
+const MIN_SEPARATE_BODY_BYTES = 65_536;
+
+/** Returns the buffers to write one after the other. */
+function joinHeadAndBody(head: string, body: Buffer): readonly Buffer[] {
+  if (body.length >= MIN_SEPARATE_BODY_BYTES) return [Buffer.from(head, 'latin1'), body];
   const message = Buffer.allocUnsafe(head.length + body.length);
   message.write(head, 0, 'latin1');
   body.copy(message, head.length);
-  return message;
+  return [message];
 }
 
 /** Methods whose requests have no body unless their framing fields say so. */
 const METHODS_WITHOUT_BODY = new Set(['GET', 'HEAD', 'DELETE', 'OPTIONS', 'TRACE']);
 
-/** Encodes a request into one buffer; `fields` must not include framing fields. */
+/** Encodes a request into buffers to write in order; `fields` must not include framing fields. */
 export function encodeRequest(
   method: string,
   target: string,
   fields: HeaderFields,
   body: Buffer,
-): Buffer {
+): readonly Buffer[] {
   const length =
     body.length > 0 || !METHODS_WITHOUT_BODY.has(method)
       ? `Content-Length: ${body.length}\r\n`
@@ -78,17 +83,17 @@
   readonly endsWithConnection?: boolean;
 }
 
-/** Encodes a response into one buffer, without a body for a HEAD request, 204 and 304. */
+/** Encodes a response into buffers to write in order, without a body for a HEAD request, 204 and 304. */
 export function encodeResponse(
   parts: ResponseParts,
   isHeadRequest: boolean,
   closesConnection: boolean,
-): Buffer {
+): readonly Buffer[] {
   const { status, reason, fields, body } = parts;
   const isBodiless = isHeadRequest || status === 204 || status === 304;
   const isUnframed = isBodiless || parts.endsWithConnection === true;
   const length = isUnframed ? '' : `Content-Length: ${body.length}\r\n`;
   const connection = closesConnection ? 'Connection: close\r\n' : '';
   const head = `HTTP/1.1 ${status} ${reason}\r\n${fieldLines(fields)}${length}${connection}\r\n`;
-  return isBodiless ? Buffer.from(head, 'latin1') : joinHeadAndBody(head, body);
+  return isBodiless ? [Buffer.from(head, 'latin1')] : joinHeadAndBody(head, body);
 }
--- a/packages/http1/src/request-reader.ts
+++ b/packages/http1/src/request-reader.ts
@@ -25,6 +25,8 @@
 
   private body: BodyReader | undefined;
 
+  private announcedBodyBytes = 0;
+
   push(chunk: Buffer): void {
     this.input.push(chunk);
   }
@@ -39,6 +41,14 @@
     return this.input.length + (this.body?.receivedBytes ?? 0);
   }
 
+  /**
+   * Bytes of the body of the request that is arriving: its announced length, or what has arrived if
+   * it has none.
+   */
+  get expectedBodyBytes(): number {
+    return Math.max(this.announcedBodyBytes, this.body?.receivedBytes ?? 0);
+  }
+
   next(limits: RequestLimits): RequestReadResult {
     if (this.head === undefined) {
       const problem = this.readHead(limits);
@@ -52,6 +62,7 @@
     if (!body.isComplete) return INCOMPLETE;
     this.head = undefined;
     this.body = undefined;
+    this.announcedBodyBytes = 0;
     return { kind: 'request', request: { head, body: body.body() } };
   }
 
@@ -68,6 +79,7 @@
       return syntaxProblem('body too long', 413);
     }
     this.head = parsed.head;
+    this.announcedBodyBytes = parsed.framing.kind === 'length' ? parsed.framing.bytes : 0;
     this.body = new BodyReader(parsed.framing);
     return undefined;
   }
--- a/packages/http1/src/response-reader.ts
+++ b/packages/http1/src/response-reader.ts
@@ -11,6 +11,9 @@
 
 /** Maximum size of a response's head; four times what common servers send. */
 const MAX_HEAD_BYTES = 65_536;
+/** Maximum number of interim responses before a final one. */
+const MAX_INTERIM_RESPONSES = 16;
+const BODY_TOO_LONG = syntaxProblem('body exceeds the memory for responses', 413);
 const INCOMPLETE: ResponseReadResult = { kind: 'incomplete' };
 
 /** Reads the responses of one connection in order. */
@@ -21,6 +24,11 @@
 
   private body: BodyReader | undefined;
 
+  private interimCount = 0;
+
+  /** `mayHold` tells whether a response body of that many bytes may be held in memory. */
+  constructor(private readonly mayHold: (bytes: number) => boolean) {}
+
   push(chunk: Buffer): void {
     this.input.push(chunk);
   }
@@ -52,7 +60,13 @@
       // Interim responses (1xx) precede the final one.
       if (parsed.status >= 200) {
         this.head = parsed;
+        this.interimCount = 0;
         this.body = new BodyReader(parsed.framing);
+        return this.readBody(parsed);
+      }
+      this.interimCount += 1;
+      if (this.interimCount > MAX_INTERIM_RESPONSES) {
+        return syntaxProblem('too many interim responses');
       }
     }
     return this.readBody(this.head);
@@ -61,8 +75,11 @@
   private readBody(head: ParsedResponseHead): ResponseReadResult {
     const { body } = this;
     if (body === undefined) return INCOMPLETE;
+    const { framing } = head;
+    if (framing.kind === 'length' && !this.mayHold(framing.bytes)) return BODY_TOO_LONG;
     if (!body.isComplete) this.input.consume((bytes) => body.read(bytes, 0));
     if (body.problem !== undefined) return syntaxProblem(body.problem);
+    if (!this.mayHold(body.receivedBytes)) return BODY_TOO_LONG;
     if (!body.isComplete) return INCOMPLETE;
     this.head = undefined;
     this.body = undefined;
--- a/packages/http1/tests/message-writer.test.ts
+++ b/packages/http1/tests/message-writer.test.ts
@@ -23,13 +23,31 @@
   });
 });
 
+describe('endToEndFields with several Connection fields', () => {
+  it('drops the fields that each of them names', () => {
+    const fields = ['Connection', 'X-One', 'X-One', '1', 'Connection', 'X-Two', 'X-Two', '2'];
+    expect(endToEndFields(fields, new Set())).toEqual([]);
+  });
+});
+
+describe('a large body', () => {
+  it('is written without being copied', () => {
+    const body = Buffer.alloc(100_000);
+    expect(encodeRequest('POST', '/a', [], body)[1]).toBe(body);
+    const parts = { status: 200, reason: 'OK', fields: [], body };
+    expect(encodeResponse(parts, false, false)[1]).toBe(body);
+  });
+});
+
 describe('encodeRequest', () => {
   it.each([
     ['GET', EMPTY_BODY, 'GET /a HTTP/1.1\r\nHost: h\r\n\r\n'],
     ['POST', EMPTY_BODY, 'POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n'],
     ['GET', Buffer.from('x'), 'GET /a HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n\r\nx'],
   ])('frames the body of %s', (method, body, expected) => {
-    expect(encodeRequest(method, '/a', ['Host', 'h'], body).toString()).toBe(expected);
+    expect(Buffer.concat(encodeRequest(method, '/a', ['Host', 'h'], body)).toString()).toBe(
+      expected,
+    );
   });
 });
 
@@ -37,7 +55,7 @@
   const parts = { status: 200, reason: 'OK', fields: ['A', 'b'], body: Buffer.from('xy') };
 
   it('writes Content-Length, and Connection: close for the last response', () => {
-    expect(encodeResponse(parts, false, true).toString()).toBe(
+    expect(Buffer.concat(encodeResponse(parts, false, true)).toString()).toBe(
       'HTTP/1.1 200 OK\r\nA: b\r\nContent-Length: 2\r\nConnection: close\r\n\r\nxy',
     );
   });
@@ -46,14 +64,17 @@
     ['HEAD', parts, true],
     ['204', { ...parts, status: 204 }, false],
   ])('sends no body for %s', (_name, response, isHeadRequest) => {
-    expect(encodeResponse(response, isHeadRequest, false).toString()).not.toContain('xy');
+    expect(Buffer.concat(encodeResponse(response, isHeadRequest, false)).toString()).not.toContain(
+      'xy',
+    );
   });
 });
 
 describe('a response whose body may be truncated', () => {
   it('has no Content-Length, so that it does not look complete', () => {
     const truncated = { status: 200, reason: 'OK', fields: [], body: Buffer.from('xy') };
-    const text = encodeResponse({ ...truncated, endsWithConnection: true }, false, true).toString();
+    const message = encodeResponse({ ...truncated, endsWithConnection: true }, false, true);
+    const text = Buffer.concat(message).toString();
     expect(text).toBe('HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nxy');
   });
 });
--- a/packages/http1/tests/response-reader.test.ts
+++ b/packages/http1/tests/response-reader.test.ts
@@ -1,8 +1,11 @@
 import { ResponseReader } from '@daisyferry/http1/response-reader';
 import { describe, expect, it } from 'vitest';
 
+/** Bytes of a response body that the readers may hold. */
+const MAX_BODY_BYTES = 100_000;
+
 function readerOf(text: string): ResponseReader {
-  const reader = new ResponseReader();
+  const reader = new ResponseReader((bytes) => bytes <= MAX_BODY_BYTES);
   reader.push(Buffer.from(text, 'latin1'));
   return reader;
 }
@@ -58,4 +61,51 @@
     const reader = readerOf('HTTP/1.1 200 OK\r\nContent-Length: 500\r\n\r\n');
     expect(reader.next(true)).toMatchObject({ kind: 'response', response: { status: 200 } });
   });
+
+  it.each([
+    ['Connection: close-notify', true],
+    ['Connection: x, Close', false],
+    ['Connection: x\r\nConnection: close', false],
+  ])('compares the options of %s as a whole', (field, isPersistent) => {
+    const reader = readerOf(`HTTP/1.1 200 OK\r\n${field}\r\nContent-Length: 0\r\n\r\n`);
+    expect(reader.next(false)).toMatchObject({ response: { isPersistent } });
+  });
+
+  it.each([
+    ['a head', 'HTTP/1.1 200 OK\r\nX: ', 'x'.repeat(4_000)],
+    ['field lines', 'HTTP/1.1 200 OK\r\n', 'X-Field: value\r\n'.repeat(250)],
+    ['interim responses', '', 'HTTP/1.1 102 Processing\r\n\r\n'.repeat(100)],
+    ['a body without a length', 'HTTP/1.1 200 OK\r\n\r\n', 'x'.repeat(4_000)],
+    [
+      'a body with a length',
+      'HTTP/1.1 200 OK\r\nContent-Length: 900000000000\r\n\r\n',
+      'x'.repeat(4_000),
+    ],
+    [
+      'chunks',
+      'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n',
+      `fa0\r\n${'x'.repeat(4_000)}\r\n`,
+    ],
+    [
+      'a chunk extension',
+      'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;',
+      'x'.repeat(4_000),
+    ],
+    [
+      'trailers',
+      'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n',
+      'X-Field: value\r\n'.repeat(250),
+    ],
+  ])('ends %s that never end', (_name, start, repeated) => {
+    const reader = readerOf(start);
+    let sentBytes = 0;
+    let read = reader.next(false);
+    while (read.kind === 'incomplete' && sentBytes < 2 * MAX_BODY_BYTES) {
+      reader.push(Buffer.from(repeated, 'latin1'));
+      sentBytes += repeated.length;
+      read = reader.next(false);
+      expect(reader.bufferedBytes).toBeLessThan(2 * MAX_BODY_BYTES);
+    }
+    expect(read.kind).toBe('invalid');
+  });
 });
--- a/packages/mesh/src/announced-target.ts
+++ b/packages/mesh/src/announced-target.ts
@@ -1,12 +1,29 @@
 import type { TargetAnnouncement } from './daemon-record';
 
 export type AnnouncementResult =
-  | { readonly kind: 'accepted'; readonly isChange: boolean }
+  | {
+      readonly kind: 'accepted';
+      readonly isChange: boolean;
+      /** True if the announcement is the first of this incarnation. */
+      readonly isNewIncarnation: boolean;
+    }
   | { readonly kind: 'stale'; readonly reason: string };
 
 /** Number of ended incarnations that are recorded, so that their late announcements are ignored. */
 const MAX_ENDED_INCARNATIONS = 64;
 
+/** Announcements, and the time between the first and the last, after which an incarnation that
+ * claims an earlier start has replaced a silent one: the time of day was set back in between. */
+const MIN_CLAIM_ANNOUNCEMENTS = 3;
+const MIN_CLAIM_MS = 2_000;
+
+/** An incarnation that announces itself although the present one claims a later start. */
+interface EarlierClaim {
+  readonly announcement: TargetAnnouncement;
+  readonly sinceMs: number;
+  readonly count: number;
+}
+
 interface EndedIncarnation {
   readonly targetId: string;
   readonly bornUnixMs: number | undefined;
@@ -40,6 +57,8 @@
   /** True while the target is unreachable, until its next announcement or response. */
   private isUnreachable = false;
 
+  private earlierClaim: EarlierClaim | undefined;
+
   private readonly endedIncarnations: EndedIncarnation[] = [];
 
   get announcement(): TargetAnnouncement | undefined {
@@ -67,7 +86,7 @@
    * slots, or whether the target is serving differs from before.
    */
   applyAnnouncement(announcement: TargetAnnouncement, nowMs: number): AnnouncementResult {
-    const staleReason = this.findStaleReason(announcement);
+    const staleReason = this.findStaleReason(announcement, nowMs);
     if (staleReason !== undefined) return { kind: 'stale', reason: staleReason };
     const { present } = this;
     const wasServing = this.isServing;
@@ -77,6 +96,7 @@
       this.isDeregistered = false;
     }
     this.isUnreachable = false;
+    this.earlierClaim = undefined;
     this.present = announcement;
     this.announcedAtMs = nowMs;
     const isChange =
@@ -84,7 +104,7 @@
       wasServing !== this.isServing ||
       present?.slots !== announcement.slots ||
       present.service !== announcement.service;
-    return { kind: 'accepted', isChange };
+    return { kind: 'accepted', isChange, isNewIncarnation };
   }
 
   /**
@@ -119,18 +139,38 @@
     return this.isServing;
   }
 
-  private findStaleReason(announcement: TargetAnnouncement): string | undefined {
+  private findStaleReason(announcement: TargetAnnouncement, nowMs: number): string | undefined {
     if (this.endedIncarnations.some((ended) => isSameIncarnation(ended, announcement))) {
       return 'incarnation has ended';
     }
     const { present } = this;
     if (present === undefined) return undefined;
-    if (startedBefore(announcement, present)) return 'started before the current incarnation';
+    if (startedBefore(announcement, present)) {
+      return this.hasReplacedPresent(announcement, nowMs)
+        ? undefined
+        : 'started before the current incarnation';
+    }
     if (!isSameIncarnation(present, announcement)) return undefined;
     if (announcement.sequence <= present.sequence) return 'sequence number is not greater';
     return undefined;
   }
 
+  /**
+   * Whether an incarnation with an earlier start time has replaced the present one. A few late
+   * announcements do not show that; continued ones do, while the present incarnation is silent.
+   */
+  private hasReplacedPresent(announcement: TargetAnnouncement, nowMs: number): boolean {
+    const claim = this.earlierClaim;
+    if (claim === undefined || !isSameIncarnation(claim.announcement, announcement)) {
+      this.earlierClaim = { announcement, sinceMs: nowMs, count: 1 };
+      return false;
+    }
+    if (announcement.sequence <= claim.announcement.sequence) return false;
+    const count = claim.count + 1;
+    this.earlierClaim = { announcement, sinceMs: claim.sinceMs, count };
+    return count >= MIN_CLAIM_ANNOUNCEMENTS && nowMs - claim.sinceMs >= MIN_CLAIM_MS;
+  }
+
   private recordEndedIncarnation(ended: EndedIncarnation): void {
     this.endedIncarnations.push({ targetId: ended.targetId, bornUnixMs: ended.bornUnixMs });
     if (this.endedIncarnations.length > MAX_ENDED_INCARNATIONS) this.endedIncarnations.shift();
--- a/packages/mesh/src/forwarded-call.ts
+++ b/packages/mesh/src/forwarded-call.ts
@@ -47,6 +47,7 @@
   cancelled: 'cancelled',
   shedByTarget: 'shedByTarget',
   barred: 'barred',
+  unreadable: 'unreadable',
 } as const;
 
 export type CallRefusalReasonName = (typeof CallRefusalReason)[keyof typeof CallRefusalReason];
--- a/packages/mesh/tests/announced-target.test.ts
+++ b/packages/mesh/tests/announced-target.test.ts
@@ -24,6 +24,7 @@
     expect(target.applyAnnouncement(announcement(), 0)).toEqual({
       kind: 'accepted',
       isChange: true,
+      isNewIncarnation: true,
     });
     expect(target.applyAnnouncement(announcement({ sequence: 6 }), 1)).toMatchObject({
       isChange: false,
@@ -59,7 +60,11 @@
     const target = new AnnouncedTarget();
     target.applyAnnouncement(announcement(), 0);
     const restarted = announcement({ sequence: 1, bornUnixMs: 2_000 });
-    expect(target.applyAnnouncement(restarted, 1)).toEqual({ kind: 'accepted', isChange: true });
+    expect(target.applyAnnouncement(restarted, 1)).toEqual({
+      kind: 'accepted',
+      isChange: true,
+      isNewIncarnation: true,
+    });
   });
 
   it('ignores a late announcement of a replaced incarnation without a start time', () => {
@@ -102,4 +107,48 @@
     target.applyAnnouncement(announcement({ coldMs: 300 }), 100);
     expect([target.coldMs(100), target.coldMs(300), target.coldMs(900)]).toEqual([300, 100, 0]);
   });
+
+  describe('after the time of day was set back', () => {
+    const stepped = (sequence: number) =>
+      announcement({ targetId: 'i-2', bornUnixMs: 400, sequence });
+
+    it('accepts a target that goes on announcing itself while the previous one is silent', () => {
+      const target = new AnnouncedTarget();
+      target.applyAnnouncement(announcement(), 0);
+      expect(target.applyAnnouncement(stepped(1), 5_000).kind).toBe('stale');
+      expect(target.applyAnnouncement(stepped(2), 6_500).kind).toBe('stale');
+      expect(target.applyAnnouncement(stepped(3), 8_000)).toMatchObject({ isNewIncarnation: true });
+      expect(target.announcement?.targetId).toBe('i-2');
+    });
+
+    it.each([
+      ['while the present target announces itself', [1, 2, 3, 4], true],
+      ['if they are repetitions', [1, 1, 1, 1], false],
+    ])('ignores late announcements of an earlier target %s', (_name, sequences, isPresentAlive) => {
+      const target = new AnnouncedTarget();
+      target.applyAnnouncement(announcement(), 0);
+      for (const [index, sequence] of sequences.entries()) {
+        const nowMs = 5_000 + index * 1_500;
+        expect(target.applyAnnouncement(stepped(sequence), nowMs).kind).toBe('stale');
+        if (isPresentAlive)
+          target.applyAnnouncement(announcement({ sequence: 6 + index }), nowMs + 700);
+      }
+      expect(target.announcement?.targetId).toBe('i-1');
+    });
+
+    it('ignores late announcements that arrive at once', () => {
+      const target = new AnnouncedTarget();
+      target.applyAnnouncement(announcement(), 0);
+      for (const sequence of [1, 2, 3, 4, 5])
+        expect(target.applyAnnouncement(stepped(sequence), 5_000 + sequence).kind).toBe('stale');
+    });
+
+    it('never accepts an incarnation that has ended', () => {
+      const target = new AnnouncedTarget();
+      target.deregister('i-2', 400);
+      target.applyAnnouncement(announcement(), 0);
+      for (const sequence of [1, 2, 3, 4, 5])
+        expect(target.applyAnnouncement(stepped(sequence), sequence * 1_500).kind).toBe('stale');
+    });
+  });
 });
--- /dev/null
+++ b/packages/mesh/tests/buffer-budget.test.ts
@@ -0,0 +1,41 @@
+import { BufferBudget, HeldBody } from '@daisyferry/mesh/buffer-budget';
+import fc from 'fast-check';
+import { describe, expect, it } from 'vitest';
+
+describe('BufferBudget', () => {
+  it('keeps room for responses that requests cannot take', () => {
+    const budget = new BufferBudget(100);
+    expect(budget.reserve(HeldBody.request).resize(40)).toBe(true);
+    expect(budget.reserve(HeldBody.request).resize(21)).toBe(false);
+    expect(budget.reserve(HeldBody.response).resize(50)).toBe(true);
+    expect(budget.reserve(HeldBody.response).resize(11)).toBe(false);
+    expect(budget.usedBytes).toBe(90);
+  });
+
+  it('holds at most half of the budget for one body', () => {
+    const budget = new BufferBudget(100);
+    const reservation = budget.reserve(HeldBody.response);
+    expect(reservation.resize(51)).toBe(false);
+    expect(reservation.resize(50)).toBe(true);
+  });
+
+  it('never exceeds its capacity and is empty once all bodies are released', () => {
+    const changes = fc.array(fc.tuple(fc.nat(7), fc.nat(80), fc.boolean()), { maxLength: 60 });
+    fc.assert(
+      fc.property(changes, (steps) => {
+        const budget = new BufferBudget(100);
+        const reservations = Array.from({ length: 8 }, (_, index) =>
+          budget.reserve(index % 2 === 0 ? HeldBody.request : HeldBody.response),
+        );
+        for (const [index, bytes, isEnd] of steps) {
+          if (isEnd) reservations[index]?.release();
+          else reservations[index]?.resize(bytes);
+          expect(budget.usedBytes).toBeGreaterThanOrEqual(0);
+          expect(budget.usedBytes).toBeLessThanOrEqual(100);
+        }
+        for (const reservation of reservations) reservation.release();
+        expect(budget.usedBytes).toBe(0);
+      }),
+    );
+  });
+});
--- a/packages/peering/src/call-codec.ts
+++ b/packages/peering/src/call-codec.ts
@@ -4,6 +4,7 @@
   CallRefusalReasonName,
   TargetLoad,
 } from '@daisyferry/mesh/forwarded-call';
+import { parseJson } from './control-codec';
 
 // Calls and replies are encoded as JSON arrays: as objects, field names would be a third of their
 // bytes.
@@ -21,12 +22,13 @@
   method: string,
   path: string,
   fields: string[],
+  bodyBytes?: number,
 ];
 
 type EncodedLoad = number[] | null;
 
 type EncodedReply =
-  | ['answered', EncodedLoad, number, string, string[], boolean]
+  | ['answered', EncodedLoad, number, string, string[], boolean, number?]
   | ['refused', EncodedLoad, CallRefusalReasonName, boolean, number]
   | ['unknown', EncodedLoad, string];
 
@@ -36,7 +38,8 @@
  */
 const IS_INTERNAL_VALUES = [undefined, false, true];
 
-export function encodeCall(call: ForwardedCall): string {
+/** `bodyBytes` is the length of a body that follows in parts; 0 if it is in the frame itself. */
+export function encodeCall(call: ForwardedCall, bodyBytes = 0): string {
   const encoded: EncodedCall = [
     call.requestId,
     call.service,
@@ -51,12 +54,30 @@
     call.path,
     call.fields as string[],
   ];
+  if (bodyBytes > 0) encoded.push(bodyBytes);
   return JSON.stringify(encoded);
 }
 
-/** Decodes a call encoded by `encodeCall`. Throws if it is not JSON; fields are not validated. */
-export function decodeCall(text: string): ForwardedCall {
-  const encoded = JSON.parse(text) as EncodedCall;
+function isStringList(value: unknown): value is string[] {
+  return Array.isArray(value) && value.every((item) => typeof item === 'string');
+}
+
+/** Types of the items of an encoded call, except for the last, its header fields. */
+const CALL_ITEM_TYPES = [
+  ...['string', 'string', 'string', 'string', 'string'],
+  ...['boolean', 'number', 'number', 'number', 'string', 'string'],
+];
+
+function isEncodedCall(value: unknown): value is EncodedCall {
+  if (!Array.isArray(value)) return false;
+  const items: readonly unknown[] = value;
+  return (
+    CALL_ITEM_TYPES.every((type, index) => typeof items[index] === type) &&
+    isStringList(items[CALL_ITEM_TYPES.length])
+  );
+}
+
+function toCall(encoded: EncodedCall): ForwardedCall {
   return {
     requestId: encoded[0],
     service: encoded[1],
@@ -73,6 +94,23 @@
   };
 }
 
+function bodyBytesOf(value: unknown): number {
+  return Number.isSafeInteger(value) ? Math.max(0, value as number) : 0;
+}
+
+export interface DecodedCall {
+  readonly call: ForwardedCall;
+  /** Length of the body that follows in parts; 0 if it is in the frame itself. */
+  readonly bodyBytes: number;
+}
+
+/** Decodes a call encoded by `encodeCall`; returns undefined if it cannot be read. */
+export function decodeCall(text: string): DecodedCall | undefined {
+  const encoded = parseJson(text);
+  if (!isEncodedCall(encoded)) return undefined;
+  return { call: toCall(encoded), bodyBytes: bodyBytesOf(encoded[CALL_ITEM_TYPES.length + 1]) };
+}
+
 function roundToTenths(value: number): number {
   return Math.round(value * 10) / 10;
 }
@@ -96,8 +134,10 @@
   return encoded;
 }
 
-function decodeLoad(encoded: EncodedLoad): TargetLoad | undefined {
-  if (encoded === null) return undefined;
+function decodeLoad(encoded: unknown): TargetLoad | undefined {
+  if (!Array.isArray(encoded) || !encoded.every((item) => typeof item === 'number')) {
+    return undefined;
+  }
   const [running = 0, waiting = 0, limit = 1, serviceMs = 0, level = 0, internalShare = 0] =
     encoded;
   const [, , , , , , isInternalIndex, routeMs] = encoded;
@@ -133,39 +173,52 @@
   }
 }
 
-export function encodeCallReply({ outcome, load }: CallReply): string {
-  return JSON.stringify(toEncodedReply(outcome, encodeLoad(load)));
+/** `bodyBytes` is the length of a body that follows in parts; 0 if it is in the frame itself. */
+export function encodeCallReply({ outcome, load }: CallReply, bodyBytes = 0): string {
+  const encoded: unknown[] = toEncodedReply(outcome, encodeLoad(load));
+  if (bodyBytes > 0) encoded.push(bodyBytes);
+  return JSON.stringify(encoded);
 }
 
+function decodeOutcome(items: readonly unknown[], body: Buffer): CallReply['outcome'] | undefined {
+  const [kind, , first, second, third, fourth] = items;
+  if (kind === 'answered') {
+    const isReadable =
+      typeof first === 'number' && typeof second === 'string' && isStringList(third);
+    if (!isReadable) return undefined;
+    const [status, reason, fields] = [first, second, third];
+    return { kind, status, reason, fields, body, endsWithConnection: fourth === true };
+  }
+  if (kind === 'refused' && typeof first === 'string' && typeof second === 'boolean') {
+    const roomInMs = typeof third === 'number' ? third : 0;
+    const reason = first as CallRefusalReasonName;
+    return { kind, reason, reachedTarget: second, roomInMs };
+  }
+  if (kind === 'unknown') return { kind, detail: String(first) };
+  return undefined;
+}
+
+export interface DecodedReply {
+  /** Length of the body that follows in parts; 0 if it is in the frame itself. */
+  readonly bodyBytes: number;
+  /** Builds the reply with its body. */
+  readonly withBody: (body: Buffer) => CallReply;
+}
+
+/** Position of `bodyBytes` in an encoded reply. */
+const REPLY_BODY_BYTES_INDEX = 6;
+
 /**
- * Decodes a reply, as encoded by `encodeCallReply`, with the body of its frame. Throws if it is not
- * JSON; fields are not validated.
+ * Decodes a reply, as encoded by `encodeCallReply`. The outcome of a reply that cannot be read is
+ * unknown, as the call may have been executed.
  */
-export function decodeCallReply(text: string, body: Buffer): CallReply {
-  const encoded = JSON.parse(text) as EncodedReply;
-  const load = decodeLoad(encoded[1]);
-  switch (encoded[0]) {
-    case 'answered': {
-      const [, , status, reasonPhrase, fields, endsWithConnection] = encoded;
-      return {
-        outcome: {
-          kind: 'answered',
-          status,
-          reason: reasonPhrase,
-          fields,
-          body,
-          endsWithConnection,
-        },
-        load,
-      };
-    }
-    case 'refused': {
-      const [, , refusalReason, reachedTarget, roomInMs] = encoded;
-      return { outcome: { kind: 'refused', reason: refusalReason, reachedTarget, roomInMs }, load };
-    }
-    case 'unknown':
-      return { outcome: { kind: 'unknown', detail: encoded[2] }, load };
-    default:
-      return encoded satisfies never;
-  }
+export function decodeCallReply(text: string): DecodedReply {
+  const value = parseJson(text);
+  const items: readonly unknown[] = Array.isArray(value) ? value : [];
+  const load = decodeLoad(items[1]);
+  const unreadable = { kind: 'unknown', detail: 'unreadable reply of the home daemon' } as const;
+  return {
+    bodyBytes: items[0] === 'answered' ? bodyBytesOf(items[REPLY_BODY_BYTES_INDEX]) : 0,
+    withBody: (body) => ({ outcome: decodeOutcome(items, body) ?? unreadable, load }),
+  };
 }
--- /dev/null
+++ b/packages/peering/src/control-codec.ts
@@ -0,0 +1,95 @@
+import type { DaemonRecord, ServingTarget } from '@daisyferry/mesh/daemon-record';
+import type { Hello } from './hello';
+
+// Heads of control frames are JSON. A peer of another build may send more or other fields: unknown
+// ones are ignored, and a head without the fields that are needed decodes to undefined.
+
+/** An object of which no field has been checked. */
+type Unchecked<Shape> = { readonly [Name in keyof Shape]?: unknown };
+
+/** Parses JSON; returns undefined for text that is not JSON. */
+export function parseJson(text: string): unknown {
+  try {
+    return JSON.parse(text) as unknown;
+  } catch {
+    return undefined;
+  }
+}
+
+/** Returns the fields of an object; a value of another type has none. */
+function fieldsOf<Shape>(value: unknown): Unchecked<Shape> {
+  return typeof value === 'object' && value !== null ? value : {};
+}
+
+function isNumber(value: unknown): value is number {
+  return typeof value === 'number' && Number.isFinite(value);
+}
+
+function isServingTarget(value: unknown): value is ServingTarget {
+  const { targetId, service, slots, isServing, coldMs } = fieldsOf<ServingTarget>(value);
+  const hasTexts = typeof targetId === 'string' && typeof service === 'string';
+  return hasTexts && isNumber(slots) && typeof isServing === 'boolean' && isNumber(coldMs);
+}
+
+function isDaemonRecord(value: unknown): value is DaemonRecord {
+  const record = fieldsOf<DaemonRecord>(value);
+  const { target } = record;
+  return (
+    typeof record.daemonId === 'string' &&
+    isNumber(record.incarnation) &&
+    isNumber(record.revision) &&
+    typeof record.address === 'string' &&
+    typeof record.zone === 'string' &&
+    typeof record.isLeaving === 'boolean' &&
+    (target === undefined || target === null || isServingTarget(target))
+  );
+}
+
+/** Decodes the record of a daemon. */
+export function decodeRecord(text: string): DaemonRecord | undefined {
+  const value = parseJson(text);
+  return isDaemonRecord(value) ? value : undefined;
+}
+
+/** Decodes a list of records; leaves out those that cannot be read. */
+export function decodeRecords(text: string): DaemonRecord[] {
+  const value = parseJson(text);
+  return Array.isArray(value) ? value.filter(isDaemonRecord) : [];
+}
+
+/** Decodes the first frame of a connection. */
+export function decodeHello(text: string): Hello | undefined {
+  const hello = fieldsOf<Hello>(parseJson(text));
+  const { record, configurationVersion, wantsView, acceptsBodyParts } = hello;
+  if (!isDaemonRecord(record)) return undefined;
+  return {
+    record,
+    configurationVersion: isNumber(configurationVersion) ? configurationVersion : 0,
+    wantsView: wantsView === true,
+    acceptsBodyParts: acceptsBodyParts === true,
+  };
+}
+
+/** Decodes the version of a peer's configuration. */
+export function decodeConfigurationVersion(text: string): number | undefined {
+  const { version } = fieldsOf<{ version: number }>(parseJson(text));
+  return isNumber(version) ? version : undefined;
+}
+
+export interface ReportedLevel {
+  readonly daemonId: string;
+  readonly level: number;
+}
+
+/** Decodes the shed level of a home. */
+export function decodeLevel(text: string): ReportedLevel | undefined {
+  const { daemonId, level } = fieldsOf<ReportedLevel>(parseJson(text));
+  return typeof daemonId === 'string' && isNumber(level) ? { daemonId, level } : undefined;
+}
+
+/** Decodes the id of the attempt whose outcome an entry queries. */
+export function decodeResolve(text: string): string | undefined {
+  const value = parseJson(text);
+  const requestId: unknown = Array.isArray(value) ? value[0] : undefined;
+  return typeof requestId === 'string' ? requestId : undefined;
+}
--- a/packages/peering/src/frame-writer.ts
+++ b/packages/peering/src/frame-writer.ts
@@ -1,15 +1,35 @@
 import type { Socket } from 'node:net';
+import { bodyBytesOfFrame } from './frame';
+import { OutgoingBodies } from './outgoing-bodies';
 
 /** Maximum total size of the frames that are concatenated into one write. */
 const MAX_JOINED_BYTES = 65_536;
 
+/** Bytes in the socket's buffer up to which parts of large bodies are added. */
+const MAX_BUFFERED_BODY_BYTES = 65_536;
+/** Parts sent in one iteration of the event loop; other frames are sent between iterations. */
+const MAX_PARTS_PER_ITERATION = 4;
+/** Bytes of body parts that may be under way, so that other frames never wait behind more. */
+const BODY_WINDOW_BYTES = 262_144;
+/** Size from which a body is sent in parts. */
+export const MIN_BODY_BYTES_FOR_PARTS = 65_536;
+
 /** Writes frames to a connection, batching those of one iteration of the event loop. */
 export class FrameWriter {
   private frames: Buffer[] = [];
 
   private isFlushScheduled = false;
 
-  constructor(private readonly socket: Socket) {}
+  private readonly bodies = new OutgoingBodies();
+
+  /** Bytes of body parts that the receiver has not credited yet. */
+  private bytesUnderWay = 0;
+
+  private arePartsScheduled = false;
+
+  constructor(private readonly socket: Socket) {
+    socket.on('drain', () => this.sendBodyParts());
+  }
 
   write(frame: Buffer): void {
     this.frames.push(frame);
@@ -18,11 +38,56 @@
     setImmediate(() => this.flush());
   }
 
+  /**
+   * Sends a large body in parts, between which other frames are sent. The frame that announces its
+   * length must have been written.
+   */
+  writeBody(stream: number, body: Buffer): void {
+    this.bodies.add(stream, body);
+    // Parts are written directly and must not overtake the frame that announces the body.
+    this.flush();
+    this.scheduleBodyParts();
+  }
+
+  /** Drops the rest of a body, as the receiver no longer needs it. */
+  cancelBody(stream: number): void {
+    this.bodies.remove(stream);
+  }
+
+  /** Called when the receiver has taken that many bytes of body parts. */
+  addBodyCredit(bytes: number): void {
+    this.bytesUnderWay = Math.max(0, this.bytesUnderWay - bytes);
+    this.sendBodyParts();
+  }
+
+  private sendBodyParts(): void {
+    const { socket, bodies } = this;
+    for (let count = 0; count < MAX_PARTS_PER_ITERATION; count += 1) {
+      const hasRoom =
+        socket.writableLength < MAX_BUFFERED_BODY_BYTES && this.bytesUnderWay < BODY_WINDOW_BYTES;
+      const frame = socket.destroyed || !hasRoom ? undefined : bodies.nextFrame();
+      // A drained socket or more credit resumes the bodies that are left.
+      if (frame === undefined) return;
+      this.bytesUnderWay += bodyBytesOfFrame(frame);
+      socket.write(frame);
+    }
+    if (!bodies.isEmpty) this.scheduleBodyParts();
+  }
+
+  private scheduleBodyParts(): void {
+    if (this.arePartsScheduled) return;
+    this.arePartsScheduled = true;
+    setImmediate(() => {
+      this.arePartsScheduled = false;
+      this.sendBodyParts();
+    });
+  }
+
   private flush(): void {
     this.isFlushScheduled = false;
     const { frames, socket } = this;
     this.frames = [];
-    if (socket.destroyed) return;
+    if (socket.destroyed || frames.length === 0) return;
     const bytes = frames.reduce((sum, frame) => sum + frame.length, 0);
     const [first] = frames;
     if (frames.length === 1 && first !== undefined) {
--- a/packages/peering/src/frame.ts
+++ b/packages/peering/src/frame.ts
@@ -12,6 +12,9 @@
   configurationRequest: 10,
   view: 11,
   level: 12,
+  bodyPart: 13,
+  /** The stream field is the number of bytes of body parts that the receiver has taken. */
+  bodyCredit: 14,
 } as const;
 
 export type FrameKindNumber = (typeof FrameKind)[keyof typeof FrameKind];
@@ -49,6 +52,11 @@
   return frame;
 }
 
+/** Length of the body of a frame without a head. */
+export function bodyBytesOfFrame(frame: Buffer): number {
+  return frame.length - PREFIX_BYTES;
+}
+
 /** Parses the frames in the byte stream of a connection. */
 export class FrameReader {
   private partialFrame: Buffer = EMPTY;
--- a/packages/peering/src/hello.ts
+++ b/packages/peering/src/hello.ts
@@ -7,4 +7,6 @@
   readonly configurationVersion: number;
   /** True if the sender cannot read the store and requests all daemon records of the receiver. */
   readonly wantsView: boolean;
+  /** True if the sender accepts bodies in parts; earlier builds expect each in one frame. */
+  readonly acceptsBodyParts: boolean;
 }
--- a/packages/peering/src/inbound-peer.ts
+++ b/packages/peering/src/inbound-peer.ts
@@ -1,10 +1,18 @@
-import type { CallReply, ForwardedCall } from '@daisyferry/mesh/forwarded-call';
+import { HeldBody, type BodyReservation, type BufferBudget } from '@daisyferry/mesh/buffer-budget';
+import type {
+  CallRefusalReasonName,
+  CallReply,
+  ForwardedCall,
+} from '@daisyferry/mesh/forwarded-call';
+import { CallRefusalReason } from '@daisyferry/mesh/forwarded-call';
 import type { Socket } from 'node:net';
 import { decodeCall, encodeCallReply } from './call-codec';
+import { decodeHello, decodeResolve } from './control-codec';
 import type { Frame, FrameKindNumber } from './frame';
 import { encodeFrame, FrameKind, FrameReader } from './frame';
-import { FrameWriter } from './frame-writer';
+import { FrameWriter, MIN_BODY_BYTES_FOR_PARTS } from './frame-writer';
 import type { Hello } from './hello';
+import { IncomingBodies } from './incoming-bodies';
 
 /** A call that the home processes for another daemon. */
 export interface InboundCall {
@@ -18,11 +26,22 @@
   hello(): Hello;
   onHello(hello: Hello, peer: InboundPeer): void;
   onCall(call: ForwardedCall, body: Buffer, deliver: (reply: CallReply) => void): InboundCall;
-  /** Called when an entry queries the outcome of a call whose connection broke. */
-  onResolve(requestId: string, deliver: (reply: CallReply) => void): void;
+  /**
+   * Called when an entry queries the outcome of a call whose connection broke. Returns the call if
+   * it is still in progress, so that the entry can cancel it over the new connection.
+   */
+  onResolve(requestId: string, deliver: (reply: CallReply) => void): InboundCall | undefined;
   onControl(frame: Frame, peer: InboundPeer): void;
 }
 
+/** Retry-after of a call for whose body there is no memory. */
+const NO_MEMORY_RETRY_AFTER_MS = 500;
+
+/** Reply to a call that was not passed on to the home. */
+function refusedReply(reason: CallRefusalReasonName, roomInMs: number): CallReply {
+  return { outcome: { kind: 'refused', reason, reachedTarget: false, roomInMs }, load: undefined };
+}
+
 /** One connection that another daemon opened to this one by its `PeerLink`, to send its calls. */
 export class InboundPeer {
   private readonly writer: FrameWriter;
@@ -31,9 +50,20 @@
 
   private readonly calls = new Map<number, InboundCall>();
 
+  private readonly incomingBodies = new IncomingBodies((bytes) =>
+    this.writer.write(encodeFrame(FrameKind.bodyCredit, bytes, '')),
+  );
+
+  /** Memory of the large bodies of calls in progress, by stream. */
+  private readonly reservations = new Map<number, BodyReservation>();
+
+  private peerAcceptsBodyParts = false;
+
   constructor(
-    socket: Socket,
+    private readonly socket: Socket,
     private readonly events: PeerServerEvents,
+    private readonly bufferBudget: BufferBudget,
+    private readonly clock: () => number,
   ) {
     this.writer = new FrameWriter(socket);
     socket.setNoDelay(true);
@@ -57,41 +87,117 @@
       case FrameKind.cancel:
         this.calls.get(frame.stream)?.cancel();
         this.calls.delete(frame.stream);
+        this.releaseBody(frame.stream);
+        this.writer.cancelBody(frame.stream);
         return;
-      case FrameKind.resolve: {
-        const [requestId] = JSON.parse(frame.head) as [string];
-        this.events.onResolve(requestId, (sendReply) => this.reply(frame.stream, sendReply));
+      case FrameKind.bodyCredit:
+        this.writer.addBodyCredit(frame.stream);
+        return;
+      case FrameKind.bodyPart:
+        this.incomingBodies.append(frame.stream, frame.body);
+        return;
+      case FrameKind.resolve:
+        this.handleResolve(frame);
         return;
-      }
       case FrameKind.ping:
         this.writer.write(encodeFrame(FrameKind.pong, 0, ''));
         return;
       case FrameKind.hello:
-        this.writer.write(encodeFrame(FrameKind.hello, 0, JSON.stringify(this.events.hello())));
-        this.events.onHello(JSON.parse(frame.head) as Hello, this);
+        this.handleHello(frame);
         return;
       default:
         this.events.onControl(frame, this);
     }
   }
 
-  private handleCall(frame: Frame): void {
+  private handleHello(frame: Frame): void {
+    const hello = decodeHello(frame.head);
+    if (hello === undefined) {
+      this.socket.destroy();
+      return;
+    }
+    this.peerAcceptsBodyParts = hello.acceptsBodyParts;
+    this.writer.write(encodeFrame(FrameKind.hello, 0, JSON.stringify(this.events.hello())));
+    this.events.onHello(hello, this);
+  }
+
+  private handleCall({ stream, head, body }: Frame): void {
+    const decoded = decodeCall(head);
+    if (decoded === undefined) {
+      this.reply(stream, refusedReply(CallRefusalReason.unreadable, 0));
+      return;
+    }
+    const { call, bodyBytes } = decoded;
+    if (bodyBytes === 0) this.track(stream, (deliver) => this.events.onCall(call, body, deliver));
+    else this.awaitBody(stream, call, bodyBytes);
+  }
+
+  /** Receives the call once all parts of its body have arrived. */
+  private awaitBody(stream: number, call: ForwardedCall, bodyBytes: number): void {
+    const reservation = this.bufferBudget.reserve(HeldBody.request);
+    if (!reservation.resize(bodyBytes)) {
+      this.reply(stream, refusedReply(CallRefusalReason.full, NO_MEMORY_RETRY_AFTER_MS));
+      return;
+    }
+    const announcedAtMs = this.clock();
+    this.reservations.set(stream, reservation);
+    this.incomingBodies.expect(stream, bodyBytes, (body) => {
+      const elapsedMs = this.clock() - announcedAtMs;
+      const remainingMs = call.remainingMs - elapsedMs;
+      const usefulMs = call.usefulMs - elapsedMs;
+      const received = { ...call, remainingMs, usefulMs };
+      this.track(stream, (deliver) => this.events.onCall(received, body, deliver));
+    });
+  }
+
+  private releaseBody(stream: number): void {
+    this.incomingBodies.discard(stream);
+    this.reservations.get(stream)?.release();
+    this.reservations.delete(stream);
+  }
+
+  private handleResolve(frame: Frame): void {
+    const requestId = decodeResolve(frame.head);
+    // Without its id, the attempt cannot be barred; the entry gives up after a timeout.
+    if (requestId === undefined) return;
+    this.track(frame.stream, (deliver) => this.events.onResolve(requestId, deliver));
+  }
+
+  /** Starts a call and keeps it until its reply, so that the entry can cancel it. */
+  private track(
+    stream: number,
+    start: (deliver: (reply: CallReply) => void) => InboundCall | undefined,
+  ): void {
     let isDone = false;
-    const inboundCall = this.events.onCall(decodeCall(frame.head), frame.body, (reply) => {
+    const inboundCall = start((reply) => {
       isDone = true;
-      this.calls.delete(frame.stream);
-      this.reply(frame.stream, reply);
+      this.calls.delete(stream);
+      this.reply(stream, reply);
     });
-    if (!isDone) this.calls.set(frame.stream, inboundCall);
+    if (!isDone && inboundCall !== undefined) this.calls.set(stream, inboundCall);
   }
 
   private reply(stream: number, reply: CallReply): void {
+    this.releaseBody(stream);
     const body = reply.outcome.kind === 'answered' ? reply.outcome.body : undefined;
-    this.writer.write(encodeFrame(FrameKind.reply, stream, encodeCallReply(reply), body));
+    if (
+      body === undefined ||
+      body.length < MIN_BODY_BYTES_FOR_PARTS ||
+      !this.peerAcceptsBodyParts
+    ) {
+      this.writer.write(encodeFrame(FrameKind.reply, stream, encodeCallReply(reply), body));
+      return;
+    }
+    const head = encodeCallReply(reply, body.length);
+    this.writer.write(encodeFrame(FrameKind.reply, stream, head));
+    this.writer.writeBody(stream, body);
   }
 
   private handleClose(): void {
     for (const call of this.calls.values()) call.connectionLost();
     this.calls.clear();
+    this.incomingBodies.discardAll();
+    for (const reservation of this.reservations.values()) reservation.release();
+    this.reservations.clear();
   }
 }
--- a/packages/peering/src/outstanding-call.ts
+++ b/packages/peering/src/outstanding-call.ts
@@ -1,3 +1,4 @@
+import type { BodyReservation } from '@daisyferry/mesh/buffer-budget';
 import type { CallReply, ForwardedCall } from '@daisyferry/mesh/forwarded-call';
 
 /** A call that waits for its reply, also across reconnects. */
@@ -10,10 +11,15 @@
   /** Time at which the connection broke, while the outcome of the call is unknown. */
   orphanedAtMs: number | undefined;
 
+  /** Memory of a large reply that is arriving. */
+  reservation: BodyReservation | undefined;
+
   constructor(
     readonly stream: number,
     readonly call: ForwardedCall,
     readonly frame: Buffer,
+    /** Body that is sent in parts after the frame; undefined if the frame includes it. */
+    readonly largeBody: Buffer | undefined,
     readonly deliver: (reply: CallReply) => void,
   ) {}
 
--- a/packages/peering/src/peer-link.ts
+++ b/packages/peering/src/peer-link.ts
@@ -1,11 +1,14 @@
 import type { CallReply, ForwardedCall } from '@daisyferry/mesh/forwarded-call';
 import { CallRefusalReason } from '@daisyferry/mesh/forwarded-call';
+import { HeldBody, type BufferBudget } from '@daisyferry/mesh/buffer-budget';
 import { createConnection, type Socket } from 'node:net';
 import { decodeCallReply, encodeCall } from './call-codec';
+import { decodeHello } from './control-codec';
 import type { Frame, FrameKindNumber } from './frame';
 import { encodeFrame, FrameKind, FrameReader } from './frame';
-import { FrameWriter } from './frame-writer';
+import { FrameWriter, MIN_BODY_BYTES_FOR_PARTS } from './frame-writer';
 import type { Hello } from './hello';
+import { IncomingBodies } from './incoming-bodies';
 import { OutstandingCall } from './outstanding-call';
 
 /** Timeout for connecting: several round trips within a region. */
@@ -73,6 +76,12 @@
 
   private incarnation: number | undefined;
 
+  private peerAcceptsBodyParts = false;
+
+  private readonly incomingBodies = new IncomingBodies((bytes) =>
+    this.writer?.write(encodeFrame(FrameKind.bodyCredit, bytes, '')),
+  );
+
   private lastReceivedAtMs = 0;
 
   private probedAtMs: number | undefined;
@@ -87,6 +96,7 @@
     private address: PeerAddress,
     private readonly events: PeerLinkEvents,
     private readonly clock: () => number,
+    private readonly bufferBudget: BufferBudget,
   ) {}
 
   get isUp(): boolean {
@@ -111,14 +121,30 @@
     // Stream numbers are unsigned 32-bit integers in a frame, so that they start over before 2^32.
     const stream = this.nextStream;
     this.nextStream = (this.nextStream % 0xffff_fff0) + 1;
-    const frame = encodeFrame(FrameKind.call, stream, encodeCall(call), body);
-    const outstanding = new OutstandingCall(stream, call, frame, deliver);
+    const outstanding = this.toOutstandingCall(stream, call, body, deliver);
     this.calls.set(stream, outstanding);
     if (this.state === 'up') this.send(outstanding);
     else this.connect();
     return { cancel: () => this.cancel(outstanding) };
   }
 
+  /**
+   * A large body is kept apart from the call's frame. Before the first hello of the peer, which
+   * tells whether it accepts parts, the body is in the frame.
+   */
+  private toOutstandingCall(
+    stream: number,
+    call: ForwardedCall,
+    body: Buffer,
+    deliver: (reply: CallReply) => void,
+  ): OutstandingCall {
+    const isLarge = this.peerAcceptsBodyParts && body.length >= MIN_BODY_BYTES_FOR_PARTS;
+    const frame = isLarge
+      ? encodeFrame(FrameKind.call, stream, encodeCall(call, body.length))
+      : encodeFrame(FrameKind.call, stream, encodeCall(call), body);
+    return new OutstandingCall(stream, call, frame, isLarge ? body : undefined, deliver);
+  }
+
   /** Sends a frame that belongs to no call, if the connection is up. */
   sendControl(kind: FrameKindNumber, head: string, body?: Buffer): void {
     if (this.state === 'up') this.writer?.write(encodeFrame(kind, 0, head, body));
@@ -191,11 +217,17 @@
   private handleFrame(frame: Frame): void {
     switch (frame.kind) {
       case FrameKind.hello:
-        this.handleHello(JSON.parse(frame.head) as Hello);
+        this.handleHello(decodeHello(frame.head));
         return;
       case FrameKind.reply:
         this.handleReply(frame);
         return;
+      case FrameKind.bodyCredit:
+        this.writer?.addBodyCredit(frame.stream);
+        return;
+      case FrameKind.bodyPart:
+        this.incomingBodies.append(frame.stream, frame.body);
+        return;
       case FrameKind.pong:
         return;
       default:
@@ -203,8 +235,13 @@
     }
   }
 
-  private handleHello(hello: Hello): void {
+  private handleHello(hello: Hello | undefined): void {
+    if (hello === undefined) {
+      this.breakConnection('unreadable hello', false);
+      return;
+    }
     this.incarnation = hello.record.incarnation;
+    this.peerAcceptsBodyParts = hello.acceptsBodyParts;
     this.backoffMs = MIN_BACKOFF_MS;
     this.probedAtMs = undefined;
     this.setState('up', this.clock());
@@ -229,21 +266,47 @@
 
   private send(outstanding: OutstandingCall): void {
     outstanding.markSent(this.incarnation);
-    this.writer?.write(outstanding.frame);
+    const { stream, frame, largeBody } = outstanding;
+    this.writer?.write(frame);
+    if (largeBody !== undefined) this.writer?.writeBody(stream, largeBody);
   }
 
   private handleReply(frame: Frame): void {
     const outstanding = this.calls.get(frame.stream);
-    if (outstanding !== undefined)
-      this.settle(outstanding, decodeCallReply(frame.head, frame.body));
+    if (outstanding === undefined) return;
+    const { bodyBytes, withBody } = decodeCallReply(frame.head);
+    if (bodyBytes === 0) {
+      this.settle(outstanding, withBody(frame.body));
+      return;
+    }
+    const reservation = this.bufferBudget.reserve(HeldBody.response);
+    if (!reservation.resize(bodyBytes)) {
+      this.settle(outstanding, unknownReply('no memory for the response'));
+      return;
+    }
+    outstanding.reservation = reservation;
+    this.incomingBodies.expect(frame.stream, bodyBytes, (body) =>
+      this.settle(outstanding, withBody(body)),
+    );
   }
 
   private settle(outstanding: OutstandingCall, reply: CallReply): void {
-    if (this.calls.delete(outstanding.stream)) outstanding.deliver(reply);
+    if (!this.calls.delete(outstanding.stream)) return;
+    this.releaseBodies(outstanding);
+    outstanding.deliver(reply);
+  }
+
+  /** Stops sending and receiving the bodies of a call that has ended. */
+  private releaseBodies(outstanding: OutstandingCall): void {
+    if (outstanding.largeBody !== undefined) this.writer?.cancelBody(outstanding.stream);
+    outstanding.reservation?.release();
+    this.incomingBodies.discard(outstanding.stream);
   }
 
   private cancel(outstanding: OutstandingCall): void {
-    if (!this.calls.delete(outstanding.stream) || !outstanding.isSent) return;
+    if (!this.calls.delete(outstanding.stream)) return;
+    this.releaseBodies(outstanding);
+    if (!outstanding.isSent) return;
     if (this.state === 'up') {
       this.writer?.write(encodeFrame(FrameKind.cancel, outstanding.stream, ''));
     }
@@ -259,10 +322,12 @@
     this.setState('down', nowMs);
     if (state !== 'up') this.backoffMs = Math.min(MAX_BACKOFF_MS, this.backoffMs * 2);
     this.events.onDown(reason, wasUnresponsive);
+    this.incomingBodies.discardAll();
     for (const outstanding of [...this.calls.values()]) this.orphan(outstanding, nowMs);
   }
 
   private orphan(outstanding: OutstandingCall, nowMs: number): void {
+    outstanding.reservation?.release();
     if (!outstanding.isSent) {
       this.settle(outstanding, notSentReply());
     } else if (outstanding.call.isIdempotent || this.isClosed) {
--- a/packages/peering/src/peer-server.ts
+++ b/packages/peering/src/peer-server.ts
@@ -1,3 +1,4 @@
+import type { BufferBudget } from '@daisyferry/mesh/buffer-budget';
 import { createServer, type Server, type Socket } from 'node:net';
 import { InboundPeer, type PeerServerEvents } from './inbound-peer';
 import type { PeerAddress } from './peer-link';
@@ -10,9 +11,9 @@
 
   private readonly sockets = new Set<Socket>();
 
-  constructor(events: PeerServerEvents) {
+  constructor(events: PeerServerEvents, bufferBudget: BufferBudget, clock: () => number) {
     this.server = createServer((socket) => {
-      const peer = new InboundPeer(socket, events);
+      const peer = new InboundPeer(socket, events, bufferBudget, clock);
       this.peers.add(peer);
       this.sockets.add(socket);
       socket.on('close', () => {
--- a/packages/peering/tests/frame.test.ts
+++ b/packages/peering/tests/frame.test.ts
@@ -56,7 +56,7 @@
 
 describe('call codec', () => {
   it('round-trips a call', () => {
-    expect(decodeCall(encodeCall(CALL))).toEqual(CALL);
+    expect(decodeCall(encodeCall(CALL))?.call).toEqual(CALL);
   });
 
   const replies: readonly CallReply[] = [
@@ -80,6 +80,6 @@
 
   it.each(replies)('round-trips a reply of kind $outcome.kind', (reply) => {
     const body = reply.outcome.kind === 'answered' ? reply.outcome.body : Buffer.alloc(0);
-    expect(decodeCallReply(encodeCallReply(reply), body)).toEqual(reply);
+    expect(decodeCallReply(encodeCallReply(reply)).withBody(body)).toEqual(reply);
   });
 });
--- a/packages/peering/tests/peer-link.test.ts
+++ b/packages/peering/tests/peer-link.test.ts
@@ -1,10 +1,14 @@
 import type { CallReply, ForwardedCall } from '@daisyferry/mesh/forwarded-call';
 import { ExecutionRecordRegistry } from '@daisyferry/mesh/execution-record-registry';
 import type { DaemonRecord } from '@daisyferry/mesh/daemon-record';
+import { BufferBudget } from '@daisyferry/mesh/buffer-budget';
+import { decodeCallReply } from '@daisyferry/peering/call-codec';
+import { encodeFrame, FrameKind, FrameReader } from '@daisyferry/peering/frame';
+import type { InboundCall } from '@daisyferry/peering/inbound-peer';
 import type { Hello } from '@daisyferry/peering/hello';
 import { PeerLink } from '@daisyferry/peering/peer-link';
 import { PeerServer } from '@daisyferry/peering/peer-server';
-import { createServer, type AddressInfo } from 'node:net';
+import { createConnection, createServer, type AddressInfo } from 'node:net';
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
 import { BreakableProxy } from './support/breakable-proxy';
 
@@ -70,59 +74,83 @@
 
   finish: () => void = () => undefined;
 
-  readonly server = new PeerServer({
-    hello: (): Hello => ({
-      record: record('home', this.incarnation),
-      configurationVersion: 1,
-      wantsView: false,
-    }),
-    onHello: () => undefined,
-    onCall: (call, _body, deliver) => {
-      const opened = this.executionRecords.open(call.requestId, deliver, 0);
-      if (opened.kind === 'opened' && opened.record.transition('HAND_OVER')) {
-        this.runs.push(call.requestId);
-        this.finish = () => this.executionRecords.settle(opened.record, 'ANSWER', REPLY, 0);
-      }
-      return {
-        cancel: () => {
-          this.cancelled += 1;
-        },
-        connectionLost: () => {
-          this.lostConnections += 1;
-        },
-      };
+  readonly bufferBudget = new BufferBudget(2_000_000);
+
+  bodies: Buffer[] = [];
+
+  reply = REPLY;
+
+  private readonly inboundCall: InboundCall = {
+    cancel: () => {
+      this.cancelled += 1;
     },
-    onResolve: (requestId, deliver) => {
-      const found = this.executionRecords.resolve(requestId, 0);
-      if (found.reply !== undefined) deliver(found.reply);
-      else if (found.isOpen) found.redirectReply(deliver);
-      else deliver({ outcome: barredOutcome(), load: undefined });
+    connectionLost: () => {
+      this.lostConnections += 1;
     },
-    onControl: () => undefined,
-  });
+  };
+
+  readonly server = new PeerServer(
+    {
+      hello: (): Hello => ({
+        record: record('home', this.incarnation),
+        configurationVersion: 1,
+        wantsView: false,
+        acceptsBodyParts: true,
+      }),
+      onHello: () => undefined,
+      onCall: (call, body, deliver) => {
+        this.bodies.push(body);
+        const opened = this.executionRecords.open(call.requestId, deliver, 0);
+        if (opened.kind === 'opened' && opened.record.transition('HAND_OVER')) {
+          this.runs.push(call.requestId);
+          this.finish = () => this.executionRecords.settle(opened.record, 'ANSWER', this.reply, 0);
+        }
+        return this.inboundCall;
+      },
+      onResolve: (requestId, deliver) => {
+        const found = this.executionRecords.resolve(requestId, 0);
+        if (found.reply !== undefined) deliver(found.reply);
+        else if (found.isOpen) found.redirectReply(deliver);
+        else deliver({ outcome: barredOutcome(), load: undefined });
+        return found.isOpen ? this.inboundCall : undefined;
+      },
+      onControl: () => undefined,
+    },
+    this.bufferBudget,
+    () => performance.now(),
+  );
 }
 
 describe('PeerLink', () => {
   let home: HomeStub;
   let proxy: BreakableProxy;
+  let address: { readonly host: string; readonly port: number };
   let link: PeerLink;
   let timer: NodeJS.Timeout;
+  let entryBudget: BufferBudget;
 
   beforeEach(async () => {
     home = new HomeStub();
-    const address = { ip: '127.0.0.1', port: await freePort() };
-    await home.server.listen(address);
-    proxy = new BreakableProxy(address);
+    address = { host: '127.0.0.1', port: await freePort() };
+    await home.server.listen({ ip: address.host, port: address.port });
+    entryBudget = new BufferBudget(2_000_000);
+    proxy = new BreakableProxy({ ip: address.host, port: address.port });
     link = new PeerLink(
       await proxy.listen(),
       {
-        hello: () => ({ record: record('entry', 1), configurationVersion: 1, wantsView: false }),
+        hello: () => ({
+          record: record('entry', 1),
+          configurationVersion: 1,
+          wantsView: false,
+          acceptsBodyParts: true,
+        }),
         onHello: () => undefined,
         onControl: () => undefined,
         onUp: () => undefined,
         onDown: () => undefined,
       },
       () => performance.now(),
+      entryBudget,
     );
     timer = setInterval(() => link.checkTimeouts(performance.now()), 20);
   });
@@ -197,4 +225,116 @@
     await vi.waitFor(() => expect(home.cancelled).toBe(1), 5_000);
     expect(link.outstandingCount).toBe(0);
   });
+
+  it('cancels a call whose outcome was queried over a new connection', async () => {
+    const call = link.call(CALL, BODY, () => undefined);
+    await vi.waitFor(() => expect(home.runs).toEqual(['r-1']));
+    proxy.breakConnections();
+    await vi.waitFor(() => expect(home.lostConnections).toBe(1));
+    await vi.waitFor(() => expect(link.isUp).toBe(true));
+    // The cancellation follows the query on the same connection.
+    call.cancel();
+    await vi.waitFor(() => expect(home.cancelled).toBe(1));
+  });
+
+  it('closes a connection whose hello cannot be read', async () => {
+    const socket = createConnection(address);
+    const closed = new Promise((resolve) => {
+      socket.on('close', resolve);
+    });
+    socket.write(encodeFrame(FrameKind.hello, 0, '{"record":'));
+    await closed;
+  });
+
+  it('refuses a call that cannot be read, as not run', async () => {
+    const frames: string[] = [];
+    const reader = new FrameReader();
+    const socket = createConnection(address);
+    socket.on('data', (chunk: Buffer) => {
+      reader.push(chunk, (frame) => frames.push(frame.head));
+    });
+    socket.write(encodeFrame(FrameKind.call, 7, '["r-1","s",{}]'));
+    await vi.waitFor(() => expect(frames).toHaveLength(1));
+    expect(decodeCallReply(frames[0] ?? '').withBody(BODY).outcome).toMatchObject({
+      kind: 'refused',
+      reason: 'unreadable',
+      reachedTarget: false,
+    });
+    expect(home.runs).toEqual([]);
+    socket.destroy();
+  });
+
+  describe('with large bodies', () => {
+    const largeBody = Buffer.alloc(360_000, 'drawing ');
+
+    function largeReply(): CallReply {
+      return { ...REPLY, outcome: { ...REPLY.outcome, body: largeBody } as CallReply['outcome'] };
+    }
+
+    /** Connects, so that the link knows what its peer accepts. */
+    async function connect(): Promise<void> {
+      link.connect();
+      await vi.waitFor(() => expect(link.isUp).toBe(true));
+    }
+
+    it('passes them on unchanged in both directions and frees their memory', async () => {
+      await connect();
+      home.reply = largeReply();
+      let reply: CallReply | undefined;
+      link.call(CALL, largeBody, (received) => {
+        reply = received;
+      });
+      await vi.waitFor(() => expect(home.runs).toEqual(['r-1']));
+      expect(home.bodies[0]?.equals(largeBody)).toBe(true);
+      expect(home.bufferBudget.usedBytes).toBe(largeBody.length);
+      home.finish();
+      await vi.waitFor(() => expect(reply).toBeDefined());
+      expect(reply).toEqual(home.reply);
+      expect([home.bufferBudget.usedBytes, entryBudget.usedBytes]).toEqual([0, 0]);
+    });
+
+    it('sends a small call between the parts of a large body', async () => {
+      await connect();
+      link.call({ ...CALL, requestId: 'large' }, largeBody, () => undefined);
+      link.call({ ...CALL, requestId: 'small' }, BODY, () => undefined);
+      await vi.waitFor(() => expect(home.runs).toEqual(['small', 'large']));
+    });
+
+    it('refuses a call for whose body the home has no memory, as not run', async () => {
+      await connect();
+      const body = Buffer.alloc(1_100_000);
+      let reply: CallReply | undefined;
+      link.call(CALL, body, (received) => {
+        reply = received;
+      });
+      await vi.waitFor(() => expect(reply).toBeDefined());
+      expect(reply?.outcome).toMatchObject({
+        kind: 'refused',
+        reason: 'full',
+        reachedTarget: false,
+      });
+      expect(home.runs).toEqual([]);
+      expect(home.bufferBudget.usedBytes).toBe(0);
+    });
+
+    it('does not run a call whose connection breaks between its parts', async () => {
+      await connect();
+      let reply: CallReply | undefined;
+      link.call(CALL, largeBody, (received) => {
+        reply = received;
+      });
+      proxy.breakConnections();
+      await vi.waitFor(() => expect(reply?.outcome).toEqual(barredOutcome()));
+      expect(home.runs).toEqual([]);
+      expect(home.bufferBudget.usedBytes).toBe(0);
+    });
+
+    it('drops the parts of a cancelled call', async () => {
+      await connect();
+      link.call(CALL, largeBody, () => undefined).cancel();
+      link.call({ ...CALL, requestId: 'next' }, largeBody, () => undefined);
+      await vi.waitFor(() => expect(home.runs).toEqual(['next']));
+      expect(home.bufferBudget.usedBytes).toBe(largeBody.length);
+    });
+  });
 });
--- a/packages/sidecar/src/announcement-handler.ts
+++ b/packages/sidecar/src/announcement-handler.ts
@@ -15,7 +15,7 @@
   readonly decoder: AnnouncementDecoder;
   readonly isKnownService: (service: string) => boolean;
   /** Called when the target's state has changed in a way that other daemons must learn. */
-  readonly onChange: (isServing: boolean) => void;
+  readonly onChange: (isServing: boolean, isNewTarget: boolean) => void;
   readonly log: EventLog;
   readonly clock: () => number;
 }
@@ -63,7 +63,7 @@
       const { isServing } = target;
       const fields = { targetId, service, sequence, bornUnixMs, slots, coldMs, isServing };
       log.stateChange('target announced', fields);
-      onChange(isServing);
+      onChange(isServing, result.isNewIncarnation);
     }
     return OK;
   }
@@ -72,7 +72,7 @@
     const { target, decoder, onChange, log } = this.parts;
     const isChange = target.deregister(targetId, decoder.decodeDeregistrationBornUnixMs(text));
     log.stateChange('target deregistered', { targetId, isChange });
-    if (isChange) onChange(false);
+    if (isChange) onChange(false, false);
     return OK;
   }
 }
--- a/packages/sidecar/src/caller-connection.ts
+++ b/packages/sidecar/src/caller-connection.ts
@@ -3,8 +3,10 @@
 import type { RequestMessage } from '@daisyferry/http1/message';
 import type { ResponseParts } from '@daisyferry/http1/message-writer';
 import { encodeResponse } from '@daisyferry/http1/message-writer';
+import { HeldBody, type BodyReservation, type BufferBudget } from '@daisyferry/mesh/buffer-budget';
 import type { Socket } from 'node:net';
 import type { Respond, CancellableRequest } from './entry';
+import { writeBuffers } from './write-buffers';
 
 export interface ListenerLimits extends RequestLimits {
   readonly headerTimeoutMs: number;
@@ -14,6 +16,8 @@
 export interface CallerListenerParts {
   readonly handle: (request: RequestMessage, respond: Respond) => CancellableRequest | undefined;
   readonly limits: () => ListenerLimits;
+  /** Bounds the large request bodies that are held, and the large responses not yet read. */
+  readonly bufferBudget: BufferBudget;
   readonly onProblem: (detail: string) => void;
   readonly clock: () => number;
 }
@@ -32,7 +36,17 @@
   413: 'Content Too Large',
   431: 'Request Header Fields Too Large',
   501: 'Not Implemented',
+  503: 'Service Unavailable',
 };
+/** Retry-after of a request for whose body there is no memory. */
+const NO_MEMORY_RETRY_AFTER_S = '0.5';
+/** Size from which a body counts in the memory budget. */
+const MIN_COUNTED_BODY_BYTES = 65_536;
+/**
+ * Time for which the rest of a rejected request is read and dropped: closing the connection with
+ * unread bytes would reset it, and the caller might lose the response.
+ */
+const REJECTED_READ_MS = 2_000;
 /** Time after which a response that the caller does not read closes the connection. */
 const UNREAD_RESPONSE_TIMEOUT_MS = 10_000;
 /** Bytes of pipelined requests that are buffered while one request is in progress. */
@@ -49,6 +63,15 @@
 
   private hasSentContinue = false;
 
+  /** Time at which a request was rejected; what arrives afterwards is dropped. */
+  private rejectedAtMs: number | undefined;
+
+  /** Memory of the present large request body; undefined until there is one. */
+  private bodyReservation: BodyReservation | undefined;
+
+  /** Memory of large responses that the caller has not read. */
+  private unreadReservation: BodyReservation | undefined;
+
   private lastActivityAtMs: number;
 
   constructor(
@@ -61,6 +84,7 @@
     // 'close' always follows and cancels the request in progress.
     socket.on('error', () => socket.destroy());
     socket.on('close', () => this.handleClose());
+    socket.on('drain', () => this.releaseUnread());
   }
 
   /** Closes the connection if it is idle between two requests. */
@@ -69,6 +93,10 @@
   }
 
   checkTimeouts(nowMs: number): void {
+    if (this.rejectedAtMs !== undefined) {
+      if (nowMs - this.rejectedAtMs > REJECTED_READ_MS) this.socket.destroy();
+      return;
+    }
     if (this.socket.writableLength > 0) {
       if (nowMs - this.lastActivityAtMs > UNREAD_RESPONSE_TIMEOUT_MS) this.socket.destroy();
       return;
@@ -84,6 +112,7 @@
   }
 
   private receive(chunk: Buffer): void {
+    if (this.rejectedAtMs !== undefined) return;
     if (!this.isBusy && !this.reader.hasPartialRequest)
       this.lastActivityAtMs = this.listener.parts.clock();
     this.reader.push(chunk);
@@ -96,12 +125,17 @@
     const read = this.reader.next(parts.limits());
     switch (read.kind) {
       case 'incomplete':
-        this.sendContinueIfExpected();
+        if (this.hasMemoryFor(this.reader.expectedBodyBytes)) this.sendContinueIfExpected();
+        else this.rejectForMemory();
         return;
       case 'invalid':
         this.reject(read.status, read.detail);
         return;
       case 'request':
+        if (!this.hasMemoryFor(read.request.body.length)) {
+          this.rejectForMemory();
+          return;
+        }
         this.isBusy = true;
         this.hasSentContinue = false;
         this.currentRequest = parts.handle(read.request, (response) =>
@@ -122,16 +156,18 @@
   private respond(response: ResponseParts, { head }: RequestMessage): void {
     this.isBusy = false;
     this.currentRequest = undefined;
+    this.releaseBody();
     if (this.socket.destroyed) return;
     const closesConnection =
       !head.isPersistent || this.listener.isClosing || response.endsWithConnection === true;
-    const bytes = encodeResponse(response, head.method === 'HEAD', closesConnection);
+    const message = encodeResponse(response, head.method === 'HEAD', closesConnection);
     this.lastActivityAtMs = this.listener.parts.clock();
+    this.countUnread(response.body.length);
+    writeBuffers(this.socket, message);
     if (closesConnection) {
-      this.socket.end(bytes);
+      this.socket.end();
       return;
     }
-    this.socket.write(bytes);
     this.socket.resume();
     if (this.reader.hasPartialRequest) setImmediate(() => this.readNextRequest());
   }
@@ -140,16 +176,52 @@
     if (!this.isBusy && !this.socket.destroyed) this.readRequest();
   }
 
-  private reject(status: number, detail: string): void {
-    this.listener.parts.onProblem(detail);
+  private reject(status: number, detail: string, fields: readonly string[] = []): void {
+    const { parts } = this.listener;
+    parts.onProblem(detail);
     this.isBusy = true;
+    this.rejectedAtMs = parts.clock();
+    this.releaseBody();
     const reason = REASON_PHRASE[status] ?? '';
     const body = Buffer.from(`${detail}\n`);
-    this.socket.end(encodeResponse({ status, reason, fields: [], body }, false, true));
+    writeBuffers(this.socket, encodeResponse({ status, reason, fields, body }, false, true));
+    this.socket.end();
+    this.socket.resume();
+  }
+
+  /** Rejects a request that was not passed on, as there is no memory for its body. */
+  private rejectForMemory(): void {
+    this.reject(503, 'no memory for the request body', ['Retry-After', NO_MEMORY_RETRY_AFTER_S]);
+  }
+
+  private hasMemoryFor(bodyBytes: number): boolean {
+    if (bodyBytes < MIN_COUNTED_BODY_BYTES) return true;
+    this.bodyReservation ??= this.listener.parts.bufferBudget.reserve(HeldBody.request);
+    return this.bodyReservation.resize(bodyBytes);
+  }
+
+  private releaseBody(): void {
+    this.bodyReservation?.release();
+    this.bodyReservation = undefined;
+  }
+
+  /** Counts a large response until the caller has read it; a ready response is always sent. */
+  private countUnread(bodyBytes: number): void {
+    if (bodyBytes < MIN_COUNTED_BODY_BYTES) return;
+    this.releaseUnread();
+    this.unreadReservation = this.listener.parts.bufferBudget.reserve(HeldBody.response);
+    this.unreadReservation.resize(bodyBytes);
+  }
+
+  private releaseUnread(): void {
+    this.unreadReservation?.release();
+    this.unreadReservation = undefined;
   }
 
   private handleClose(): void {
     this.listener.remove(this);
+    this.releaseBody();
+    this.releaseUnread();
     this.currentRequest?.cancel();
     this.currentRequest = undefined;
   }
--- a/packages/sidecar/src/classify-target-response.ts
+++ b/packages/sidecar/src/classify-target-response.ts
@@ -6,6 +6,8 @@
 
 /** Names, in lower case, of the header fields by which a target's response is classified. */
 export interface ResponseFieldNames {
+  /** Echoed from the request. */
+  readonly requestId: string;
   readonly notRun: string;
   readonly signature: string;
 }
--- a/packages/sidecar/src/daemon-environment.ts
+++ b/packages/sidecar/src/daemon-environment.ts
@@ -11,6 +11,8 @@
   /** Service of the local target; calls from this instance are attributed to it. */
   readonly service: string;
   readonly targetAddress: SocketAddress;
+  /** Memory above which the process is killed. */
+  readonly memoryLimitBytes: number;
   readonly listen: {
     /** For callers on this instance, including the local target. */
     readonly callers: SocketAddress;
--- a/packages/sidecar/src/entry.ts
+++ b/packages/sidecar/src/entry.ts
@@ -37,6 +37,8 @@
   readonly headerNames: HeaderNames;
   /** Service that requests from this instance are attributed to. */
   readonly callerService: string;
+  /** Unique for this process, so that ids built from it never occur at another entry. */
+  readonly internalIdPrefix: string;
   readonly log: EventLog;
   readonly metrics: SidecarMetrics;
   readonly clock: () => number;
@@ -64,6 +66,8 @@
 
   private readonly replacedFields: ReadonlySet<string>;
 
+  private internalIdCount = 0;
+
   private sweepTimer: NodeJS.Timeout | undefined;
 
   constructor(readonly parts: SidecarEntryParts) {
@@ -101,7 +105,8 @@
       return undefined;
     }
     const nowMs = clock();
-    const requestId = fieldValue(head.fields, headerNames.requestId.toLowerCase()) ?? '';
+    const requestId =
+      fieldValue(head.fields, headerNames.requestId.toLowerCase()) ?? this.nextInternalId();
     const requestedMs = Number(fieldValue(head.fields, headerNames.deadline.toLowerCase()));
     const callerTimeoutMs =
       Number.isFinite(requestedMs) && requestedMs > 0 ? requestedMs : DEFAULT_DEADLINE_MS;
@@ -137,6 +142,12 @@
     };
   }
 
+  /** Id of an attempt whose caller assigned none; without one it would share another's record. */
+  private nextInternalId(): string {
+    this.internalIdCount += 1;
+    return `${this.parts.internalIdPrefix}${this.internalIdCount}`;
+  }
+
   private scheduleSweep(): void {
     this.sweepTimer ??= setTimeout(() => {
       this.sweepTimer = undefined;
--- a/packages/sidecar/src/home.ts
+++ b/packages/sidecar/src/home.ts
@@ -17,8 +17,8 @@
 
 /** Time between two checks of the waiting and running calls. */
 const SWEEP_INTERVAL_MS = 25;
-/** Returned for a call that was received before; cancelling the duplicate has no effect. */
-const DUPLICATE_CALL: InboundCall = {
+/** Returned for a call that has its outcome; cancelling it has no effect. */
+const SETTLED_CALL: InboundCall = {
   cancel: () => undefined,
   connectionLost: () => undefined,
 };
@@ -28,6 +28,12 @@
   load: undefined,
 };
 
+type OpenedCall =
+  /** An attempt that the home sees for the first time, with its record if it has one. */
+  | { readonly kind: 'new'; readonly record: ExecutionRecord | undefined }
+  /** An attempt that was received before. */
+  | { readonly kind: 'received'; readonly call: InboundCall };
+
 /**
  * The home side of the sidecar daemon: admits the calls of entries to the local target and sends
  * them to it.
@@ -35,6 +41,9 @@
 export class Home implements TargetCallHost {
   private readonly activeCalls = new Set<TargetCall>();
 
+  /** The active calls that have an execution record, by their attempt's id. */
+  private readonly recordedCalls = new Map<string, TargetCall>();
+
   private sweepTimer: NodeJS.Timeout | undefined;
 
   private isClosing = false;
@@ -54,21 +63,26 @@
     const nowMs = this.parts.clock();
     this.parts.routeCallers.recordCall(call.route, call.callerService);
     const refusalReason = this.refusalReasonFor(call);
-    const record = this.openRecord(call, deliver, nowMs);
-    if (record === 'present') return DUPLICATE_CALL;
+    const opened = this.openRecord(call, deliver, nowMs);
+    if (opened.kind === 'received') return opened.call;
+    const { record } = opened;
     const targetCall = new TargetCall(call, body, deliver, record, this, nowMs);
     if (refusalReason !== undefined) {
       targetCall.refuse(refusalReason, 0);
       return targetCall;
     }
     this.activeCalls.add(targetCall);
+    if (record !== undefined) this.recordedCalls.set(call.requestId, targetCall);
     this.parts.queue.submit(targetCall, nowMs);
     if (this.activeCalls.size > 0) this.scheduleSweep();
     return targetCall;
   }
 
-  /** Replies with the outcome of a call to an entry whose connection broke after sending it. */
-  resolve(requestId: string, deliver: (reply: CallReply) => void): void {
+  /**
+   * Replies with the outcome of a call to an entry whose connection broke after sending it. Returns
+   * the call if it is still in progress.
+   */
+  resolve(requestId: string, deliver: (reply: CallReply) => void): InboundCall | undefined {
     const { executionRecords, log, clock } = this.parts;
     const record = executionRecords.resolve(requestId, clock());
     log.decision('outcome of an attempt queried', { requestId, state: record.state });
@@ -77,6 +91,7 @@
       deliver({ outcome: refusedOutcome(CallRefusalReason.barred, 0), load: undefined });
     else if (record.isOpen) record.redirectReply(deliver);
     else deliver(EXPIRED_REPLY);
+    return this.recordedCalls.get(requestId);
   }
 
   buildReply(outcome: ForwardedCallOutcome, route: string): CallReply {
@@ -99,6 +114,13 @@
 
   removeCall(call: TargetCall): void {
     this.activeCalls.delete(call);
+    if (this.recordedCalls.get(call.requestId) === call) this.recordedCalls.delete(call.requestId);
+  }
+
+  /** Drops what was learnt of the previous target, as another one has taken its place. */
+  forgetTarget(): void {
+    this.parts.pool.destroyIdle();
+    this.parts.serviceTimes.clear();
   }
 
   /** Stops sending calls to the target, as it refuses connections or does not respond. */
@@ -130,12 +152,11 @@
     call: ForwardedCall,
     deliver: (reply: CallReply) => void,
     nowMs: number,
-  ): ExecutionRecord | undefined | 'present' {
-    if (call.isIdempotent) return undefined;
+  ): OpenedCall {
+    if (call.isIdempotent) return { kind: 'new', record: undefined };
     const opened = this.parts.executionRecords.open(call.requestId, deliver, nowMs);
-    if (opened.kind === 'opened') return opened.record;
-    this.resolve(call.requestId, deliver);
-    return 'present';
+    if (opened.kind === 'opened') return { kind: 'new', record: opened.record };
+    return { kind: 'received', call: this.resolve(call.requestId, deliver) ?? SETTLED_CALL };
   }
 
   private scheduleSweep(): void {
--- a/packages/sidecar/src/peer-connections.ts
+++ b/packages/sidecar/src/peer-connections.ts
@@ -1,8 +1,15 @@
 import type { CallReply, ForwardedCall } from '@daisyferry/mesh/forwarded-call';
+import type { BufferBudget } from '@daisyferry/mesh/buffer-budget';
 import type { FleetDirectory } from '@daisyferry/mesh/fleet-directory';
 import type { DaemonRecord } from '@daisyferry/mesh/daemon-record';
 import type { Frame, FrameKindNumber } from '@daisyferry/peering/frame';
 import { FrameKind } from '@daisyferry/peering/frame';
+import {
+  decodeConfigurationVersion,
+  decodeLevel,
+  decodeRecord,
+  decodeRecords,
+} from '@daisyferry/peering/control-codec';
 import type { Hello } from '@daisyferry/peering/hello';
 import { PeerLink, type PeerAddress, type CancellableCall } from '@daisyferry/peering/peer-link';
 import { PeerServer } from '@daisyferry/peering/peer-server';
@@ -16,6 +23,7 @@
   readonly directory: FleetDirectory;
   readonly ownRecord: OwnRecord;
   readonly home: Home;
+  readonly bufferBudget: BufferBudget;
   readonly configuration: ConfigurationHolder;
   readonly log: EventLog;
   readonly clock: () => number;
@@ -52,13 +60,17 @@
   private timer: NodeJS.Timeout | undefined;
 
   constructor(private readonly parts: PeerConnectionsParts) {
-    this.server = new PeerServer({
-      hello: () => this.hello(),
-      onHello: (hello, peer) => this.handleHello(hello, peer),
-      onCall: (call, body, deliver) => parts.home.submit(call, body, deliver),
-      onResolve: (requestId, deliver) => parts.home.resolve(requestId, deliver),
-      onControl: (frame, peer) => this.handleControlFrame(frame, peer),
-    });
+    this.server = new PeerServer(
+      {
+        hello: () => this.hello(),
+        onHello: (hello, peer) => this.handleHello(hello, peer),
+        onCall: (call, body, deliver) => parts.home.submit(call, body, deliver),
+        onResolve: (requestId, deliver) => parts.home.resolve(requestId, deliver),
+        onControl: (frame, peer) => this.handleControlFrame(frame, peer),
+      },
+      parts.bufferBudget,
+      parts.clock,
+    );
   }
 
   async start(address: PeerAddress): Promise<void> {
@@ -148,7 +160,7 @@
     if (present !== undefined) return present;
     const record = this.parts.directory.recordOf(daemonId);
     if (record === undefined) return undefined;
-    const { directory, log, clock } = this.parts;
+    const { directory, log, clock, bufferBudget } = this.parts;
     const link: PeerLink = new PeerLink(
       parseAddress(record.address),
       {
@@ -166,6 +178,7 @@
         },
       },
       clock,
+      bufferBudget,
     );
     this.links.set(daemonId, link);
     return link;
@@ -186,6 +199,7 @@
       record: this.parts.ownRecord.record(),
       configurationVersion: this.parts.configuration.version,
       wantsView: !this.parts.isWatchingStore(),
+      acceptsBodyParts: true,
     };
   }
 
@@ -200,25 +214,22 @@
   private handleControlFrame(frame: Frame, peer: ControlFrameSender): void {
     switch (frame.kind) {
       case FrameKind.record:
-        this.applyRecord(JSON.parse(frame.head) as DaemonRecord, 'direct');
+        this.applyPeerRecord(decodeRecord(frame.head));
         return;
       case FrameKind.view:
-        for (const record of JSON.parse(frame.head) as DaemonRecord[])
-          this.applyRecord(record, 'relayed');
+        for (const record of decodeRecords(frame.head)) this.applyRecord(record, 'relayed');
         return;
       case FrameKind.configuration:
         if (frame.body.length > 0) {
           this.parts.configuration.applyIfNewer(frame.body.toString('utf8'), 'peer');
         } else {
-          this.syncConfigurationVersion(
-            (JSON.parse(frame.head) as { version: number }).version,
-            peer,
-          );
+          this.syncConfigurationVersion(decodeConfigurationVersion(frame.head) ?? 0, peer);
         }
         return;
       case FrameKind.level: {
-        const { daemonId, level } = JSON.parse(frame.head) as { daemonId: string; level: number };
-        this.parts.onShedLevel(daemonId, level, this.parts.clock());
+        const reported = decodeLevel(frame.head);
+        if (reported === undefined) return;
+        this.parts.onShedLevel(reported.daemonId, reported.level, this.parts.clock());
         return;
       }
       case FrameKind.configurationRequest:
@@ -229,6 +240,11 @@
     }
   }
 
+  private applyPeerRecord(record: DaemonRecord | undefined): void {
+    if (record !== undefined) this.applyRecord(record, 'direct');
+    else this.parts.log.warn('malformed daemon record ignored', { source: 'peer' });
+  }
+
   /**
    * Requests the peer's configuration if its version is greater than this daemon's; reports this
    * daemon's version to the peer if the peer's is smaller.
--- a/packages/sidecar/src/store-sync.ts
+++ b/packages/sidecar/src/store-sync.ts
@@ -1,5 +1,6 @@
 import type { FleetDirectory } from '@daisyferry/mesh/fleet-directory';
 import type { DaemonRecord } from '@daisyferry/mesh/daemon-record';
+import { decodeRecord } from '@daisyferry/peering/control-codec';
 import type { KeyValueStore, StoredValue, WatchEvent } from '@daisyferry/store/key-value-store';
 import type { ConfigurationHolder } from './configuration-holder';
 import type { EventLog } from './event-log';
@@ -91,11 +92,9 @@
   }
 
   private parseRecord(text: string): DaemonRecord[] {
-    try {
-      return [JSON.parse(text) as DaemonRecord];
-    } catch (error) {
-      this.parts.log.warn('malformed daemon record ignored', { error: String(error) });
-      return [];
-    }
+    const record = decodeRecord(text);
+    if (record !== undefined) return [record];
+    this.parts.log.warn('malformed daemon record ignored', { source: 'store' });
+    return [];
   }
 }
--- a/packages/sidecar/src/target-call.ts
+++ b/packages/sidecar/src/target-call.ts
@@ -1,3 +1,4 @@
+import { fieldValue } from '@daisyferry/http1/message';
 import { encodeRequest } from '@daisyferry/http1/message-writer';
 import type { TargetSlotQueue, SlotRequest } from '@daisyferry/mesh/target-slot-queue';
 import type {
@@ -86,6 +87,8 @@
 
   readonly deadlineMs: number;
 
+  readonly requestId: string;
+
   private runningExchange: AbortableExchange | undefined;
 
   private startedAtMs = 0;
@@ -100,13 +103,15 @@
     private readonly home: TargetCallHost,
     private readonly arrivedMs: number,
   ) {
+    this.requestId = call.requestId;
     this.priority = call.priority;
     this.usefulUntilMs = arrivedMs + call.usefulMs;
     this.deadlineMs = arrivedMs + call.remainingMs;
   }
 
   start(nowMs: number): void {
-    const { pool, headerNames, target, unresponsiveDetector, queue } = this.home.parts;
+    const { pool, headerNames, responseFieldNames, target, unresponsiveDetector, queue } =
+      this.home.parts;
     if (nowMs >= this.deadlineMs || !target.isServing) {
       this.home.parts.queue.recordFinished(0, true, nowMs);
       this.refuse(target.isServing ? CallRefusalReason.expired : CallRefusalReason.leaving, 0);
@@ -129,8 +134,10 @@
       headerNames.expectedTarget,
       call.targetId,
     ];
-    const bytes = encodeRequest(call.method, call.path, fields, this.body);
-    this.runningExchange = pool.send(call.requestId, call.method === 'HEAD', bytes, (result) =>
+    const message = encodeRequest(call.method, call.path, fields, this.body);
+    // Empty if the caller assigned no id.
+    const echoedId = fieldValue(call.fields, responseFieldNames.requestId) ?? '';
+    this.runningExchange = pool.send(echoedId, call.method === 'HEAD', message, (result) =>
       this.handleExchangeResult(result),
     );
   }
--- a/packages/sidecar/src/target-connection-pool.ts
+++ b/packages/sidecar/src/target-connection-pool.ts
@@ -1,3 +1,4 @@
+import type { BufferBudget } from '@daisyferry/mesh/buffer-budget';
 import type { SocketAddress } from './daemon-environment';
 import type { TargetExchangeResult } from './target-connection';
 import { TargetConnection } from './target-connection';
@@ -17,6 +18,7 @@
     private readonly address: SocketAddress,
     private readonly requestIdField: string,
     private readonly clock: () => number,
+    private readonly bufferBudget: BufferBudget,
   ) {}
 
   /** Connections opened since the start of the daemon. */
@@ -27,11 +29,11 @@
   send(
     requestId: string,
     isHeadRequest: boolean,
-    bytes: Buffer,
+    message: readonly Buffer[],
     onResult: (result: TargetExchangeResult) => void,
   ): AbortableExchange {
     const connection = this.takeIdle(this.clock()) ?? this.connect();
-    connection.send(requestId, isHeadRequest, bytes, onResult);
+    connection.send(requestId, isHeadRequest, message, onResult);
     return { abort: () => connection.abort() };
   }
 
@@ -59,6 +61,7 @@
         onClosed: () => this.removeIdle(connection),
       },
       this.clock,
+      this.bufferBudget,
     );
     return connection;
   }
--- a/packages/sidecar/src/target-connection.ts
+++ b/packages/sidecar/src/target-connection.ts
@@ -1,8 +1,10 @@
 import type { ResponseMessage } from '@daisyferry/http1/message';
 import { fieldValue } from '@daisyferry/http1/message';
 import { ResponseReader } from '@daisyferry/http1/response-reader';
+import { HeldBody, type BodyReservation, type BufferBudget } from '@daisyferry/mesh/buffer-budget';
 import { createConnection, type Socket } from 'node:net';
 import type { SocketAddress } from './daemon-environment';
+import { writeBuffers } from './write-buffers';
 
 /** The result of sending one request to the target. */
 export type TargetExchangeResult =
@@ -15,7 +17,7 @@
 interface RunningExchange {
   readonly requestId: string;
   readonly isHeadRequest: boolean;
-  readonly bytes: Buffer;
+  readonly message: readonly Buffer[];
   readonly onResult: (result: TargetExchangeResult) => void;
 }
 
@@ -23,6 +25,10 @@
 const CONNECT_TIMEOUT_MS = 500;
 /** Time before the keep-alive timeout of a connection after which it is no longer reused. */
 const KEEP_ALIVE_MARGIN_MS = 500;
+/** Maximum number of responses to other requests before the response to a request. */
+const MAX_FOREIGN_RESPONSES = 8;
+/** Size from which a response body counts in the memory budget. */
+const MIN_COUNTED_BODY_BYTES = 65_536;
 /** Keep-alive timeout where the target states none. */
 const DEFAULT_KEEP_ALIVE_MS = 4_000;
 
@@ -30,7 +36,13 @@
 export class TargetConnection {
   private readonly socket: Socket;
 
-  private readonly reader = new ResponseReader();
+  private readonly reader = new ResponseReader((bytes) => this.mayHold(bytes));
+
+  /** Memory of a large response body; undefined until there is one. */
+  private reservation: BodyReservation | undefined;
+
+  /** Responses to other requests that preceded the response to the present one. */
+  private foreignResponses = 0;
 
   private exchange: RunningExchange | undefined;
 
@@ -50,6 +62,7 @@
     private readonly requestIdField: string,
     private readonly events: { onIdle(): void; onClosed(): void },
     private readonly clock: () => number,
+    private readonly bufferBudget: BufferBudget,
   ) {
     this.socket = createConnection({ host: address.ip, port: address.port });
     this.socket.setNoDelay(true);
@@ -76,12 +89,12 @@
   send(
     requestId: string,
     isHeadRequest: boolean,
-    bytes: Buffer,
+    message: readonly Buffer[],
     onResult: (result: TargetExchangeResult) => void,
   ): void {
-    this.exchange = { requestId, isHeadRequest, bytes, onResult };
+    this.exchange = { requestId, isHeadRequest, message, onResult };
     this.idleSinceMs = undefined;
-    if (this.isConnected) this.socket.write(bytes);
+    if (this.isConnected) writeBuffers(this.socket, message);
   }
 
   /** Closes the connection, so that the target abandons the request in progress. */
@@ -93,13 +106,14 @@
   destroy(): void {
     this.isRetired = true;
     clearTimeout(this.connectTimer);
+    this.releaseReservation();
     this.socket.destroy();
   }
 
   private handleConnect(): void {
     this.isConnected = true;
     clearTimeout(this.connectTimer);
-    if (this.exchange !== undefined) this.socket.write(this.exchange.bytes);
+    if (this.exchange !== undefined) writeBuffers(this.socket, this.exchange.message);
   }
 
   private receive(chunk: Buffer): void {
@@ -135,6 +149,10 @@
     if (responseRequestId !== undefined && responseRequestId !== exchange.requestId) {
       // A second response to an earlier request; the response to this one follows it.
       this.isRetired = true;
+      this.foreignResponses += 1;
+      if (this.foreignResponses > MAX_FOREIGN_RESPONSES) {
+        this.failExchange('too many responses to other requests');
+      }
       return;
     }
     this.exchange = undefined;
@@ -147,6 +165,19 @@
       this.events.onIdle();
     }
     exchange.onResult({ kind: 'response', response });
+    this.releaseReservation();
+  }
+
+  /** Small bodies are not counted; their number is bounded by the target's slots. */
+  private mayHold(bytes: number): boolean {
+    if (bytes < MIN_COUNTED_BODY_BYTES) return true;
+    this.reservation ??= this.bufferBudget.reserve(HeldBody.response);
+    return this.reservation.resize(bytes);
+  }
+
+  private releaseReservation(): void {
+    this.reservation?.release();
+    this.reservation = undefined;
   }
 
   private handleEnd(): void {
--- a/packages/sidecar/src/wire-sidecar.ts
+++ b/packages/sidecar/src/wire-sidecar.ts
@@ -1,3 +1,5 @@
+import { randomUUID } from 'node:crypto';
+import { BufferBudget } from '@daisyferry/mesh/buffer-budget';
 import { CallRefusalReason } from '@daisyferry/mesh/forwarded-call';
 import { TargetSlotQueue } from '@daisyferry/mesh/target-slot-queue';
 import { RouteCallerCounter } from '@daisyferry/mesh/route-caller-counter';
@@ -56,6 +58,8 @@
   headerTimeoutMs: 5_000,
   idleTimeoutMs: 15_000,
 };
+/** Share of the process's memory for the large bodies that it holds. */
+const BUFFER_SHARE_OF_MEMORY = 0.3;
 /** Slots assumed until the target announces its own. */
 const INITIAL_SLOTS = 16;
 /** Maximum number of targets that are compared for one call. */
@@ -82,10 +86,12 @@
   const { store, headerNames } = platform;
   const log = new EventLog({ node: environment.daemonId }, clock);
   const target = new AnnouncedTarget();
+  const bufferBudget = new BufferBudget(environment.memoryLimitBytes * BUFFER_SHARE_OF_MEMORY);
   const pool = new TargetConnectionPool(
     environment.targetAddress,
     headerNames.requestId.toLowerCase(),
     clock,
+    bufferBudget,
   );
   const queue = new TargetSlotQueue(INITIAL_SLOTS);
   const directory = new FleetDirectory();
@@ -108,6 +114,7 @@
     executionRecords: new ExecutionRecordRegistry(),
     headerNames,
     responseFieldNames: {
+      requestId: headerNames.requestId.toLowerCase(),
       notRun: headerNames.notRun.toLowerCase(),
       signature: headerNames.signature.toLowerCase(),
     },
@@ -126,6 +133,7 @@
     directory,
     ownRecord,
     home,
+    bufferBudget,
     configuration,
     log,
     clock,
@@ -172,6 +180,7 @@
     transport: peerConnections,
     headerNames,
     callerService: environment.service,
+    internalIdPrefix: `${environment.daemonId}/${startUnixMs}/${randomUUID()}/`,
     log,
     metrics,
     clock,
@@ -179,6 +188,7 @@
   const callers = new CallerListener({
     handle: (request, respond) => entry.handle(request, respond),
     limits: () => configuration.routes?.configuration.limits ?? DEFAULT_LIMITS,
+    bufferBudget,
     onProblem: (detail) => log.decision('request rejected', { detail }),
     clock,
   });
@@ -188,7 +198,8 @@
     isKnownService: (service) =>
       service === environment.service ||
       configuration.routes?.configuration.services.some(({ name }) => name === service) === true,
-    onChange: (isServing) => {
+    onChange: (isServing, isNewTarget) => {
+      if (isNewTarget) home.forgetTarget();
       const slots = target.announcement?.slots;
       if (slots !== undefined) queue.setLimit(Math.floor(slots * MAX_SLOT_FILL_SHARE), clock());
       if (!isServing) queue.refuseAll(CallRefusalReason.leaving);
@@ -214,6 +225,7 @@
   metrics.addGauge('daisyferry_shed_level', () => home.effectiveShedLevel(clock()));
   metrics.addGauge('daisyferry_target_waiting', () => queue.waitingCount);
   metrics.addGauge('daisyferry_target_connections_opened', () => pool.openedCount);
+  metrics.addGauge('daisyferry_buffered_bytes', () => bufferBudget.usedBytes);
   metrics.addGauge('daisyferry_peers_connected', () => peerConnections.connectedCount);
   metrics.addGauge('daisyferry_daemons_known', () => directory.size);
   metrics.addGauge('daisyferry_configuration_version', () => configuration.version);
--- a/packages/sidecar/tests/caller-request.test.ts
+++ b/packages/sidecar/tests/caller-request.test.ts
@@ -83,6 +83,7 @@
     },
     headerNames: {} as SidecarEntryParts['headerNames'],
     callerService: 'caller',
+    internalIdPrefix: 'm/1/',
     log: { decision: () => undefined } as unknown as EventLog,
     metrics: new SidecarMetrics(),
     clock: () => 0,
