Derive a daemon's retry allowance from the fleet it knows; reload bounds without a restart

Causes: the slack of the retry budget was divided among 30 daemons whatever the fleet; at 195 the sum over the fleet exceeded it several times, at 13 it gave away half. Change: the burst is the slack over twice the greatest fleet size of the last 30 to 60 s; bounds are replaced while the process runs, everything else that changed is logged as needing a restart.

--- a/packages/retries/src/retry-ratio-limiter.ts
+++ b/packages/retries/src/retry-ratio-limiter.ts
@@ -18,7 +18,8 @@
 
   private bucketNumber = Number.NEGATIVE_INFINITY;
 
-  constructor(private readonly burstRetries = BURST_RETRIES) {}
+  /** The burst may depend on the number of daemons that share a service's retries. */
+  constructor(private readonly burstRetries: () => number = () => BURST_RETRIES) {}
 
   countFirstAttempt(nowMs: number): void {
     const index = this.advanceWindow(nowMs);
@@ -30,7 +31,7 @@
   tryRetry(maxShare: number, nowMs: number): boolean {
     const index = this.advanceWindow(nowMs);
     if (maxShare <= 0) return false;
-    if (this.retriesInWindow + 1 > maxShare * this.firstAttemptsInWindow + this.burstRetries)
+    if (this.retriesInWindow + 1 > maxShare * this.firstAttemptsInWindow + this.burstRetries())
       return false;
     this.retries[index] = (this.retries[index] ?? 0) + 1;
     this.retriesInWindow += 1;
--- a/packages/sidecar/src/retry-budget.ts
+++ b/packages/sidecar/src/retry-budget.ts
@@ -22,6 +22,13 @@
   readonly internalShare: number;
 }
 
+export interface RetryBounds {
+  /** Maximum retries of all daemons to a service, as a share of its requests. */
+  readonly retryRatio: number;
+  /** Retries for a service that all daemons may make beyond that share within ten seconds. */
+  readonly retrySlack: number;
+}
+
 /**
  * Limits the retries of this daemon, so that those of all daemons to a service stay within a share
  * of its requests. Callers' requests are often few beside nested calls, and one retry saves a whole
@@ -30,11 +37,13 @@
 export class RetryBudget {
   private readonly limiters = new Map<string, RetryRatioLimiter>();
 
+  /**
+   * `fleetSize` is the number of daemons known, this one included, which share the retries that are
+   * allowed beyond the ratio.
+   */
   constructor(
-    /** Maximum retries of all daemons to a service, as a share of its requests. */
-    private readonly ratio: number,
-    /** Retries beyond its share that this daemon may make in a window of `RetryRatioLimiter`. */
-    private readonly burst: number,
+    private readonly bounds: () => RetryBounds,
+    private readonly fleetSize: () => number,
   ) {}
 
   countRequest(origin: RequestOrigin, nowMs: number): void {
@@ -47,18 +56,27 @@
 
   /** Maximum share of the requests of this origin that may be retried. */
   allowedRatio({ isInternal, internalShare }: RetryOrigin): number {
-    const levelRatio = this.ratio / CALL_TREE_LEVELS;
+    const { retryRatio } = this.bounds();
+    const levelRatio = retryRatio / CALL_TREE_LEVELS;
     if (isInternal) return levelRatio;
     const callerShare = Math.max(Number.EPSILON, 1 - internalShare);
-    const sharedRatio = (this.ratio * CALLER_PART_OF_RATIO * internalShare) / callerShare;
+    const sharedRatio = (retryRatio * CALLER_PART_OF_RATIO * internalShare) / callerShare;
     return Math.min(MAX_CALLER_RETRY_RATIO, levelRatio + sharedRatio);
   }
 
+  /**
+   * Retries beyond its share that this daemon may make in a window of `RetryRatioLimiter`. Each
+   * service has two limiters, for callers and for targets.
+   */
+  private burst(): number {
+    return this.bounds().retrySlack / (2 * Math.max(1, this.fleetSize()));
+  }
+
   private limiterOf({ service, isInternal }: RequestOrigin): RetryRatioLimiter {
     const key = `${isInternal ? 'targets' : 'callers'} ${service}`;
     const present = this.limiters.get(key);
     if (present !== undefined) return present;
-    const limiter = new RetryRatioLimiter(this.burst);
+    const limiter = new RetryRatioLimiter(() => this.burst());
     this.limiters.set(key, limiter);
     return limiter;
   }
--- a/packages/sidecar/src/sidecar-lifecycle.ts
+++ b/packages/sidecar/src/sidecar-lifecycle.ts
@@ -8,10 +8,12 @@
 import type { OwnRecord } from './own-record';
 import type { ReadyState } from './ready-state';
 import type { Registration } from './registration';
+import { compareSettings, type CurrentBounds } from './settings-reload';
 import type { StoreSync } from './store-sync';
 
 export interface SidecarLifecycleParts {
   readonly environment: DaemonEnvironment;
+  readonly bounds: CurrentBounds;
   readonly peerConnections: PeerConnections;
   readonly registration: Registration;
   readonly storeSync: StoreSync;
@@ -65,27 +67,31 @@
     log.stateChange('started', { environment });
   }
 
-  /** Logs that the settings file was read again; `problem` says why it is invalid, if it is. */
-  logSettingsReload(problem: string | undefined): void {
-    if (problem === undefined) this.parts.log.stateChange('settings reloaded');
-    else this.parts.log.warn('settings invalid; keeping the previous ones', { problem });
+  /** Applies the bounds of a settings file that was read again; the rest needs a restart. */
+  reloadSettings(next: DaemonEnvironment): void {
+    const { environment, bounds, log } = this.parts;
+    const { applied, needsRestart } = compareSettings(environment, bounds.get(), next);
+    bounds.set(next.bounds);
+    log.stateChange('settings reloaded', { applied, needsRestart });
+  }
+
+  /** Logs that a settings file that was read again is invalid; the previous ones stay in force. */
+  rejectSettings(problem: string): void {
+    this.parts.log.warn('settings invalid; keeping the previous ones', { problem });
   }
 
   /** Finishes the work in progress and stops, within the grace time. */
   async stop(): Promise<void> {
     if (this.parts.readyState.isStopping) return;
     this.parts.readyState.beginStop();
-    const { environment, callers, ownRecord, home, entry, log, peerConnections, registration } =
-      this.parts;
-    const stopDeadlineMs = this.parts.clock() + environment.bounds.graceMs - EXIT_MARGIN_MS;
+    const { callers, ownRecord, home, entry, log, peerConnections, registration } = this.parts;
+    const { graceMs } = this.parts.bounds.get();
+    const stopDeadlineMs = this.parts.clock() + graceMs - EXIT_MARGIN_MS;
     log.stateChange('stopping', { activeEntry: entry.activeCount, activeHome: home.activeCount });
     callers.isClosing = true;
     // The target keeps running and is reachable only through this daemon, so that it continues to
     // serve until callers have learned of the stop.
-    const noticeMs = Math.min(
-      CALLER_NOTICE_MS,
-      environment.bounds.graceMs * MAX_NOTICE_SHARE_OF_GRACE,
-    );
+    const noticeMs = Math.min(CALLER_NOTICE_MS, graceMs * MAX_NOTICE_SHARE_OF_GRACE);
     const peerNoticeMs = Math.min(PEER_NOTICE_MS, noticeMs / 2);
     await delay(noticeMs - peerNoticeMs);
     ownRecord.publishLeaving();
--- a/packages/sidecar/src/wire-sidecar.ts
+++ b/packages/sidecar/src/wire-sidecar.ts
@@ -8,6 +8,7 @@
 import { FleetDirectory } from '@daisyferry/mesh/fleet-directory';
 import { LevelBroadcastThrottle } from '@daisyferry/mesh/level-broadcast-throttle';
 import { AnnouncedTarget } from '@daisyferry/mesh/announced-target';
+import { RecentMaximum } from '@daisyferry/mesh/recent-maximum';
 import type { RoutingConfiguration } from '@daisyferry/mesh/routing-configuration';
 import { ShedLevel } from '@daisyferry/mesh/shed-level';
 import { UnresponsiveTargetDetector } from '@daisyferry/mesh/unresponsive-target-detector';
@@ -30,6 +31,7 @@
 import { ReadyState } from './ready-state';
 import { Registration } from './registration';
 import { RetryBudget } from './retry-budget';
+import { CurrentBounds } from './settings-reload';
 import type { SidecarMetrics } from './sidecar-metrics';
 import { SidecarLifecycle } from './sidecar-lifecycle';
 import { Emitter } from './emitter';
@@ -64,8 +66,8 @@
 const INITIAL_SLOTS = 16;
 /** Maximum number of targets that are compared for one call. */
 const MAX_CANDIDATES = 12;
-/** Number of daemons assumed to share the retries that are allowed beyond the ratio. */
-const ASSUMED_DAEMONS = 30;
+/** Daemons that were lost within this time, as in a partition, still have their share of retries. */
+const FLEET_SIZE_WINDOW_MS = 30_000;
 /** Maximum share of a target's slots in use, as some targets slow down when nearly full. */
 const MAX_SLOT_FILL_SHARE = 0.95;
 /** Time between two flushes of the log. */
@@ -86,6 +88,8 @@
   const { store, headerNames } = platform;
   const log = new EventLog({ node: environment.daemonId }, clock);
   const target = new AnnouncedTarget();
+  const bounds = new CurrentBounds(environment.bounds);
+  const fleetSize = new RecentMaximum(FLEET_SIZE_WINDOW_MS);
   const bufferBudget = new BufferBudget(environment.memoryLimitBytes * BUFFER_SHARE_OF_MEMORY);
   const pool = new TargetConnectionPool(
     environment.targetAddress,
@@ -174,8 +178,8 @@
     downstreamLevels,
     random: Math.random,
     retryBudget: new RetryBudget(
-      environment.bounds.retryRatio,
-      environment.bounds.retrySlack / (2 * ASSUMED_DAEMONS),
+      () => bounds.get(),
+      () => fleetSize.record(directory.size, clock()),
     ),
     transport: peerConnections,
     headerNames,
@@ -234,6 +238,7 @@
 
   return new SidecarLifecycle({
     environment,
+    bounds,
     peerConnections,
     registration,
     storeSync,
--- a/packages/sidecar/tests/caller-request.test.ts
+++ b/packages/sidecar/tests/caller-request.test.ts
@@ -72,7 +72,10 @@
     chooser: new TargetChooser(directory, { ownZone: 'z', maxCandidates: 12 }, random),
     downstreamLevels: new DownstreamShedLevels(),
     random,
-    retryBudget: new RetryBudget(RATIO, BURST_RETRIES),
+    retryBudget: new RetryBudget(
+      () => ({ retryRatio: RATIO, retrySlack: 2 * BURST_RETRIES }),
+      () => 1,
+    ),
     transport: {
       send: (daemonId: string, _call: ForwardedCall, _body: Buffer, deliver) => {
         const outcome = outcomes[sentTo.length] ?? SERVED;
--- a/packages/sidecar/tests/retry-budget.test.ts
+++ b/packages/sidecar/tests/retry-budget.test.ts
@@ -15,12 +15,19 @@
   return count;
 }
 
+function budgetOf(fleetSize: number, retrySlack: number): RetryBudget {
+  return new RetryBudget(
+    () => ({ retryRatio: RATIO, retrySlack }),
+    () => fleetSize,
+  );
+}
+
 describe('RetryBudget', () => {
   it.each([0, 0.5, 0.9, 0.99])(
     'stays within the share of all requests when %f of them are nested calls',
     (internalShare) => {
       const allRequests = 20_000;
-      const budget = new RetryBudget(RATIO, 0);
+      const budget = budgetOf(1, 0);
       const nestedCalls = Math.round(allRequests * internalShare);
       const retries =
         grantedRetries(budget, { service: 's', isInternal: true, internalShare }, nestedCalls) +
@@ -34,8 +41,26 @@
     },
   );
 
+  it.each([1, 13, 30, 195, 300])(
+    'stays within the slack of all daemons in a fleet of %i',
+    (fleetSize) => {
+      const retrySlack = 48;
+      let retries = 0;
+      for (let daemon = 0; daemon < fleetSize; daemon += 1) {
+        const budget = budgetOf(fleetSize, retrySlack);
+        for (const isInternal of [false, true]) {
+          retries += grantedRetries(budget, { service: 's', isInternal, internalShare: 0.5 }, 4);
+        }
+      }
+      const requests = fleetSize * 8;
+      expect(retries).toBeLessThanOrEqual(requests * RATIO + retrySlack);
+      if (fleetSize <= 13)
+        expect(retries).toBeGreaterThanOrEqual(Math.min(requests, retrySlack / 3));
+    },
+  );
+
   it('allows callers more retries if their requests are few', () => {
-    const budget = new RetryBudget(RATIO, 0);
+    const budget = budgetOf(1, 0);
     const rare = { service: 's', isInternal: false, internalShare: 0.9 };
     expect(budget.allowedRatio(rare)).toBeCloseTo(0.4);
     expect(budget.allowedRatio({ ...rare, internalShare: 0 })).toBeCloseTo(0.04);
--- a/packages/sidecar/tests/sidecar-lifecycle.test.ts
+++ b/packages/sidecar/tests/sidecar-lifecycle.test.ts
@@ -2,6 +2,7 @@
   SidecarLifecycle,
   type SidecarLifecycleParts,
 } from '@daisyferry/sidecar/sidecar-lifecycle';
+import { CurrentBounds } from '@daisyferry/sidecar/settings-reload';
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
 
 const GRACE_MS = 6_000;
@@ -27,7 +28,7 @@
     const record = (step: string) => () => this.recordStep(step);
     const activeHomeCalls = () => this.activeHomeCalls;
     return {
-      environment: { bounds: { graceMs: GRACE_MS } },
+      bounds: new CurrentBounds({ graceMs: GRACE_MS, retryRatio: 0.2, retrySlack: 48 }),
       readyState: { isStopping: false, beginStop: record('unready') },
       callers: {
         isClosing: false,
