Let two daemons of each data centre follow the store, and the others learn from them

Change: StoreReaderChoice picks two readers by rank among the connected daemons of a data centre, and substitutes when none of them succeeds. The others read the store once at their start, keep a lease of 18 s and write their record once their target has announced itself, at most once a second.

--- a/packages/mesh/src/fleet-directory.ts
+++ b/packages/mesh/src/fleet-directory.ts
@@ -38,6 +38,11 @@
     return [...this.entries.values()].map(({ record }) => record);
   }
 
+  /** The records that are in the store, as far as is known. */
+  storedRecords(): DaemonRecord[] {
+    return [...this.entries.values()].flatMap(({ record, isStored }) => (isStored ? record : []));
+  }
+
   /** Records of the daemons that have a serving target of the service and are not about to stop. */
   servingRecords(service: string): readonly DaemonRecord[] {
     return this.byService.get(service) ?? [];
--- a/packages/peering/src/control-codec.ts
+++ b/packages/peering/src/control-codec.ts
@@ -60,12 +60,13 @@
 /** Decodes the first frame of a connection. */
 export function decodeHello(text: string): Hello | undefined {
   const hello = fieldsOf<Hello>(parseJson(text));
-  const { record, configurationVersion, wantsView, acceptsBodyParts } = hello;
+  const { record, configurationVersion, wantsView, isReading, acceptsBodyParts } = hello;
   if (!isDaemonRecord(record)) return undefined;
   return {
     record,
     configurationVersion: isNumber(configurationVersion) ? configurationVersion : 0,
     wantsView: wantsView === true,
+    isReading: isReading === true,
     acceptsBodyParts: acceptsBodyParts === true,
   };
 }
@@ -87,6 +88,36 @@
   return typeof daemonId === 'string' && isNumber(level) ? { daemonId, level } : undefined;
 }
 
+/** Records that were written to the store, and ids of those removed from it. */
+export interface RecordChanges {
+  readonly records: readonly DaemonRecord[];
+  readonly removedIds: readonly string[];
+}
+
+/** Decodes a change of the stored records; leaves out what cannot be read. */
+export function decodeRecordChanges(text: string): RecordChanges {
+  const { records, removedIds } = fieldsOf<RecordChanges>(parseJson(text));
+  return {
+    records: Array.isArray(records) ? records.filter(isDaemonRecord) : [],
+    removedIds: Array.isArray(removedIds)
+      ? removedIds.filter((id): id is string => typeof id === 'string')
+      : [],
+  };
+}
+
+export interface ReportedReading {
+  readonly daemonId: string;
+  readonly isReading: boolean;
+}
+
+/** Decodes whether a peer follows the store. */
+export function decodeReading(text: string): ReportedReading | undefined {
+  const { daemonId, isReading } = fieldsOf<ReportedReading>(parseJson(text));
+  return typeof daemonId === 'string' && typeof isReading === 'boolean'
+    ? { daemonId, isReading }
+    : undefined;
+}
+
 /** Decodes the id of the attempt whose outcome an entry queries. */
 export function decodeResolve(text: string): string | undefined {
   const value = parseJson(text);
--- a/packages/peering/src/frame.ts
+++ b/packages/peering/src/frame.ts
@@ -15,6 +15,16 @@
   bodyPart: 13,
   /** The stream field is the number of bytes of body parts that the receiver has taken. */
   bodyCredit: 14,
+  /** Requests all records that the receiver knows. */
+  viewRequest: 15,
+  /** All records that the sender, which follows the store, found there. */
+  snapshot: 16,
+  /** Records that were written to or removed from the store. */
+  changes: 17,
+  /** The receiver's record is missing in the store. */
+  recordMissing: 18,
+  /** Whether the sender follows the store. */
+  reading: 19,
 } as const;
 
 export type FrameKindNumber = (typeof FrameKind)[keyof typeof FrameKind];
--- a/packages/sidecar/src/own-record.ts
+++ b/packages/sidecar/src/own-record.ts
@@ -23,6 +23,11 @@
     return this.environment.daemonId;
   }
 
+  /** Data centre of this daemon. */
+  get zone(): string {
+    return this.environment.zone;
+  }
+
   record(): DaemonRecord {
     const { daemonId, zone, listen } = this.environment;
     const { announcement } = this.target;
--- a/packages/sidecar/src/peer-connections.ts
+++ b/packages/sidecar/src/peer-connections.ts
@@ -1,6 +1,7 @@
 import type { CallReply, ForwardedCall } from '@daisyferry/mesh/forwarded-call';
 import type { BufferBudget } from '@daisyferry/mesh/buffer-budget';
 import type { FleetDirectory } from '@daisyferry/mesh/fleet-directory';
+import type { DataCentrePeer } from '@daisyferry/mesh/store-reader-choice';
 import type { DaemonRecord } from '@daisyferry/mesh/daemon-record';
 import type { Frame, FrameKindNumber } from '@daisyferry/peering/frame';
 import { FrameKind } from '@daisyferry/peering/frame';
@@ -9,6 +10,10 @@
   decodeLevel,
   decodeRecord,
   decodeRecords,
+  decodeReading,
+  decodeRecordChanges,
+  type RecordChanges,
+  type ReportedReading,
 } from '@daisyferry/peering/control-codec';
 import type { Hello } from '@daisyferry/peering/hello';
 import { PeerLink, type PeerAddress, type CancellableCall } from '@daisyferry/peering/peer-link';
@@ -34,6 +39,8 @@
   /** Called when the home of this daemon or of a peer reports its shed level. */
   readonly onShedLevel: (daemonId: string, level: number, nowMs: number) => void;
   readonly onDaemonRemoved: (daemonId: string) => void;
+  /** Called when a daemon that follows the store reports that this one's record is missing. */
+  readonly onRecordMissing: () => void;
 }
 
 /** Time between two checks of the connections. */
@@ -55,6 +62,9 @@
 export class PeerConnections implements HomeTransport {
   private readonly links = new Map<string, PeerLink>();
 
+  /** Peers that follow the store, as they last reported. */
+  private readonly readers = new Set<string>();
+
   private readonly server: PeerServer;
 
   private timer: NodeJS.Timeout | undefined;
@@ -173,6 +183,7 @@
         },
         onDown: (reason, wasUnresponsive) => {
           directory.setConnected(daemonId, false, clock());
+          this.readers.delete(daemonId);
           log.stateChange('peer disconnected', { daemonId, reason });
           if (wasUnresponsive) this.parts.onUnresponsivePeer();
         },
@@ -198,16 +209,104 @@
     return {
       record: this.parts.ownRecord.record(),
       configurationVersion: this.parts.configuration.version,
-      wantsView: !this.parts.isWatchingStore(),
+      wantsView: false,
+      isReading: this.parts.isWatchingStore(),
       acceptsBodyParts: true,
     };
   }
 
   private handleHello(hello: Hello, peer: ControlFrameSender): void {
+    const { daemonId, zone } = hello.record;
+    this.setReading({ daemonId, isReading: hello.isReading });
     this.applyRecord(hello.record, 'direct');
     this.syncConfigurationVersion(hello.configurationVersion, peer);
-    if (hello.wantsView) {
-      peer.sendControl(FrameKind.view, JSON.stringify(this.parts.directory.allRecords()));
+    if (hello.wantsView) this.sendView(peer);
+    const isReader = this.parts.isWatchingStore() && zone === this.parts.ownRecord.zone;
+    if (isReader && !hello.isReading) this.sendSnapshot(peer);
+  }
+
+  /** The daemons of this data centre that are connected. */
+  dataCentrePeers(): DataCentrePeer[] {
+    const { directory, ownRecord } = this.parts;
+    const peers: DataCentrePeer[] = [];
+    for (const [daemonId, link] of this.links) {
+      if (link.isUp && directory.recordOf(daemonId)?.zone === ownRecord.zone) {
+        peers.push({ daemonId, isReading: this.readers.has(daemonId) });
+      }
+    }
+    return peers;
+  }
+
+  /** Tells the daemons of this data centre whether this one follows the store. */
+  broadcastReading(isReading: boolean): void {
+    const { daemonId } = this.parts.ownRecord;
+    const reported: ReportedReading = { daemonId, isReading };
+    this.sendToDataCentre(FrameKind.reading, JSON.stringify(reported));
+  }
+
+  /** Sends all stored records to the daemons of this data centre that do not follow the store. */
+  reportSnapshot(): void {
+    for (const link of this.dataCentreLinks()) this.sendSnapshot(link);
+  }
+
+  /** Sends a change of the stored records to the daemons of this data centre. */
+  reportChanges(changes: RecordChanges): void {
+    this.sendToDataCentre(FrameKind.changes, JSON.stringify(changes));
+  }
+
+  /** Tells the connected daemons of this data centre whose records are not in the store. */
+  reportMissingRecords(storedIds: ReadonlySet<string>): void {
+    for (const { daemonId } of this.dataCentrePeers()) {
+      if (!storedIds.has(daemonId)) this.reportMissingRecord(daemonId);
+    }
+  }
+
+  private reportMissingRecord(daemonId: string): void {
+    this.links.get(daemonId)?.sendControl(FrameKind.recordMissing, '');
+  }
+
+  private sendSnapshot(peer: ControlFrameSender): void {
+    peer.sendControl(FrameKind.snapshot, JSON.stringify(this.parts.directory.storedRecords()));
+  }
+
+  private sendView(peer: ControlFrameSender): void {
+    peer.sendControl(FrameKind.view, JSON.stringify(this.parts.directory.allRecords()));
+  }
+
+  private sendToDataCentre(kind: FrameKindNumber, head: string): void {
+    for (const link of this.dataCentreLinks()) link.sendControl(kind, head);
+  }
+
+  private *dataCentreLinks(): Iterable<PeerLink> {
+    const { directory, ownRecord } = this.parts;
+    for (const [daemonId, link] of this.links) {
+      if (directory.recordOf(daemonId)?.zone === ownRecord.zone) yield link;
+    }
+  }
+
+  private setReading({ daemonId, isReading }: ReportedReading): void {
+    if (isReading) this.readers.add(daemonId);
+    else this.readers.delete(daemonId);
+  }
+
+  /** Applies the stored records, as reported by a daemon that follows the store. */
+  private applySnapshot(records: readonly DaemonRecord[]): void {
+    const { directory, clock, ownRecord } = this.parts;
+    // A daemon that follows the store itself relies on its own view of it.
+    if (this.parts.isWatchingStore()) return;
+    for (const record of records) this.applyRecord(record, 'stored');
+    const storedIds = new Set(records.map(({ daemonId }) => daemonId));
+    directory.retainStored(storedIds, clock());
+    if (!storedIds.has(ownRecord.daemonId)) this.parts.onRecordMissing();
+  }
+
+  private applyChanges({ records, removedIds }: RecordChanges): void {
+    const { directory, clock, ownRecord } = this.parts;
+    if (this.parts.isWatchingStore()) return;
+    for (const record of records) this.applyRecord(record, 'stored');
+    for (const daemonId of removedIds) {
+      if (daemonId === ownRecord.daemonId) this.parts.onRecordMissing();
+      else directory.markRemovedFromStore(daemonId, clock());
     }
   }
 
@@ -219,6 +318,23 @@
       case FrameKind.view:
         for (const record of decodeRecords(frame.head)) this.applyRecord(record, 'relayed');
         return;
+      case FrameKind.viewRequest:
+        this.sendView(peer);
+        return;
+      case FrameKind.snapshot:
+        this.applySnapshot(decodeRecords(frame.head));
+        return;
+      case FrameKind.changes:
+        this.applyChanges(decodeRecordChanges(frame.head));
+        return;
+      case FrameKind.recordMissing:
+        this.parts.onRecordMissing();
+        return;
+      case FrameKind.reading: {
+        const reported = decodeReading(frame.head);
+        if (reported !== undefined) this.setReading(reported);
+        return;
+      }
       case FrameKind.configuration:
         if (frame.body.length > 0) {
           this.parts.configuration.applyIfNewer(frame.body.toString('utf8'), 'peer');
--- a/packages/sidecar/src/prefix-follower.ts
+++ b/packages/sidecar/src/prefix-follower.ts
@@ -9,6 +9,7 @@
   /** Called with all values under the prefix, after the start and after each interruption. */
   onSnapshot(values: readonly StoredValue[]): void;
   onEvents(events: readonly WatchEvent[]): void;
+  /** Called when a read failed or the watch ended; the follower goes on trying. */
   onInterrupted(detail: string): void;
 }
 
@@ -18,18 +19,18 @@
 const MIN_BACKOFF_MS = 100;
 const MAX_BACKOFF_MS = 800;
 
-/** Reads, then watches, all keys under a prefix; starts over when the watch ends. */
+/** Reads, then watches, all keys under a prefix while it is started. */
 export class PrefixFollower {
-  /** True while the watch is up. */
-  isWatching = false;
-
   private watch: Watch | undefined;
 
   private backoffMs = MIN_BACKOFF_MS;
 
   private timer: NodeJS.Timeout | undefined;
 
-  private isStopped = false;
+  private isRunning = false;
+
+  /** Increases with each start and stop, so that results of earlier reads are ignored. */
+  private generation = 0;
 
   constructor(
     private readonly store: KeyValueStore,
@@ -37,42 +38,57 @@
     private readonly listener: PrefixListener,
   ) {}
 
+  get isStarted(): boolean {
+    return this.isRunning;
+  }
+
   start(): void {
-    this.readAndWatch().catch((error: unknown) => this.scheduleRetry(String(error)));
+    if (this.isRunning) return;
+    this.isRunning = true;
+    this.generation += 1;
+    this.backoffMs = MIN_BACKOFF_MS;
+    this.attempt();
   }
 
   stop(): void {
-    this.isStopped = true;
+    this.isRunning = false;
+    this.generation += 1;
     clearTimeout(this.timer);
     this.watch?.stop();
+    this.watch = undefined;
   }
 
-  private async readAndWatch(): Promise<void> {
+  private attempt(): void {
+    const { generation } = this;
+    this.readAndWatch(generation).catch((error: unknown) =>
+      this.scheduleRetry(generation, String(error)),
+    );
+  }
+
+  private async readAndWatch(generation: number): Promise<void> {
     const result = await this.store.range({ key: this.prefix, prefix: true }, CALL_TIMEOUT_MS);
-    if (this.isStopped) return;
+    if (generation !== this.generation) return;
     if (!result.ok) {
-      this.scheduleRetry(result.detail);
+      this.scheduleRetry(generation, result.detail);
       return;
     }
     this.backoffMs = MIN_BACKOFF_MS;
-    this.isWatching = true;
     this.listener.onSnapshot(result.value.values);
+    // The listener may have stopped this follower.
+    if (generation !== this.generation) return;
     this.watch = this.store.watch(
       { key: this.prefix, prefix: true, fromRevision: result.value.storeRevision + 1 },
       {
         onEvents: (events) => this.listener.onEvents(events),
-        onEnd: (reason) => this.scheduleRetry(`watch ended: ${reason}`),
+        onEnd: (reason) => this.scheduleRetry(generation, `watch ended: ${reason}`),
       },
     );
   }
 
-  private scheduleRetry(detail: string): void {
-    if (this.isStopped) return;
-    if (this.isWatching) {
-      this.isWatching = false;
-      this.listener.onInterrupted(detail);
-    }
-    this.timer = setTimeout(() => this.start(), this.backoffMs);
+  private scheduleRetry(generation: number, detail: string): void {
+    if (generation !== this.generation) return;
+    this.listener.onInterrupted(detail);
+    this.timer = setTimeout(() => this.attempt(), this.backoffMs);
     this.backoffMs = Math.min(MAX_BACKOFF_MS, this.backoffMs * 2);
   }
 }
--- a/packages/sidecar/src/registration.ts
+++ b/packages/sidecar/src/registration.ts
@@ -1,4 +1,5 @@
 import type { DaemonRecord } from '@daisyferry/mesh/daemon-record';
+import type { RandomSource } from '@daisyferry/model/scheduler';
 import type { KeyValueStore } from '@daisyferry/store/key-value-store';
 import type { EventLog } from './event-log';
 
@@ -6,14 +7,41 @@
 export const DAEMON_PREFIX = 'daisyferry/daemons/';
 
 /** Time to live of a record that its daemon no longer renews; longer if the store requires it. */
-const LEASE_MS = 4_000;
+const LEASE_MS = 18_000;
 const MS_PER_SECOND = 1_000;
-/** Time between two renewals; also the longest delay until a recovered store is used again. */
-const RENEW_INTERVAL_MS = 1_200;
+/**
+ * Time between two renewals. A daemon that follows the store renews more often, as it must notice
+ * an unresponsive connection; it tells the others when their records are missing.
+ */
+const RENEW_INTERVAL_MS = 6_000;
+const FREQUENT_RENEW_INTERVAL_MS = 1_200;
+/**
+ * Time after the start within which a target usually announces itself; a record without a target
+ * is written only after it.
+ */
+const FIRST_WRITE_DELAY_MS = 2_500;
+/** Shortest time between two writes: peers are told of a change directly, the store follows. */
+const MIN_WRITE_INTERVAL_MS = 1_000;
+/** Delay of a write, at random up to it, as a whole fleet may have to write at the same time. */
+const WRITE_JITTER_MS = 200;
 /** Delay after a failed call; it restores an expired record well within two seconds. */
 const RETRY_DELAY_MS = 400;
+/** Longest delay after repeated failures: a store that refuses this machine is not pressed. */
+const MAX_RETRY_DELAY_MS = 1_600;
 const CALL_TIMEOUT_MS = 1_200;
 
+export interface RegistrationParts {
+  readonly store: KeyValueStore;
+  /** Shortest lease that the store grants. */
+  readonly minLeaseMs: number;
+  readonly ownRecord: () => DaemonRecord;
+  /** Called when a call had no response, as connections to the store may be unresponsive. */
+  readonly onUnresponsiveStore: () => void;
+  readonly log: EventLog;
+  readonly random: RandomSource;
+  readonly clock: () => number;
+}
+
 /** Keeps this daemon's record in the store under a lease. */
 export class Registration {
   private leaseId: string | undefined;
@@ -28,32 +56,59 @@
 
   private isReachable = true;
 
-  constructor(
-    private readonly store: KeyValueStore,
-    /** Shortest lease that the store grants. */
-    private readonly minLeaseMs: number,
-    private readonly ownRecord: () => DaemonRecord,
-    /** Called when a call had no response, as connections to the store may be unresponsive. */
-    private readonly onUnresponsiveStore: () => void,
-    private readonly log: EventLog,
-  ) {}
+  private isFrequent = false;
+
+  private failures = 0;
+
+  private readonly startedAtMs: number;
+
+  private lastWriteAtMs = Number.NEGATIVE_INFINITY;
+
+  constructor(private readonly parts: RegistrationParts) {
+    this.startedAtMs = parts.clock();
+  }
 
   /** Schedules a write of the record, as it has changed. */
   scheduleWrite(): void {
-    this.schedule(0);
+    this.schedule(this.writeDelayMs());
   }
 
   /** Schedules a new write of the record, as it was removed from the store or its lease expired. */
   scheduleRewrite(): void {
+    if (this.parts.clock() - this.lastWriteAtMs < MIN_WRITE_INTERVAL_MS) return;
     this.storedRevision = -1;
-    this.schedule(0);
+    this.leaseId = undefined;
+    this.schedule(this.writeDelayMs());
+  }
+
+  /** Sets how often the lease is renewed. */
+  setFrequentRenewal(isFrequent: boolean): void {
+    this.isFrequent = isFrequent;
+    if (isFrequent && this.storedRevision >= 0) this.schedule(FREQUENT_RENEW_INTERVAL_MS);
   }
 
   /** Revokes the lease, so that the store removes the record at once. */
   async stop(): Promise<void> {
     this.isStopped = true;
     clearTimeout(this.timer);
-    if (this.leaseId !== undefined) await this.store.revokeLease(this.leaseId, CALL_TIMEOUT_MS);
+    if (this.leaseId !== undefined) {
+      await this.parts.store.revokeLease(this.leaseId, CALL_TIMEOUT_MS);
+    }
+  }
+
+  private writeDelayMs(): number {
+    const { ownRecord, clock, random } = this.parts;
+    const nowMs = clock();
+    const isFirst = this.lastWriteAtMs === Number.NEGATIVE_INFINITY;
+    const earliestMs =
+      isFirst && ownRecord().target === undefined
+        ? this.startedAtMs + FIRST_WRITE_DELAY_MS
+        : this.lastWriteAtMs + MIN_WRITE_INTERVAL_MS;
+    return Math.max(0, earliestMs - nowMs) + random() * WRITE_JITTER_MS;
+  }
+
+  private renewalDelayMs(): number {
+    return this.isFrequent ? FREQUENT_RENEW_INTERVAL_MS : RENEW_INTERVAL_MS;
   }
 
   private schedule(delayMs: number): void {
@@ -61,7 +116,7 @@
     clearTimeout(this.timer);
     this.timer = setTimeout(() => {
       this.renewAndReschedule().catch((error: unknown) =>
-        this.log.warn('registration failed', { error: String(error) }),
+        this.parts.log.warn('registration failed', { error: String(error) }),
       );
     }, delayMs);
   }
@@ -72,29 +127,35 @@
     const isRegistered = await this.renewOrWrite();
     this.isRunning = false;
     this.updateReachability(isRegistered);
-    const isCurrent = this.storedRevision === this.ownRecord().revision;
-    if (!isRegistered) this.schedule(RETRY_DELAY_MS);
-    else this.schedule(isCurrent ? RENEW_INTERVAL_MS : 0);
+    const isCurrent = this.storedRevision === this.parts.ownRecord().revision;
+    if (!isRegistered) this.schedule(this.retryDelayMs());
+    else this.schedule(isCurrent ? this.renewalDelayMs() : this.writeDelayMs());
+  }
+
+  private retryDelayMs(): number {
+    const delayMs = RETRY_DELAY_MS * 2 ** Math.min(8, this.failures - 1);
+    return Math.min(MAX_RETRY_DELAY_MS, delayMs) * (0.75 + this.parts.random() / 2);
   }
 
   private async renewOrWrite(): Promise<boolean> {
-    if (this.leaseId !== undefined && this.storedRevision === this.ownRecord().revision) {
-      const renewed = await this.store.renewLease(this.leaseId, CALL_TIMEOUT_MS);
+    const { store, ownRecord, onUnresponsiveStore, log } = this.parts;
+    if (this.leaseId !== undefined && this.storedRevision === ownRecord().revision) {
+      const renewed = await store.renewLease(this.leaseId, CALL_TIMEOUT_MS);
       if (!renewed.ok) {
-        if (renewed.kind === 'undecided') this.onUnresponsiveStore();
+        if (renewed.kind === 'undecided') onUnresponsiveStore();
         return false;
       }
       if (renewed.value.remainingSeconds > 0) return true;
       this.leaseId = undefined;
-      this.log.stateChange('lease expired');
+      log.stateChange('lease expired');
     }
     return (await this.ensureLease()) && this.writeRecord();
   }
 
   private async ensureLease(): Promise<boolean> {
     if (this.leaseId !== undefined) return true;
-    const leaseMs = Math.max(LEASE_MS, this.minLeaseMs);
-    const granted = await this.store.grantLease(leaseMs / MS_PER_SECOND, CALL_TIMEOUT_MS);
+    const leaseMs = Math.max(LEASE_MS, this.parts.minLeaseMs);
+    const granted = await this.parts.store.grantLease(leaseMs / MS_PER_SECOND, CALL_TIMEOUT_MS);
     if (!granted.ok) return false;
     this.leaseId = granted.value.leaseId;
     return true;
@@ -103,24 +164,26 @@
   private async writeRecord(): Promise<boolean> {
     const { leaseId } = this;
     if (leaseId === undefined) return false;
-    const record = this.ownRecord();
+    const record = this.parts.ownRecord();
     const key = `${DAEMON_PREFIX}${record.daemonId}`;
     const put = { kind: 'put', key, value: JSON.stringify(record), leaseId } as const;
-    const written = await this.store.transact([], [put], CALL_TIMEOUT_MS);
+    const written = await this.parts.store.transact([], [put], CALL_TIMEOUT_MS);
     if (!written.ok) {
       // The lease may have expired; granting a new one costs only one call.
       this.leaseId = undefined;
       return false;
     }
     this.storedRevision = record.revision;
-    this.log.stateChange('record stored', { revision: record.revision });
+    this.lastWriteAtMs = this.parts.clock();
+    this.parts.log.stateChange('record stored', { revision: record.revision });
     return true;
   }
 
   private updateReachability(isReachable: boolean): void {
+    this.failures = isReachable ? 0 : this.failures + 1;
     if (this.isReachable === isReachable) return;
     this.isReachable = isReachable;
-    if (isReachable) this.log.stateChange('store reachable again');
-    else this.log.warn('store unreachable');
+    if (isReachable) this.parts.log.stateChange('store reachable again');
+    else this.parts.log.warn('store unreachable');
   }
 }
--- a/packages/sidecar/src/store-sync.ts
+++ b/packages/sidecar/src/store-sync.ts
@@ -1,5 +1,6 @@
 import type { FleetDirectory } from '@daisyferry/mesh/fleet-directory';
 import type { DaemonRecord } from '@daisyferry/mesh/daemon-record';
+import { StoreReading, type StoreReaderChoice } from '@daisyferry/mesh/store-reader-choice';
 import { decodeRecord } from '@daisyferry/peering/control-codec';
 import type { KeyValueStore, StoredValue, WatchEvent } from '@daisyferry/store/key-value-store';
 import type { ConfigurationHolder } from './configuration-holder';
@@ -18,18 +19,35 @@
   readonly directory: FleetDirectory;
   readonly peerConnections: PeerConnections;
   readonly registration: Registration;
+  readonly readerChoice: StoreReaderChoice;
   readonly ownDaemonId: string;
   readonly log: EventLog;
   readonly clock: () => number;
 }
 
-/** Keeps the configuration and the daemon records of this process in sync with the store. */
+/** Time between two decisions whether this daemon follows the store. */
+const DECISION_INTERVAL_MS = 200;
+/** Timeout of a single read, and pause before the next one after it failed. */
+const READ_TIMEOUT_MS = 1_500;
+const READ_RETRY_MS = 400;
+
+/**
+ * Keeps the configuration and the daemon records of this process in sync with the store. Each
+ * daemon reads the store once when it starts. Then a few of each data centre follow it and report
+ * what changes to the others.
+ */
 export class StoreSync {
-  private readonly followers: readonly PrefixFollower[];
+  private readonly configurationFollower: PrefixFollower;
+
+  private readonly recordFollower: PrefixFollower;
+
+  private timer: NodeJS.Timeout | undefined;
+
+  private isStopped = false;
 
   constructor(private readonly parts: StoreSyncParts) {
-    const { store, log, storeState } = parts;
-    const configuration = new PrefixFollower(store, parts.operatorPrefix, {
+    const { store, log } = parts;
+    this.configurationFollower = new PrefixFollower(store, parts.operatorPrefix, {
       onSnapshot: (values) => {
         log.stateChange('configuration read from the store');
         for (const value of values) this.applyConfiguration(value);
@@ -39,28 +57,103 @@
       },
       onInterrupted: (detail) => log.warn('configuration watch lost', { detail }),
     });
-    const daemons = new PrefixFollower(store, DAEMON_PREFIX, {
+    this.recordFollower = new PrefixFollower(store, DAEMON_PREFIX, {
       onSnapshot: (values) => {
-        storeState.setWatching(true);
         this.applyRecordSnapshot(values);
+        this.setReading(true);
+        parts.peerConnections.reportSnapshot();
       },
-      onEvents: (events) => {
-        for (const event of events) this.applyRecordEvent(event);
-      },
+      onEvents: (events) => this.applyRecordEvents(events),
       onInterrupted: (detail) => {
-        storeState.setWatching(false);
+        this.setReading(false);
         log.warn('daemon watch lost', { detail });
       },
     });
-    this.followers = [configuration, daemons];
   }
 
   start(): void {
-    for (const follower of this.followers) follower.start();
+    this.readConfigurationOnce().catch((error: unknown) => this.logFailedRead(error));
+    this.readRecordsOnce(true).catch((error: unknown) => this.logFailedRead(error));
+    this.timer = setInterval(() => this.decide(this.parts.clock()), DECISION_INTERVAL_MS);
   }
 
   stop(): void {
-    for (const follower of this.followers) follower.stop();
+    this.isStopped = true;
+    clearInterval(this.timer);
+    this.configurationFollower.stop();
+    this.recordFollower.stop();
+  }
+
+  private decide(nowMs: number): void {
+    const { readerChoice, peerConnections } = this.parts;
+    const reading = readerChoice.decide(peerConnections.dataCentrePeers(), nowMs);
+    if (reading === StoreReading.follow) this.follow();
+    else this.stopFollowing();
+    if (reading === StoreReading.once) {
+      this.readRecordsOnce(false).catch((error: unknown) => this.logFailedRead(error));
+    }
+  }
+
+  private follow(): void {
+    if (this.recordFollower.isStarted) return;
+    this.parts.log.stateChange('follows the store');
+    this.configurationFollower.start();
+    this.recordFollower.start();
+    this.parts.registration.setFrequentRenewal(true);
+  }
+
+  private stopFollowing(): void {
+    if (!this.recordFollower.isStarted) return;
+    this.parts.log.stateChange('no longer follows the store');
+    this.configurationFollower.stop();
+    this.recordFollower.stop();
+    this.setReading(false);
+    this.parts.registration.setFrequentRenewal(false);
+  }
+
+  private setReading(isReading: boolean): void {
+    const { storeState, peerConnections } = this.parts;
+    if (storeState.isWatching === isReading) return;
+    storeState.setWatching(isReading);
+    peerConnections.broadcastReading(isReading);
+  }
+
+  /** Reads the configuration, until that succeeds or a peer has sent one. */
+  private async readConfigurationOnce(): Promise<void> {
+    const { store, configurationKey, configuration, storeState, log } = this.parts;
+    const result = await store.range({ key: configurationKey }, READ_TIMEOUT_MS);
+    if (this.isStopped || storeState.isWatching) return;
+    if (result.ok) {
+      log.stateChange('configuration read from the store');
+      for (const value of result.value.values) this.applyConfiguration(value);
+    } else if (configuration.version === 0) {
+      log.warn('configuration not read from the store', { detail: result.detail });
+      this.retryRead(() => this.readConfigurationOnce());
+    }
+  }
+
+  /** Reads the records once; with `isRetried`, until that succeeds or a peer is connected. */
+  private async readRecordsOnce(isRetried: boolean): Promise<void> {
+    const { store, peerConnections, log } = this.parts;
+    const result = await store.range({ key: DAEMON_PREFIX, prefix: true }, READ_TIMEOUT_MS);
+    if (this.isStopped || this.recordFollower.isStarted) return;
+    if (result.ok) {
+      this.applyRecordSnapshot(result.value.values);
+    } else {
+      log.warn('daemon records not read from the store', { detail: result.detail });
+      const isStillAlone = peerConnections.connectedCount === 0;
+      if (isRetried && isStillAlone) this.retryRead(() => this.readRecordsOnce(true));
+    }
+  }
+
+  private retryRead(read: () => Promise<void>): void {
+    setTimeout(() => {
+      if (!this.isStopped) read().catch((error: unknown) => this.logFailedRead(error));
+    }, READ_RETRY_MS);
+  }
+
+  private logFailedRead(error: unknown): void {
+    this.parts.log.warn('read of the store failed', { error: String(error) });
   }
 
   private applyConfiguration({ key, value }: StoredValue | WatchEvent): void {
@@ -76,19 +169,26 @@
     const storedIds = new Set(records.map(({ daemonId }) => daemonId));
     directory.retainStored(storedIds, clock());
     if (!storedIds.has(ownDaemonId)) registration.scheduleRewrite();
+    peerConnections.reportMissingRecords(storedIds);
   }
 
-  private applyRecordEvent(event: WatchEvent): void {
+  private applyRecordEvents(events: readonly WatchEvent[]): void {
     const { peerConnections, directory, log, clock, ownDaemonId, registration } = this.parts;
-    if (event.kind === 'put') {
-      for (const record of this.parseRecord(event.value))
-        peerConnections.applyRecord(record, 'stored');
-      return;
+    const records: DaemonRecord[] = [];
+    const removedIds: string[] = [];
+    for (const event of events) {
+      if (event.kind === 'put') {
+        records.push(...this.parseRecord(event.value));
+      } else {
+        const daemonId = event.key.slice(DAEMON_PREFIX.length);
+        removedIds.push(daemonId);
+        log.stateChange('daemon record removed from the store', { peerId: daemonId });
+        if (daemonId === ownDaemonId) registration.scheduleRewrite();
+        else directory.markRemovedFromStore(daemonId, clock());
+      }
     }
-    const daemonId = event.key.slice(DAEMON_PREFIX.length);
-    log.stateChange('daemon record removed from the store', { peerId: daemonId });
-    if (daemonId === ownDaemonId) registration.scheduleRewrite();
-    else directory.markRemovedFromStore(daemonId, clock());
+    for (const record of records) peerConnections.applyRecord(record, 'stored');
+    peerConnections.reportChanges({ records, removedIds });
   }
 
   private parseRecord(text: string): DaemonRecord[] {
--- a/packages/sidecar/src/wire-sidecar.ts
+++ b/packages/sidecar/src/wire-sidecar.ts
@@ -11,6 +11,7 @@
 import { RecentMaximum } from '@daisyferry/mesh/recent-maximum';
 import type { RoutingConfiguration } from '@daisyferry/mesh/routing-configuration';
 import { ShedLevel } from '@daisyferry/mesh/shed-level';
+import { StoreReaderChoice } from '@daisyferry/mesh/store-reader-choice';
 import { UnresponsiveTargetDetector } from '@daisyferry/mesh/unresponsive-target-detector';
 import { RouteServiceTimes } from '@daisyferry/mesh/route-service-times';
 import { DestinationSelector } from '@daisyferry/mesh/destination-selector';
@@ -102,6 +103,7 @@
   const storeState = new StoreState();
   const shedLevel = new ShedLevel();
   const levelChanges = new Emitter<number>();
+  const recordMissing = new Emitter<undefined>();
   const downstreamLevels = new DownstreamShedLevels();
   const configuration = new ConfigurationHolder(platform.decodeConfiguration, log);
   const ownRecord = new OwnRecord(environment, target, startUnixMs, clock);
@@ -150,14 +152,18 @@
         downstreamLevels.refreshLevel(service, chooser.shedLevelOf(service, nowMs), nowMs);
     },
     onDaemonRemoved: (daemonId) => chooser.remove(daemonId),
+    onRecordMissing: () => recordMissing.emit(undefined),
   });
-  const registration = new Registration(
+  const registration = new Registration({
     store,
-    environment.store.minLeaseMs,
-    () => ownRecord.record(),
-    platform.resetStoreConnections,
+    minLeaseMs: environment.store.minLeaseMs,
+    ownRecord: () => ownRecord.record(),
+    onUnresponsiveStore: platform.resetStoreConnections,
     log,
-  );
+    random: Math.random,
+    clock,
+  });
+  recordMissing.subscribe(() => registration.scheduleRewrite());
   const storeSync = new StoreSync({
     store,
     storeState,
@@ -167,6 +173,7 @@
     directory,
     peerConnections,
     registration,
+    readerChoice: new StoreReaderChoice(environment.daemonId, Math.random),
     ownDaemonId: environment.daemonId,
     log,
     clock,
