Bound the links of a daemon and the work of a record; spread configurations once

Causes: every daemon kept a link to every other one and a connection from it; each change of a record or a configuration was a frame to everybody, and each daemon requested a new document from every peer that reported it; each applied record rebuilt the whole service index; the shed level of a service was added up over all its homes for each request, and homes of which nothing is known would have counted as homes with room. The index of the directory is kept up to date in place, the load of a service is added up at most every 20 ms. Where there are several data centres, one daemon of each follows the store.

--- a/packages/mesh/src/fleet-directory.ts
+++ b/packages/mesh/src/fleet-directory.ts
@@ -17,6 +17,11 @@
 /** Time for which an unconfirmed record is still used: enough for two connection attempts. */
 const UNCONFIRMED_RETENTION_MS = 2_000;
 
+/** The service that new calls may be sent to at the daemon. */
+function servedService({ target, isLeaving }: DaemonRecord): string | undefined {
+  return target?.isServing === true && !isLeaving ? target.service : undefined;
+}
+
 /**
  * The records of all daemons that this one knows. A record is kept while it is in the store or the
  * daemon is connected, so that an expired lease alone does not remove a daemon that still responds.
@@ -24,7 +29,9 @@
 export class FleetDirectory {
   private readonly entries = new Map<string, DirectoryEntry>();
 
-  private readonly byService = new Map<string, DaemonRecord[]>();
+  private readonly byService = new Map<string, readonly DaemonRecord[]>();
+
+  private readonly zoneSizes = new Map<string, number>();
 
   get size(): number {
     return this.entries.size;
@@ -48,6 +55,29 @@
     return this.byService.get(service) ?? [];
   }
 
+  /** Number of known daemons of a data centre. */
+  zoneSize(zone: string): number {
+    return this.zoneSizes.get(zone) ?? 0;
+  }
+
+  /** Number of data centres with known daemons. */
+  get zoneCount(): number {
+    return this.zoneSizes.size;
+  }
+
+  /** Number of serving targets of the service in a data centre. */
+  localServingCount(service: string, zone: string): number {
+    return this.servingRecords(service).reduce(
+      (count, record) => (record.zone === zone ? count + 1 : count),
+      0,
+    );
+  }
+
+  /** True while a connection to the daemon is alive. */
+  isConnected(daemonId: string): boolean {
+    return this.entries.get(daemonId)?.isConnected === true;
+  }
+
   /** Adds or updates a record. Returns true if the directory changed. */
   applyRecord(record: DaemonRecord, source: RecordSource, nowMs: number): boolean {
     const present = this.entries.get(record.daemonId);
@@ -55,16 +85,18 @@
       const isStored = source === 'stored';
       const expiresAtMs = nowMs + UNCONFIRMED_RETENTION_MS;
       this.entries.set(record.daemonId, { record, isStored, isConnected: false, expiresAtMs });
+      this.addToIndex(record);
     } else {
       if (source === 'stored') present.isStored = true;
       // A daemon's own record prevails even if its clock was set back between two incarnations.
       const isOtherIncarnation =
         source === 'direct' && record.incarnation !== present.record.incarnation;
       if (!isOtherIncarnation && !isNewerRecord(record, present.record)) return false;
+      this.removeFromIndex(present.record);
       present.record = record;
+      this.addToIndex(record);
       present.expiresAtMs = nowMs + UNCONFIRMED_RETENTION_MS;
     }
-    this.rebuildServiceIndex();
     return true;
   }
 
@@ -97,20 +129,30 @@
       if (!entry.isStored && !entry.isConnected && nowMs >= entry.expiresAtMs)
         expiredIds.push(daemonId);
     }
-    for (const daemonId of expiredIds) this.entries.delete(daemonId);
-    if (expiredIds.length > 0) this.rebuildServiceIndex();
+    for (const daemonId of expiredIds) {
+      const entry = this.entries.get(daemonId);
+      if (entry !== undefined) this.removeFromIndex(entry.record);
+      this.entries.delete(daemonId);
+    }
     return expiredIds;
   }
 
-  private rebuildServiceIndex(): void {
-    this.byService.clear();
-    for (const { record } of this.entries.values()) {
-      const { target } = record;
-      if (target?.isServing === true && !record.isLeaving) {
-        const list = this.byService.get(target.service);
-        if (list === undefined) this.byService.set(target.service, [record]);
-        else list.push(record);
-      }
-    }
+  private addToIndex(record: DaemonRecord): void {
+    this.zoneSizes.set(record.zone, this.zoneSize(record.zone) + 1);
+    const service = servedService(record);
+    if (service === undefined) return;
+    // A new list, as callers may hold the present one.
+    this.byService.set(service, [...this.servingRecords(service), record]);
+  }
+
+  private removeFromIndex(record: DaemonRecord): void {
+    const othersInZone = this.zoneSize(record.zone) - 1;
+    if (othersInZone > 0) this.zoneSizes.set(record.zone, othersInZone);
+    else this.zoneSizes.delete(record.zone);
+    const service = servedService(record);
+    if (service === undefined) return;
+    const others = this.servingRecords(service).filter((other) => other !== record);
+    if (others.length > 0) this.byService.set(service, others);
+    else this.byService.delete(service);
   }
 }
--- a/packages/mesh/src/store-reader-choice.ts
+++ b/packages/mesh/src/store-reader-choice.ts
@@ -19,8 +19,12 @@
 
 export type StoreReadingName = (typeof StoreReading)[keyof typeof StoreReading];
 
-/** Daemons of one data centre that follow the store: two, so that one may be lost. */
-const READERS_PER_DATA_CENTRE = 2;
+/**
+ * Daemons of one data centre that follow the store. A single data centre has two, so that one may
+ * be lost; several report new configurations to each other.
+ */
+const READERS_OF_SINGLE_DATA_CENTRE = 2;
+const READERS_OF_EACH_DATA_CENTRE = 1;
 /** Time after the first connection in which the further ones of a starting fleet come up. */
 const SETTLING_MS = 700;
 /** Time without any reader until the first substitute follows the store; it grows with the rank. */
@@ -55,14 +59,22 @@
     this.ownRank = requestRank(ownDaemonId);
   }
 
-  decide(peers: readonly DataCentrePeer[], nowMs: number): StoreReadingName {
+  /** `peers` are the connected daemons of the data centre. */
+  decide(
+    peers: readonly DataCentrePeer[],
+    isSingleDataCentre: boolean,
+    nowMs: number,
+  ): StoreReadingName {
     if (peers.length === 0) return this.decideAlone(nowMs);
     this.aloneSinceMs = undefined;
     this.nextSearchAtMs = undefined;
     this.connectedSinceMs ??= nowMs;
     if (nowMs - this.connectedSinceMs < SETTLING_MS) return StoreReading.none;
     const ahead = peers.filter(({ daemonId }) => requestRank(daemonId) < this.ownRank).length;
-    if (ahead < READERS_PER_DATA_CENTRE) return StoreReading.follow;
+    const wantedReaders = isSingleDataCentre
+      ? READERS_OF_SINGLE_DATA_CENTRE
+      : READERS_OF_EACH_DATA_CENTRE;
+    if (ahead < wantedReaders) return StoreReading.follow;
     return this.isSubstitute(peers, ahead, nowMs) ? StoreReading.follow : StoreReading.none;
   }
 
--- a/packages/mesh/src/target-chooser.ts
+++ b/packages/mesh/src/target-chooser.ts
@@ -23,6 +23,13 @@
   readonly maxCandidates: number;
 }
 
+/** What the homes of a service report, as added up at `atMs`. */
+interface ServiceLoad {
+  readonly level: number;
+  readonly internalShare: number;
+  readonly atMs: number;
+}
+
 interface ScoredTarget {
   readonly record: DaemonRecord;
   readonly cost: number;
@@ -44,6 +51,10 @@
 const NO_TARGET_RETRY_AFTER_MS = 500;
 /** Failure share below which a target is healthy. */
 const MAX_HEALTHY_FAILURE_SHARE = 0.1;
+/** Cost of a home that no connection is open to; a lost home among them would delay a call. */
+const UNCONNECTED_COST = 0.25;
+/** Time for which the loads of a service's homes are not added up again. */
+const SERVICE_LOAD_VALIDITY_MS = 20;
 /** Cost of a home whose connection broke; high enough to use it only if there is no other. */
 const AVOIDED_TARGET_COST = 10;
 
@@ -57,6 +68,10 @@
 
   private readonly internalRoutes = new Set<string>();
 
+  private readonly usedServices = new Set<string>();
+
+  private readonly serviceLoads = new Map<string, ServiceLoad>();
+
   constructor(
     private readonly directory: FleetDirectory,
     private readonly options: TargetChooserOptions,
@@ -64,6 +79,7 @@
   ) {}
 
   choose(query: TargetQuery, nowMs: number): TargetChoice {
+    this.usedServices.add(query.service);
     const candidates = this.candidatesFor(query);
     if (candidates.length === 0)
       return { kind: 'none', reason: 'noTarget', roomInMs: NO_TARGET_RETRY_AFTER_MS };
@@ -84,23 +100,41 @@
     return { kind: 'chosen', record: this.drawByCost(available) };
   }
 
-  /** Load of the service that is to be shed: the mean of the levels that its homes report. */
+  /** True if calls to the service have been made from here. */
+  isServiceUsed(service: string): boolean {
+    return this.usedServices.has(service);
+  }
+
+  /** Load of the service that is to be shed: the mean of its known homes' levels. */
   shedLevelOf(service: string, nowMs: number): number {
-    const records = this.directory.servingRecords(service);
-    if (records.length === 0) return 0;
-    const sum = records.reduce(
-      (total, { daemonId }) => total + (this.views.get(daemonId)?.level(nowMs) ?? 0),
-      0,
-    );
-    return sum / records.length;
+    return this.serviceLoadOf(service, nowMs).level;
   }
 
   /** Share of the service's calls that arrive on internal routes: the least that a home reports. */
-  internalShareOf(service: string): number {
-    const reportedShares = this.directory
-      .servingRecords(service)
-      .flatMap(({ daemonId }) => this.views.get(daemonId)?.internalShare ?? []);
-    return reportedShares.length === 0 ? 0 : Math.min(...reportedShares);
+  internalShareOf(service: string, nowMs: number): number {
+    return this.serviceLoadOf(service, nowMs).internalShare;
+  }
+
+  private serviceLoadOf(service: string, nowMs: number): ServiceLoad {
+    const present = this.serviceLoads.get(service);
+    if (present !== undefined && nowMs - present.atMs < SERVICE_LOAD_VALIDITY_MS) return present;
+    let levelSum = 0;
+    let homeCount = 0;
+    let internalShare: number | undefined;
+    for (const { daemonId } of this.directory.servingRecords(service)) {
+      const view = this.views.get(daemonId);
+      // A connected home that has reported nothing has nothing to shed; of others nothing is known.
+      if (view?.hasReportedLevel === true || this.directory.isConnected(daemonId)) {
+        levelSum += view?.level(nowMs) ?? 0;
+        homeCount += 1;
+      }
+      const share = view?.internalShare;
+      if (share !== undefined) internalShare = Math.min(internalShare ?? 1, share);
+    }
+    const level = levelSum / Math.max(1, homeCount);
+    const load = { level, internalShare: internalShare ?? 0, atMs: nowMs };
+    this.serviceLoads.set(service, load);
+    return load;
   }
 
   /** True while some target of the service fails few calls, so that a retry may succeed there. */
@@ -111,6 +145,8 @@
 
   /** Records a shed level that a home reported outside of a reply. */
   recordShedLevel(daemonId: string, level: number, nowMs: number): void {
+    const service = this.directory.recordOf(daemonId)?.target?.service;
+    if (service !== undefined) this.serviceLoads.delete(service);
     this.viewOf(daemonId).recordShedLevel(level, nowMs);
   }
 
@@ -226,6 +262,7 @@
       UTILIZATION_WEIGHT * (occupiedSlots / limit) ** 2 +
       view.failureShare(nowMs) +
       (isLocal ? 0 : CROSS_ZONE_COST) +
+      (this.directory.isConnected(record.daemonId) ? 0 : UNCONNECTED_COST) +
       (view.isAvoided(nowMs) ? AVOIDED_TARGET_COST : 0)
     );
   }
--- a/packages/mesh/src/target-view.ts
+++ b/packages/mesh/src/target-view.ts
@@ -54,6 +54,10 @@
     return this.load?.internalShare;
   }
 
+  get hasReportedLevel(): boolean {
+    return this.shedLevelAtMs > Number.NEGATIVE_INFINITY;
+  }
+
   recordShedLevel(level: number, nowMs: number): void {
     this.shedLevel = level;
     this.shedLevelAtMs = nowMs;
--- a/packages/mesh/tests/fleet-directory.test.ts
+++ b/packages/mesh/tests/fleet-directory.test.ts
@@ -1,5 +1,6 @@
 import type { DaemonRecord } from '@daisyferry/mesh/daemon-record';
 import { FleetDirectory } from '@daisyferry/mesh/fleet-directory';
+import fc from 'fast-check';
 import { describe, expect, it } from 'vitest';
 
 function record(changes: Partial<DaemonRecord> = {}): DaemonRecord {
@@ -72,4 +73,41 @@
     directory.applyRecord(next, 'direct', 1);
     expect(directory.servingRecords('s')).toEqual([]);
   });
+
+  it('keeps its index the same as one built anew, whatever the order of changes', () => {
+    const change = fc.record({
+      daemonId: fc.constantFrom('a', 'b', 'c'),
+      revision: fc.nat(5),
+      zone: fc.constantFrom('y', 'z'),
+      isLeaving: fc.boolean(),
+      service: fc.constantFrom('s', 't', undefined),
+      isServing: fc.boolean(),
+      isRemoval: fc.boolean(),
+    });
+    fc.assert(
+      fc.property(fc.array(change, { maxLength: 30 }), (changes) => {
+        const directory = new FleetDirectory();
+        for (const [index, each] of changes.entries()) {
+          const { service, isServing, isRemoval, ...fields } = each;
+          const target =
+            service === undefined
+              ? undefined
+              : { targetId: 'i', service, slots: 1, isServing, coldMs: 0 };
+          if (isRemoval) directory.markRemovedFromStore(fields.daemonId, index);
+          else directory.applyRecord(record({ ...fields, target }), 'stored', index);
+          directory.removeExpired(index + 10_000);
+          const records = directory.allRecords();
+          for (const name of ['s', 't']) {
+            const serving = records.filter(
+              (known) =>
+                known.target?.service === name && known.target.isServing && !known.isLeaving,
+            );
+            expect(new Set(directory.servingRecords(name))).toEqual(new Set(serving));
+          }
+          const inZone = records.filter((known) => known.zone === 'z').length;
+          expect(directory.zoneSize('z')).toBe(inZone);
+        }
+      }),
+    );
+  });
 });
--- a/packages/mesh/tests/store-reader-choice.test.ts
+++ b/packages/mesh/tests/store-reader-choice.test.ts
@@ -21,7 +21,10 @@
 
   private readonly choices: ReadonlyMap<string, StoreReaderChoice>;
 
-  constructor(size: number) {
+  constructor(
+    size: number,
+    private readonly isSingle = true,
+  ) {
     const ids = Array.from({ length: size }, (_, index) => `daemon-${index}`);
     this.daemonIds = ids.sort((left, right) => requestRank(left) - requestRank(right));
     this.choices = new Map(ids.map((id) => [id, new StoreReaderChoice(id, () => 0.5)]));
@@ -42,7 +45,7 @@
     const peers = this.daemonIds
       .filter((id) => id !== ownId)
       .map((daemonId) => ({ daemonId, isReading: this.reading.has(daemonId) }));
-    return this.choices.get(ownId)?.decide(peers, this.nowMs);
+    return this.choices.get(ownId)?.decide(peers, this.isSingle, this.nowMs);
   }
 }
 
@@ -53,6 +56,11 @@
     expect([...dataCentre.reading]).toEqual(dataCentre.daemonIds.slice(0, 2));
   });
 
+  it('lets one daemon of each of several data centres follow the store', () => {
+    const dataCentre = new DataCentre(32, false);
+    expect(dataCentre.run(10_000)).toBe(1);
+  });
+
   it('replaces readers that the store refuses within three seconds, and only as many as needed', () => {
     const dataCentre = new DataCentre(32);
     dataCentre.run(5_000);
@@ -69,7 +77,7 @@
     const choice = new StoreReaderChoice('a', () => 0.5);
     const decisions = new Map<number, StoreReadingName>();
     for (let nowMs = 0; nowMs < 5_000; nowMs += TICK_MS)
-      decisions.set(nowMs, choice.decide([], nowMs));
+      decisions.set(nowMs, choice.decide([], true, nowMs));
     const searches = [...decisions.values()].filter((each) => each === StoreReading.once);
     expect(searches).toHaveLength(2);
     expect(decisions.get(3_800)).not.toBe(StoreReading.follow);
--- a/packages/mesh/tests/target-chooser.test.ts
+++ b/packages/mesh/tests/target-chooser.test.ts
@@ -23,7 +23,12 @@
   };
 }
 
-function chooserOf(zones: Readonly<Record<string, string>>, maxCandidates = 12): TargetChooser {
+/** A chooser that knows a target on each daemon; all but `unconnected` are connected. */
+function chooserOf(
+  zones: Readonly<Record<string, string>>,
+  maxCandidates = 12,
+  unconnected: readonly string[] = [],
+): TargetChooser {
   const directory = new FleetDirectory();
   for (const [daemonId, zone] of Object.entries(zones)) {
     const target = { targetId: daemonId, service: 's', slots: 10, isServing: true, coldMs: 0 };
@@ -36,6 +41,7 @@
       isLeaving: false,
     };
     directory.applyRecord({ ...record, target }, 'stored', 0);
+    directory.setConnected(daemonId, !unconnected.includes(daemonId), 0);
   }
   return new TargetChooser(directory, { ownZone: 'near', maxCandidates }, seededRandom(7));
 }
@@ -151,4 +157,24 @@
     expect(chooser.shedLevelOf('s', 0)).toBe(0.5);
     expect(chooser.shedLevelOf('s', 10_000)).toBeLessThan(0.01);
   });
+
+  it('does not count homes of which nothing is known as homes with room', () => {
+    const chooser = chooserOf({ a: 'near', b: 'near', c: 'far' }, 12, ['c']);
+    chooser.recordShedLevel('a', 1, 0);
+    expect(chooser.shedLevelOf('s', 0)).toBe(0.5);
+    chooser.recordShedLevel('c', 1, 0);
+    expect(chooser.shedLevelOf('s', 0)).toBeCloseTo(2 / 3);
+  });
+
+  it('uses connected homes first, and others when those are the ones that fail', () => {
+    const chooser = chooserOf({ a: 'near', b: 'near', lost: 'near' }, 12, ['lost']);
+    expect(choiceCounts(chooser, 0)['lost'] ?? 0).toBe(0);
+    for (let index = 0; index < 30; index += 1) {
+      for (const daemonId of ['a', 'b']) {
+        chooser.recordSent(daemonId);
+        chooser.recordEnded(daemonId, 'r', IDLE, 'failed', 0);
+      }
+    }
+    expect(choiceCounts(chooser, 0)['lost'] ?? 0).toBeGreaterThan(900);
+  });
 });
--- a/packages/peering/src/inbound-peer.ts
+++ b/packages/peering/src/inbound-peer.ts
@@ -32,6 +32,8 @@
    */
   onResolve(requestId: string, deliver: (reply: CallReply) => void): InboundCall | undefined;
   onControl(frame: Frame, peer: InboundPeer): void;
+  /** Called once the connection has ended. */
+  onClosed(peer: InboundPeer): void;
 }
 
 /** Retry-after of a call for whose body there is no memory. */
@@ -199,5 +201,6 @@
     this.incomingBodies.discardAll();
     for (const reservation of this.reservations.values()) reservation.release();
     this.reservations.clear();
+    this.events.onClosed(this);
   }
 }
--- a/packages/peering/src/peer-link.ts
+++ b/packages/peering/src/peer-link.ts
@@ -84,6 +84,8 @@
 
   private lastReceivedAtMs = 0;
 
+  private lastCallAtMs: number;
+
   private probedAtMs: number | undefined;
 
   private stateSinceMs = 0;
@@ -97,7 +99,9 @@
     private readonly events: PeerLinkEvents,
     private readonly clock: () => number,
     private readonly bufferBudget: BufferBudget,
-  ) {}
+  ) {
+    this.lastCallAtMs = clock();
+  }
 
   get isUp(): boolean {
     return this.state === 'up';
@@ -107,6 +111,11 @@
     return this.calls.size;
   }
 
+  /** Time since the last call was sent or, before the first, since the link was created. */
+  idleMs(nowMs: number): number {
+    return this.calls.size > 0 ? 0 : nowMs - this.lastCallAtMs;
+  }
+
   setAddress(address: PeerAddress): void {
     if (address.ip === this.address.ip && address.port === this.address.port) return;
     this.address = address;
@@ -118,6 +127,7 @@
   }
 
   call(call: ForwardedCall, body: Buffer, deliver: (reply: CallReply) => void): CancellableCall {
+    this.lastCallAtMs = this.clock();
     // Stream numbers are unsigned 32-bit integers in a frame, so that they start over before 2^32.
     const stream = this.nextStream;
     this.nextStream = (this.nextStream % 0xffff_fff0) + 1;
--- a/packages/peering/tests/peer-link.test.ts
+++ b/packages/peering/tests/peer-link.test.ts
@@ -116,6 +116,7 @@
         return found.isOpen ? this.inboundCall : undefined;
       },
       onControl: () => undefined,
+      onClosed: () => undefined,
     },
     this.bufferBudget,
     () => performance.now(),
--- a/packages/sidecar/src/caller-request.ts
+++ b/packages/sidecar/src/caller-request.ts
@@ -125,13 +125,13 @@
     this.respondFromDaemon(DaemonResponseReason.timedOut, 0, nowMs, 'deadline passed');
   }
 
-  private retryOrigin(): RetryOrigin {
+  private retryOrigin(nowMs: number): RetryOrigin {
     const { service, route } = this.input;
     const { chooser } = this.parts;
     return {
       service,
       isInternal: chooser.isInternal(route.name),
-      internalShare: chooser.internalShareOf(service),
+      internalShare: chooser.internalShareOf(service, nowMs),
     };
   }
 
@@ -278,7 +278,11 @@
     const { route } = this.input;
     const isSafe = route.isIdempotent || !this.mayHaveRun;
     const hasTargetsLeft = this.targetsReached < route.maxTargets;
-    if (isSafe && hasTargetsLeft && this.parts.retryBudget.tryRetry(this.retryOrigin(), nowMs)) {
+    if (
+      isSafe &&
+      hasTargetsLeft &&
+      this.parts.retryBudget.tryRetry(this.retryOrigin(nowMs), nowMs)
+    ) {
       this.tryNextTarget(nowMs, 0);
     } else {
       fallback();
--- a/packages/sidecar/src/peer-connections.ts
+++ b/packages/sidecar/src/peer-connections.ts
@@ -1,39 +1,35 @@
-import type { CallReply, ForwardedCall } from '@daisyferry/mesh/forwarded-call';
 import type { BufferBudget } from '@daisyferry/mesh/buffer-budget';
+import type { CallReply, ForwardedCall } from '@daisyferry/mesh/forwarded-call';
 import type { FleetDirectory } from '@daisyferry/mesh/fleet-directory';
-import type { DataCentrePeer } from '@daisyferry/mesh/store-reader-choice';
+import type { LinkPlan } from '@daisyferry/mesh/link-plan';
 import type { DaemonRecord } from '@daisyferry/mesh/daemon-record';
-import type { Frame, FrameKindNumber } from '@daisyferry/peering/frame';
+import type { Frame } from '@daisyferry/peering/frame';
 import { FrameKind } from '@daisyferry/peering/frame';
-import {
-  decodeConfigurationVersion,
-  decodeLevel,
-  decodeRecord,
-  decodeRecords,
-  decodeReading,
-  decodeRecordChanges,
-  type RecordChanges,
-  type ReportedReading,
-} from '@daisyferry/peering/control-codec';
+import { decodeLevel } from '@daisyferry/peering/control-codec';
 import type { Hello } from '@daisyferry/peering/hello';
+import type { InboundPeer } from '@daisyferry/peering/inbound-peer';
 import { PeerLink, type PeerAddress, type CancellableCall } from '@daisyferry/peering/peer-link';
 import { PeerServer } from '@daisyferry/peering/peer-server';
+import { ConfigurationExchange } from './configuration-exchange';
 import type { ConfigurationHolder } from './configuration-holder';
 import type { HomeTransport } from './entry';
 import type { EventLog } from './event-log';
 import type { Home } from './home';
 import type { OwnRecord } from './own-record';
+import type { ConnectedPeer, ControlFrameSender, PeerGroup } from './peer-group';
+import { RecordExchange } from './record-exchange';
 
 export interface PeerConnectionsParts {
   readonly directory: FleetDirectory;
+  readonly linkPlan: LinkPlan;
   readonly ownRecord: OwnRecord;
   readonly home: Home;
   readonly bufferBudget: BufferBudget;
   readonly configuration: ConfigurationHolder;
   readonly log: EventLog;
   readonly clock: () => number;
-  /** True while this daemon watches the daemon records in the store. */
-  readonly isWatchingStore: () => boolean;
+  /** True while this daemon follows the daemon records in the store. */
+  readonly isReading: () => boolean;
   /** Called when a peer connection became unresponsive; store connections may be affected too. */
   readonly onUnresponsivePeer: () => void;
   /** Called when the home of this daemon or of a peer reports its shed level. */
@@ -45,10 +41,10 @@
 
 /** Time between two checks of the connections. */
 const CHECK_INTERVAL_MS = 200;
-
-interface ControlFrameSender {
-  sendControl(kind: FrameKindNumber, head: string, body?: Buffer): void;
-}
+/** Time between two comparisons of the links with the plan. */
+const PLAN_INTERVAL_MS = 2_000;
+/** Time without calls after which a link that is not planned is closed. */
+const UNPLANNED_LINK_IDLE_MS = 20_000;
 
 function parseAddress(address: string): PeerAddress {
   const colon = address.lastIndexOf(':');
@@ -56,30 +52,55 @@
 }
 
 /**
- * The connections between this daemon and its peers, the other daemons: a link to each of them,
- * over which this daemon sends calls, and the connections that they opened to send theirs.
+ * The connections between this daemon and its peers, the other daemons: links over which this
+ * daemon sends calls, and the connections that peers opened to send theirs.
  */
-export class PeerConnections implements HomeTransport {
+export class PeerConnections implements HomeTransport, PeerGroup {
+  readonly records: RecordExchange;
+
+  readonly configurations: ConfigurationExchange;
+
   private readonly links = new Map<string, PeerLink>();
 
-  /** Peers that follow the store, as they last reported. */
-  private readonly readers = new Set<string>();
+  /** The connection that each peer opened last. */
+  private readonly inboundPeers = new Map<string, InboundPeer>();
+
+  /** Data centres of connected peers, by the connection. */
+  private readonly zones = new WeakMap<ControlFrameSender, string>();
 
   private readonly server: PeerServer;
 
   private timer: NodeJS.Timeout | undefined;
 
+  private plannedAtMs = Number.NEGATIVE_INFINITY;
+
   constructor(private readonly parts: PeerConnectionsParts) {
+    const { directory, ownRecord, log, clock, isReading, onRecordMissing } = parts;
+    this.configurations = new ConfigurationExchange(parts.configuration, this, clock);
+    this.records = new RecordExchange({
+      directory,
+      ownRecord,
+      peers: this,
+      log,
+      clock,
+      isReading,
+      onRecordMissing,
+      onRecordApplied: (record) => this.updateLink(record),
+    });
     this.server = new PeerServer(
       {
         hello: () => this.hello(),
-        onHello: (hello, peer) => this.handleHello(hello, peer),
+        onHello: (hello, peer) => {
+          this.inboundPeers.set(hello.record.daemonId, peer);
+          this.handleHello(hello, peer);
+        },
+        onClosed: (peer) => this.removeInbound(peer),
         onCall: (call, body, deliver) => parts.home.submit(call, body, deliver),
         onResolve: (requestId, deliver) => parts.home.resolve(requestId, deliver),
         onControl: (frame, peer) => this.handleControlFrame(frame, peer),
       },
       parts.bufferBudget,
-      parts.clock,
+      clock,
     );
   }
 
@@ -94,6 +115,7 @@
     for (const link of this.links.values()) link.close();
   }
 
+  /** Number of links that are up. */
   get connectedCount(): number {
     return [...this.links.values()].filter((link) => link.isUp).length;
   }
@@ -115,38 +137,19 @@
     return { cancel: () => undefined };
   }
 
-  /**
-   * Applies a record. Its source is the store ('stored'), the daemon that it describes ('direct')
-   * or another daemon ('relayed').
-   */
-  applyRecord(record: DaemonRecord, source: 'stored' | 'direct' | 'relayed'): void {
-    const { directory, ownRecord, clock } = this.parts;
-    if (record.daemonId === ownRecord.daemonId) {
-      if (source !== 'direct') ownRecord.supersede(record);
-      return;
+  *connectedPeers(): Iterable<ConnectedPeer> {
+    for (const [daemonId, link] of this.links) {
+      if (link.isUp) yield { daemonId, sender: link };
+    }
+    for (const [daemonId, peer] of this.inboundPeers) {
+      if (this.links.get(daemonId)?.isUp !== true) yield { daemonId, sender: peer };
     }
-    if (!directory.applyRecord(record, source, clock())) return;
-    this.links.get(record.daemonId)?.setAddress(parseAddress(record.address));
-    this.parts.log.stateChange('daemon record applied', {
-      daemonId: record.daemonId,
-      source,
-      incarnation: record.incarnation,
-      revision: record.revision,
-      targetId: record.target?.targetId,
-      isServing: record.target?.isServing,
-      isLeaving: record.isLeaving,
-    });
-    this.getOrCreateLink(record.daemonId)?.connect();
-  }
-
-  /** Sends this daemon's record to all connected daemons. */
-  broadcastOwnRecord(): void {
-    this.broadcast(FrameKind.record, JSON.stringify(this.parts.ownRecord.record()));
   }
 
-  /** Sends the version of this daemon's configuration to all connected daemons. */
-  broadcastConfigurationVersion(version: number): void {
-    this.broadcast(FrameKind.configuration, JSON.stringify({ version }));
+  *dataCentrePeers(): Iterable<ConnectedPeer> {
+    for (const peer of this.connectedPeers()) {
+      if (this.isLocal(peer.sender)) yield peer;
+    }
   }
 
   /**
@@ -160,8 +163,10 @@
     for (const peer of this.server.peers) peer.sendControl(FrameKind.level, head);
   }
 
-  private broadcast(kind: FrameKindNumber, head: string): void {
-    for (const link of this.links.values()) link.sendControl(kind, head);
+  /** Adjusts the link to a daemon whose record has changed. */
+  private updateLink(record: DaemonRecord): void {
+    this.links.get(record.daemonId)?.setAddress(parseAddress(record.address));
+    if (this.parts.linkPlan.isWanted(record)) this.getOrCreateLink(record.daemonId)?.connect();
   }
 
   /** Returns the link to the daemon, or undefined if its record is not known. */
@@ -183,7 +188,7 @@
         },
         onDown: (reason, wasUnresponsive) => {
           directory.setConnected(daemonId, false, clock());
-          this.readers.delete(daemonId);
+          this.forgetConnection(daemonId, link);
           log.stateChange('peer disconnected', { daemonId, reason });
           if (wasUnresponsive) this.parts.onUnresponsivePeer();
         },
@@ -195,152 +200,89 @@
     return link;
   }
 
-  private checkConnections(nowMs: number): void {
-    for (const link of this.links.values()) link.checkTimeouts(nowMs);
-    for (const daemonId of this.parts.directory.removeExpired(nowMs)) {
-      this.links.get(daemonId)?.close();
-      this.links.delete(daemonId);
-      this.parts.log.stateChange('daemon removed', { daemonId });
-      this.parts.onDaemonRemoved(daemonId);
-    }
-  }
-
-  private hello(): Hello {
-    return {
-      record: this.parts.ownRecord.record(),
-      configurationVersion: this.parts.configuration.version,
-      wantsView: false,
-      isReading: this.parts.isWatchingStore(),
-      acceptsBodyParts: true,
-    };
-  }
-
-  private handleHello(hello: Hello, peer: ControlFrameSender): void {
-    const { daemonId, zone } = hello.record;
-    this.setReading({ daemonId, isReading: hello.isReading });
-    this.applyRecord(hello.record, 'direct');
-    this.syncConfigurationVersion(hello.configurationVersion, peer);
-    if (hello.wantsView) this.sendView(peer);
-    const isReader = this.parts.isWatchingStore() && zone === this.parts.ownRecord.zone;
-    if (isReader && !hello.isReading) this.sendSnapshot(peer);
-  }
-
-  /** The daemons of this data centre that are connected. */
-  dataCentrePeers(): DataCentrePeer[] {
-    const { directory, ownRecord } = this.parts;
-    const peers: DataCentrePeer[] = [];
-    for (const [daemonId, link] of this.links) {
-      if (link.isUp && directory.recordOf(daemonId)?.zone === ownRecord.zone) {
-        peers.push({ daemonId, isReading: this.readers.has(daemonId) });
+  private removeInbound(peer: InboundPeer): void {
+    for (const [daemonId, present] of this.inboundPeers) {
+      if (present === peer) {
+        this.inboundPeers.delete(daemonId);
+        this.forgetConnection(daemonId, peer);
       }
     }
-    return peers;
   }
 
-  /** Tells the daemons of this data centre whether this one follows the store. */
-  broadcastReading(isReading: boolean): void {
-    const { daemonId } = this.parts.ownRecord;
-    const reported: ReportedReading = { daemonId, isReading };
-    this.sendToDataCentre(FrameKind.reading, JSON.stringify(reported));
+  private forgetConnection(daemonId: string, sender: ControlFrameSender): void {
+    this.configurations.forgetPeer(sender);
+    const isConnected = this.links.get(daemonId)?.isUp === true || this.inboundPeers.has(daemonId);
+    if (!isConnected) this.records.setReading({ daemonId, isReading: false });
   }
 
-  /** Sends all stored records to the daemons of this data centre that do not follow the store. */
-  reportSnapshot(): void {
-    for (const link of this.dataCentreLinks()) this.sendSnapshot(link);
-  }
-
-  /** Sends a change of the stored records to the daemons of this data centre. */
-  reportChanges(changes: RecordChanges): void {
-    this.sendToDataCentre(FrameKind.changes, JSON.stringify(changes));
-  }
-
-  /** Tells the connected daemons of this data centre whose records are not in the store. */
-  reportMissingRecords(storedIds: ReadonlySet<string>): void {
-    for (const { daemonId } of this.dataCentrePeers()) {
-      if (!storedIds.has(daemonId)) this.reportMissingRecord(daemonId);
+  private checkConnections(nowMs: number): void {
+    const { directory, linkPlan, log, onDaemonRemoved } = this.parts;
+    for (const link of this.links.values()) link.checkTimeouts(nowMs);
+    for (const daemonId of directory.removeExpired(nowMs)) {
+      this.closeLink(daemonId);
+      linkPlan.remove(daemonId);
+      log.stateChange('daemon removed', { daemonId });
+      onDaemonRemoved(daemonId);
     }
+    this.configurations.requestIfDue(nowMs);
+    if (nowMs - this.plannedAtMs < PLAN_INTERVAL_MS) return;
+    this.plannedAtMs = nowMs;
+    this.applyPlan(nowMs);
   }
 
-  private reportMissingRecord(daemonId: string): void {
-    this.links.get(daemonId)?.sendControl(FrameKind.recordMissing, '');
-  }
-
-  private sendSnapshot(peer: ControlFrameSender): void {
-    peer.sendControl(FrameKind.snapshot, JSON.stringify(this.parts.directory.storedRecords()));
-  }
-
-  private sendView(peer: ControlFrameSender): void {
-    peer.sendControl(FrameKind.view, JSON.stringify(this.parts.directory.allRecords()));
-  }
-
-  private sendToDataCentre(kind: FrameKindNumber, head: string): void {
-    for (const link of this.dataCentreLinks()) link.sendControl(kind, head);
+  /** Opens the links that are planned, and closes others that are idle. */
+  private applyPlan(nowMs: number): void {
+    const { directory, linkPlan, ownRecord } = this.parts;
+    for (const record of directory.allRecords()) {
+      const { daemonId } = record;
+      if (daemonId !== ownRecord.daemonId) {
+        const link = this.links.get(daemonId);
+        if (linkPlan.isWanted(record)) {
+          if (link === undefined) this.getOrCreateLink(daemonId)?.connect();
+        } else if (link !== undefined && link.idleMs(nowMs) > UNPLANNED_LINK_IDLE_MS) {
+          this.closeLink(daemonId);
+        }
+      }
+    }
   }
 
-  private *dataCentreLinks(): Iterable<PeerLink> {
-    const { directory, ownRecord } = this.parts;
-    for (const [daemonId, link] of this.links) {
-      if (directory.recordOf(daemonId)?.zone === ownRecord.zone) yield link;
-    }
+  private closeLink(daemonId: string): void {
+    this.links.get(daemonId)?.close();
+    this.links.delete(daemonId);
   }
 
-  private setReading({ daemonId, isReading }: ReportedReading): void {
-    if (isReading) this.readers.add(daemonId);
-    else this.readers.delete(daemonId);
+  private hello(): Hello {
+    return {
+      record: this.parts.ownRecord.record(),
+      configurationVersion: this.parts.configuration.version,
+      wantsView: false,
+      isReading: this.parts.isReading(),
+      acceptsBodyParts: true,
+    };
   }
 
-  /** Applies the stored records, as reported by a daemon that follows the store. */
-  private applySnapshot(records: readonly DaemonRecord[]): void {
-    const { directory, clock, ownRecord } = this.parts;
-    // A daemon that follows the store itself relies on its own view of it.
-    if (this.parts.isWatchingStore()) return;
-    for (const record of records) this.applyRecord(record, 'stored');
-    const storedIds = new Set(records.map(({ daemonId }) => daemonId));
-    directory.retainStored(storedIds, clock());
-    if (!storedIds.has(ownRecord.daemonId)) this.parts.onRecordMissing();
+  private isLocal(sender: ControlFrameSender): boolean {
+    return this.zones.get(sender) === this.parts.ownRecord.zone;
   }
 
-  private applyChanges({ records, removedIds }: RecordChanges): void {
-    const { directory, clock, ownRecord } = this.parts;
-    if (this.parts.isWatchingStore()) return;
-    for (const record of records) this.applyRecord(record, 'stored');
-    for (const daemonId of removedIds) {
-      if (daemonId === ownRecord.daemonId) this.parts.onRecordMissing();
-      else directory.markRemovedFromStore(daemonId, clock());
-    }
+  private handleHello(hello: Hello, peer: ControlFrameSender): void {
+    const { daemonId, zone } = hello.record;
+    this.zones.set(peer, zone);
+    this.records.setReading({ daemonId, isReading: hello.isReading });
+    this.records.applyRecord(hello.record, 'direct');
+    this.configurations.handleVersion(hello.configurationVersion, this.isLocal(peer), peer);
+    if (hello.wantsView) this.records.sendView(peer);
+    const isReportedTo = this.parts.isReading() && this.isLocal(peer) && !hello.isReading;
+    if (isReportedTo) this.records.sendSnapshot(peer);
   }
 
   private handleControlFrame(frame: Frame, peer: ControlFrameSender): void {
     switch (frame.kind) {
-      case FrameKind.record:
-        this.applyPeerRecord(decodeRecord(frame.head));
-        return;
-      case FrameKind.view:
-        for (const record of decodeRecords(frame.head)) this.applyRecord(record, 'relayed');
-        return;
-      case FrameKind.viewRequest:
-        this.sendView(peer);
-        return;
-      case FrameKind.snapshot:
-        this.applySnapshot(decodeRecords(frame.head));
-        return;
-      case FrameKind.changes:
-        this.applyChanges(decodeRecordChanges(frame.head));
-        return;
-      case FrameKind.recordMissing:
-        this.parts.onRecordMissing();
-        return;
-      case FrameKind.reading: {
-        const reported = decodeReading(frame.head);
-        if (reported !== undefined) this.setReading(reported);
-        return;
-      }
       case FrameKind.configuration:
-        if (frame.body.length > 0) {
-          this.parts.configuration.applyIfNewer(frame.body.toString('utf8'), 'peer');
-        } else {
-          this.syncConfigurationVersion(decodeConfigurationVersion(frame.head) ?? 0, peer);
-        }
+        this.configurations.handleFrame(frame, this.isLocal(peer), peer);
+        return;
+      case FrameKind.configurationRequest:
+        this.configurations.sendDocument(peer);
         return;
       case FrameKind.level: {
         const reported = decodeLevel(frame.head);
@@ -348,35 +290,10 @@
         this.parts.onShedLevel(reported.daemonId, reported.level, this.parts.clock());
         return;
       }
-      case FrameKind.configurationRequest:
-        this.sendConfiguration(peer);
-        return;
       default:
-        this.parts.log.warn('frame of unknown kind ignored', { kind: frame.kind });
-    }
-  }
-
-  private applyPeerRecord(record: DaemonRecord | undefined): void {
-    if (record !== undefined) this.applyRecord(record, 'direct');
-    else this.parts.log.warn('malformed daemon record ignored', { source: 'peer' });
-  }
-
-  /**
-   * Requests the peer's configuration if its version is greater than this daemon's; reports this
-   * daemon's version to the peer if the peer's is smaller.
-   */
-  private syncConfigurationVersion(version: number, peer: ControlFrameSender): void {
-    const { configuration } = this.parts;
-    if (version > configuration.version) {
-      peer.sendControl(FrameKind.configurationRequest, '');
-    } else if (version < configuration.version) {
-      peer.sendControl(FrameKind.configuration, JSON.stringify({ version: configuration.version }));
+        if (!this.records.handleFrame(frame, peer)) {
+          this.parts.log.warn('frame of unknown kind ignored', { kind: frame.kind });
+        }
     }
   }
-
-  private sendConfiguration(peer: ControlFrameSender): void {
-    const { version, document } = this.parts.configuration;
-    if (version === 0) return;
-    peer.sendControl(FrameKind.configuration, JSON.stringify({ version }), Buffer.from(document));
-  }
 }
--- a/packages/sidecar/src/store-sync.ts
+++ b/packages/sidecar/src/store-sync.ts
@@ -1,6 +1,10 @@
 import type { FleetDirectory } from '@daisyferry/mesh/fleet-directory';
 import type { DaemonRecord } from '@daisyferry/mesh/daemon-record';
-import { StoreReading, type StoreReaderChoice } from '@daisyferry/mesh/store-reader-choice';
+import {
+  StoreReading,
+  type DataCentrePeer,
+  type StoreReaderChoice,
+} from '@daisyferry/mesh/store-reader-choice';
 import { decodeRecord } from '@daisyferry/peering/control-codec';
 import type { KeyValueStore, StoredValue, WatchEvent } from '@daisyferry/store/key-value-store';
 import type { ConfigurationHolder } from './configuration-holder';
@@ -61,7 +65,7 @@
       onSnapshot: (values) => {
         this.applyRecordSnapshot(values);
         this.setReading(true);
-        parts.peerConnections.reportSnapshot();
+        parts.peerConnections.records.reportSnapshot();
       },
       onEvents: (events) => this.applyRecordEvents(events),
       onInterrupted: (detail) => {
@@ -85,8 +89,9 @@
   }
 
   private decide(nowMs: number): void {
-    const { readerChoice, peerConnections } = this.parts;
-    const reading = readerChoice.decide(peerConnections.dataCentrePeers(), nowMs);
+    const { readerChoice, directory } = this.parts;
+    const isSingleDataCentre = directory.zoneCount <= 1;
+    const reading = readerChoice.decide(this.dataCentrePeers(), isSingleDataCentre, nowMs);
     if (reading === StoreReading.follow) this.follow();
     else this.stopFollowing();
     if (reading === StoreReading.once) {
@@ -94,6 +99,14 @@
     }
   }
 
+  private dataCentrePeers(): DataCentrePeer[] {
+    const { peerConnections } = this.parts;
+    return [...peerConnections.dataCentrePeers()].map(({ daemonId }) => ({
+      daemonId,
+      isReading: peerConnections.records.isReader(daemonId),
+    }));
+  }
+
   private follow(): void {
     if (this.recordFollower.isStarted) return;
     this.parts.log.stateChange('follows the store');
@@ -115,7 +128,7 @@
     const { storeState, peerConnections } = this.parts;
     if (storeState.isWatching === isReading) return;
     storeState.setWatching(isReading);
-    peerConnections.broadcastReading(isReading);
+    peerConnections.records.broadcastReading(isReading);
   }
 
   /** Reads the configuration, until that succeeds or a peer has sent one. */
@@ -165,11 +178,11 @@
     const { peerConnections, directory, log, clock, ownDaemonId, registration } = this.parts;
     log.stateChange('daemon records read from the store', { count: values.length });
     const records = values.flatMap(({ value }) => this.parseRecord(value));
-    for (const record of records) peerConnections.applyRecord(record, 'stored');
+    for (const record of records) peerConnections.records.applyRecord(record, 'stored');
     const storedIds = new Set(records.map(({ daemonId }) => daemonId));
     directory.retainStored(storedIds, clock());
     if (!storedIds.has(ownDaemonId)) registration.scheduleRewrite();
-    peerConnections.reportMissingRecords(storedIds);
+    peerConnections.records.reportMissingRecords(storedIds);
   }
 
   private applyRecordEvents(events: readonly WatchEvent[]): void {
@@ -187,8 +200,8 @@
         else directory.markRemovedFromStore(daemonId, clock());
       }
     }
-    for (const record of records) peerConnections.applyRecord(record, 'stored');
-    peerConnections.reportChanges({ records, removedIds });
+    for (const record of records) peerConnections.records.applyRecord(record, 'stored');
+    peerConnections.records.reportChanges({ records, removedIds });
   }
 
   private parseRecord(text: string): DaemonRecord[] {
--- a/packages/sidecar/src/wire-sidecar.ts
+++ b/packages/sidecar/src/wire-sidecar.ts
@@ -6,6 +6,7 @@
 import { DownstreamShedLevels } from '@daisyferry/mesh/downstream-shed-levels';
 import { ExecutionRecordRegistry } from '@daisyferry/mesh/execution-record-registry';
 import { FleetDirectory } from '@daisyferry/mesh/fleet-directory';
+import { LinkPlan } from '@daisyferry/mesh/link-plan';
 import { LevelBroadcastThrottle } from '@daisyferry/mesh/level-broadcast-throttle';
 import { AnnouncedTarget } from '@daisyferry/mesh/announced-target';
 import { RecentMaximum } from '@daisyferry/mesh/recent-maximum';
@@ -143,7 +144,13 @@
     configuration,
     log,
     clock,
-    isWatchingStore: () => storeState.isWatching,
+    linkPlan: new LinkPlan(directory, {
+      ownDaemonId: environment.daemonId,
+      ownZone: environment.zone,
+      isReading: () => storeState.isWatching,
+      isServiceUsed: (service) => chooser.isServiceUsed(service),
+    }),
+    isReading: () => storeState.isWatching,
     onUnresponsivePeer: platform.resetStoreConnections,
     onShedLevel: (daemonId, level, nowMs) => {
       chooser.recordShedLevel(daemonId, level, nowMs);
@@ -227,11 +234,11 @@
   ownRecord.subscribe((record) => {
     directory.applyRecord(record, 'direct', clock());
     directory.setConnected(ownRecord.daemonId, true, clock());
-    peerConnections.broadcastOwnRecord();
+    peerConnections.records.broadcastOwnRecord();
     registration.scheduleWrite();
   });
   levelChanges.subscribe((level) => peerConnections.broadcastShedLevel(level));
-  configuration.subscribe((version) => peerConnections.broadcastConfigurationVersion(version));
+  configuration.subscribe((version) => peerConnections.configurations.reportVersion(version));
   metrics.addGauge('daisyferry_target_running', () => queue.running);
   metrics.addGauge('daisyferry_shed_level', () => home.effectiveShedLevel(clock()));
   metrics.addGauge('daisyferry_target_waiting', () => queue.waitingCount);
