--- a/packages/mesh/src/fleet-directory.ts
+++ b/packages/mesh/src/fleet-directory.ts
@@ -11,9 +11,19 @@
   expiresAtMs: number;
 }
 
+interface Departure {
+  readonly record: DaemonRecord;
+  readonly atMs: number;
+}
+
 /** The source of a record: the store, the daemon itself ('direct'), or another daemon. */
 export type RecordSource = 'stored' | 'direct' | 'relayed';
 
+/**
+ * Time for which a departure is remembered: longer than a lease of the store, which may come back
+ * from a copy in which the daemon's record still is.
+ */
+const DEPARTURE_RETENTION_MS = 60_000;
 /** Time for which an unconfirmed record is still used: enough for two connection attempts. */
 const UNCONFIRMED_RETENTION_MS = 2_000;
 
@@ -31,6 +41,9 @@
 
   private readonly byService = new Map<string, readonly DaemonRecord[]>();
 
+  /** Last records of daemons that announced their departure. */
+  private readonly departures = new Map<string, Departure>();
+
   private readonly zoneSizes = new Map<string, number>();
 
   get size(): number {
@@ -81,6 +94,7 @@
   /** Adds or updates a record. Returns true if the directory changed. */
   applyRecord(record: DaemonRecord, source: RecordSource, nowMs: number): boolean {
     const present = this.entries.get(record.daemonId);
+    if (source !== 'direct' && this.hasLeft(record, nowMs)) return false;
     if (present === undefined) {
       const isStored = source === 'stored';
       const expiresAtMs = nowMs + UNCONFIRMED_RETENTION_MS;
@@ -132,11 +146,24 @@
     for (const daemonId of expiredIds) {
       const entry = this.entries.get(daemonId);
       if (entry !== undefined) this.removeFromIndex(entry.record);
+      if (entry?.record.isLeaving === true) {
+        this.departures.set(daemonId, { record: entry.record, atMs: nowMs });
+      }
       this.entries.delete(daemonId);
     }
     return expiredIds;
   }
 
+  /** Whether the daemon has announced its departure in this record or in a newer one. */
+  private hasLeft(record: DaemonRecord, nowMs: number): boolean {
+    const departure = this.departures.get(record.daemonId);
+    if (departure === undefined) return false;
+    const isForgotten = nowMs - departure.atMs >= DEPARTURE_RETENTION_MS;
+    if (!isForgotten && !isNewerRecord(record, departure.record)) return true;
+    this.departures.delete(record.daemonId);
+    return false;
+  }
+
   private addToIndex(record: DaemonRecord): void {
     this.zoneSizes.set(record.zone, this.zoneSize(record.zone) + 1);
     const service = servedService(record);
--- a/packages/mesh/tests/fleet-directory.test.ts
+++ b/packages/mesh/tests/fleet-directory.test.ts
@@ -110,4 +110,16 @@
       }),
     );
   });
+
+  it('does not take back a daemon that has left, from a copy of the store', () => {
+    const directory = new FleetDirectory();
+    directory.applyRecord(record({ revision: 3 }), 'stored', 0);
+    directory.applyRecord(record({ revision: 4, isLeaving: true }), 'direct', 0);
+    directory.markRemovedFromStore('d-1', 0);
+    expect(directory.removeExpired(2_000)).toEqual(['d-1']);
+    expect(directory.applyRecord(record({ revision: 3 }), 'stored', 3_000)).toBe(false);
+    expect(directory.applyRecord(record({ revision: 3 }), 'relayed', 3_000)).toBe(false);
+    expect(directory.servingRecords('s')).toEqual([]);
+    expect(directory.applyRecord(record({ incarnation: 11 }), 'stored', 4_000)).toBe(true);
+  });
 });
--- a/packages/sidecar/src/registration.ts
+++ b/packages/sidecar/src/registration.ts
@@ -81,6 +81,17 @@
     this.schedule(this.writeDelayMs());
   }
 
+  /**
+   * Writes the record again under a new lease, as the store came back from an older copy: it may
+   * hold an older record, and a lease that it grants again to another daemon.
+   */
+  renewAfterRestore(): void {
+    this.storedRevision = -1;
+    this.leaseId = undefined;
+    this.lastWriteAtMs = Number.NEGATIVE_INFINITY;
+    this.schedule(this.parts.random() * WRITE_JITTER_MS);
+  }
+
   /** Sets how often the lease is renewed. */
   setFrequentRenewal(isFrequent: boolean): void {
     this.isFrequent = isFrequent;
--- a/packages/sidecar/src/wire-sidecar.ts
+++ b/packages/sidecar/src/wire-sidecar.ts
@@ -170,6 +170,10 @@
     random: Math.random,
     clock,
   });
+  store.onRestored?.(() => {
+    log.stateChange('store came back from an older copy');
+    registration.renewAfterRestore();
+  });
   recordMissing.subscribe(() => registration.scheduleRewrite());
   const storeSync = new StoreSync({
     store,
--- a/packages/store/src/key-value-store.ts
+++ b/packages/store/src/key-value-store.ts
@@ -92,5 +92,11 @@
     query: { readonly key: string; readonly prefix?: boolean; readonly fromRevision: number },
     listener: WatchListener,
   ): Watch;
+  /**
+   * Calls the listener after the store came back from an older copy of itself: revisions that were
+   * read before, and leases granted since the copy, are void, and running watches end. Absent where
+   * a store never does that.
+   */
+  onRestored?(listener: () => void): void;
   close(): Promise<void>;
 }
--- a/packages/store/src/store-engine.ts
+++ b/packages/store/src/store-engine.ts
@@ -154,6 +154,11 @@
     this.endWatches();
   }
 
+  /** Loses all leases; their entries stay until they are written again or deleted. */
+  dropLeases(): void {
+    this.leases.clear();
+  }
+
   /** Returns the keys that a query selects, in key order. */
   private selectKeys(query: KeyQuery): readonly string[] {
     if (query.prefix !== true) return this.entries.has(query.key) ? [query.key] : [];
