Read the store stale where that will do; search for peers one after the other; refuse what fails below

RouteFailureGate refuses, before any work, a part of a route's requests while most of those that run fail.

--- a/packages/mesh/src/store-reader-choice.ts
+++ b/packages/mesh/src/store-reader-choice.ts
@@ -33,7 +33,13 @@
 const MAX_SUBSTITUTION_DELAY_MS = 3_000;
 /** Time without any peer after which a daemon counts as alone. */
 const ALONE_AFTER_MS = 4_000;
-/** Minimum time between two single reads of a daemon that knows no peer; up to twice as long. */
+/**
+ * Time until a daemon that knows no peer reads the store: those that rank first read first, and
+ * connect to the others of their data centre before these read too.
+ */
+const FIRST_SEARCH_AFTER_MS = 600;
+const SEARCH_SPREAD_MS = 2_000;
+/** Time between two searches, at random up to half as long again. */
 const SEARCH_INTERVAL_MS = 1_200;
 
 /**
@@ -92,11 +98,9 @@
     this.connectedSinceMs = undefined;
     this.aloneSinceMs ??= nowMs;
     if (nowMs - this.aloneSinceMs >= ALONE_AFTER_MS) return StoreReading.follow;
-    if (this.nextSearchAtMs !== undefined && nowMs < this.nextSearchAtMs) return StoreReading.none;
-    const isFirst = this.nextSearchAtMs === undefined;
-    this.nextSearchAtMs = nowMs + SEARCH_INTERVAL_MS * (1 + this.random());
-    // A daemon has just read the store when it starts, and when its last connection broke the
-    // peers that it knows are tried first.
-    return isFirst ? StoreReading.none : StoreReading.once;
+    this.nextSearchAtMs ??= nowMs + FIRST_SEARCH_AFTER_MS + this.ownRank * SEARCH_SPREAD_MS;
+    if (nowMs < this.nextSearchAtMs) return StoreReading.none;
+    this.nextSearchAtMs = nowMs + SEARCH_INTERVAL_MS * (1 + this.random() / 2);
+    return StoreReading.once;
   }
 }
--- a/packages/sidecar/src/caller-request.ts
+++ b/packages/sidecar/src/caller-request.ts
@@ -40,6 +40,8 @@
 const RETRY_AFTER_MS_PER_CLASS = 2_000;
 /** Callers honor a retry-after only up to a third of their remaining time. */
 const MAX_RETRY_AFTER_SHARE = 0.3;
+/** Retry-after of a request of a route whose requests fail: time for its cause to change. */
+const FAILING_ROUTE_RETRY_AFTER_MS = 1_000;
 const STATUS_SERVER_ERROR = 500;
 
 function roundToHundredths(value: number): number {
@@ -102,6 +104,12 @@
         return;
       }
     }
+    if (!isInternal && !this.parts.failureGate.isAdmitted(route.name, nowMs)) {
+      const retryAfterMs = this.boundedRetryAfterMs(FAILING_ROUTE_RETRY_AFTER_MS, nowMs);
+      const detail = 'most requests of the route fail';
+      this.respondFromDaemon(DaemonResponseReason.noRoom, retryAfterMs, nowMs, detail);
+      return;
+    }
     this.tryNextTarget(nowMs, 0);
   }
 
@@ -141,7 +149,10 @@
 
   /** Retry-after for a caller whose request was shed by this margin, with random jitter. */
   private retryAfterMs(margin: number, nowMs: number): number {
-    const forecastMs = MIN_RETRY_AFTER_MS + margin * RETRY_AFTER_MS_PER_CLASS;
+    return this.boundedRetryAfterMs(MIN_RETRY_AFTER_MS + margin * RETRY_AFTER_MS_PER_CLASS, nowMs);
+  }
+
+  private boundedRetryAfterMs(forecastMs: number, nowMs: number): number {
     const jitteredMs = forecastMs * (0.5 + this.parts.random());
     return Math.min(jitteredMs, (this.input.callerDeadlineMs - nowMs) * MAX_RETRY_AFTER_SHARE);
   }
@@ -315,6 +326,7 @@
     this.isDone = true;
     const { input, parts } = this;
     const outcome = status < STATUS_SERVER_ERROR ? 'served' : 'failedByTarget';
+    parts.failureGate.recordOutcome(input.route.name, outcome !== 'served', nowMs);
     parts.metrics.recordRequest(input.route.name, outcome, nowMs - input.arrivedMs);
     if (outcome !== 'served') {
       parts.log.decision('target failed the request', { requestId: input.requestId, status });
@@ -331,6 +343,7 @@
     this.isDone = true;
     const { input, parts } = this;
     const waitedMs = nowMs - input.arrivedMs;
+    if (this.mayHaveRun) parts.failureGate.recordOutcome(input.route.name, true, nowMs);
     parts.metrics.recordRequest(input.route.name, reason, waitedMs);
     parts.log.decision('request not served', {
       requestId: input.requestId,
--- a/packages/sidecar/src/entry.ts
+++ b/packages/sidecar/src/entry.ts
@@ -4,6 +4,7 @@
 import { fieldValue } from '@daisyferry/http1/message';
 import type { CallReply, ForwardedCall } from '@daisyferry/mesh/forwarded-call';
 import type { DownstreamShedLevels } from '@daisyferry/mesh/downstream-shed-levels';
+import type { RouteFailureGate } from '@daisyferry/mesh/route-failure-gate';
 import type { RouteTable } from '@daisyferry/mesh/route-table';
 import type { DestinationSelector } from '@daisyferry/mesh/destination-selector';
 import type { TargetChooser } from '@daisyferry/mesh/target-chooser';
@@ -32,6 +33,7 @@
   readonly chooser: TargetChooser;
   readonly downstreamLevels: DownstreamShedLevels;
   readonly random: RandomSource;
+  readonly failureGate: RouteFailureGate;
   readonly retryBudget: RetryBudget;
   readonly transport: HomeTransport;
   readonly headerNames: HeaderNames;
--- a/packages/sidecar/src/store-sync.ts
+++ b/packages/sidecar/src/store-sync.ts
@@ -77,7 +77,7 @@
 
   start(): void {
     this.readConfigurationOnce().catch((error: unknown) => this.logFailedRead(error));
-    this.readRecordsOnce(true).catch((error: unknown) => this.logFailedRead(error));
+    this.readRecordsOnce({ isFirst: true }).catch((error: unknown) => this.logFailedRead(error));
     this.timer = setInterval(() => this.decide(this.parts.clock()), DECISION_INTERVAL_MS);
   }
 
@@ -95,7 +95,7 @@
     if (reading === StoreReading.follow) this.follow();
     else this.stopFollowing();
     if (reading === StoreReading.once) {
-      this.readRecordsOnce(false).catch((error: unknown) => this.logFailedRead(error));
+      this.readRecordsOnce({ isFirst: false }).catch((error: unknown) => this.logFailedRead(error));
     }
   }
 
@@ -131,10 +131,14 @@
     peerConnections.records.broadcastReading(isReading);
   }
 
-  /** Reads the configuration, until that succeeds or a peer has sent one. */
+  /**
+   * Reads the configuration, until that succeeds or a peer has sent one. It may be some seconds old:
+   * peers report a newer one as soon as they are connected, and a daemon alone follows the store.
+   */
   private async readConfigurationOnce(): Promise<void> {
     const { store, configurationKey, configuration, storeState, log } = this.parts;
-    const result = await store.range({ key: configurationKey }, READ_TIMEOUT_MS);
+    const query = { key: configurationKey, mayBeStale: true };
+    const result = await store.range(query, READ_TIMEOUT_MS);
     if (this.isStopped || storeState.isWatching) return;
     if (result.ok) {
       log.stateChange('configuration read from the store');
@@ -145,17 +149,24 @@
     }
   }
 
-  /** Reads the records once; with `isRetried`, until that succeeds or a peer is connected. */
-  private async readRecordsOnce(isRetried: boolean): Promise<void> {
+  /**
+   * Reads the records once. The first read needs no more than one daemon that is still there, which
+   * then tells the rest; it is repeated until it succeeds or a peer is connected.
+   */
+  private async readRecordsOnce({ isFirst }: { readonly isFirst: boolean }): Promise<void> {
     const { store, peerConnections, log } = this.parts;
-    const result = await store.range({ key: DAEMON_PREFIX, prefix: true }, READ_TIMEOUT_MS);
+    const query = { key: DAEMON_PREFIX, prefix: true, mayBeStale: isFirst };
+    const result = await store.range(query, READ_TIMEOUT_MS);
     if (this.isStopped || this.recordFollower.isStarted) return;
-    if (result.ok) {
+    if (result.ok && isFirst) {
+      for (const record of this.parseRecords(result.value.values))
+        peerConnections.records.applyRecord(record, 'stored');
+    } else if (result.ok) {
       this.applyRecordSnapshot(result.value.values);
     } else {
       log.warn('daemon records not read from the store', { detail: result.detail });
       const isStillAlone = peerConnections.connectedCount === 0;
-      if (isRetried && isStillAlone) this.retryRead(() => this.readRecordsOnce(true));
+      if (isFirst && isStillAlone) this.retryRead(() => this.readRecordsOnce({ isFirst }));
     }
   }
 
@@ -177,7 +188,7 @@
   private applyRecordSnapshot(values: readonly StoredValue[]): void {
     const { peerConnections, directory, log, clock, ownDaemonId, registration } = this.parts;
     log.stateChange('daemon records read from the store', { count: values.length });
-    const records = values.flatMap(({ value }) => this.parseRecord(value));
+    const records = this.parseRecords(values);
     for (const record of records) peerConnections.records.applyRecord(record, 'stored');
     const storedIds = new Set(records.map(({ daemonId }) => daemonId));
     directory.retainStored(storedIds, clock());
@@ -204,6 +215,10 @@
     peerConnections.records.reportChanges({ records, removedIds });
   }
 
+  private parseRecords(values: readonly StoredValue[]): DaemonRecord[] {
+    return values.flatMap(({ value }) => this.parseRecord(value));
+  }
+
   private parseRecord(text: string): DaemonRecord[] {
     const record = decodeRecord(text);
     if (record !== undefined) return [record];
--- a/packages/sidecar/src/wire-sidecar.ts
+++ b/packages/sidecar/src/wire-sidecar.ts
@@ -10,6 +10,7 @@
 import { LevelBroadcastThrottle } from '@daisyferry/mesh/level-broadcast-throttle';
 import { AnnouncedTarget } from '@daisyferry/mesh/announced-target';
 import { RecentMaximum } from '@daisyferry/mesh/recent-maximum';
+import { RouteFailureGate } from '@daisyferry/mesh/route-failure-gate';
 import type { RoutingConfiguration } from '@daisyferry/mesh/routing-configuration';
 import { ShedLevel } from '@daisyferry/mesh/shed-level';
 import { StoreReaderChoice } from '@daisyferry/mesh/store-reader-choice';
@@ -195,6 +196,7 @@
     chooser,
     downstreamLevels,
     random: Math.random,
+    failureGate: new RouteFailureGate(Math.random),
     retryBudget: new RetryBudget(
       () => bounds.get(),
       () => fleetSize.record(directory.size, clock()),
--- a/packages/sidecar/tests/caller-request.test.ts
+++ b/packages/sidecar/tests/caller-request.test.ts
@@ -12,6 +12,7 @@
 import { CallerRequest } from '@daisyferry/sidecar/caller-request';
 import type { SidecarEntryParts } from '@daisyferry/sidecar/entry';
 import type { EventLog } from '@daisyferry/sidecar/event-log';
+import { RouteFailureGate } from '@daisyferry/mesh/route-failure-gate';
 import { RetryBudget } from '@daisyferry/sidecar/retry-budget';
 import { SidecarMetrics } from '@daisyferry/sidecar/sidecar-metrics';
 import { describe, expect, it } from 'vitest';
@@ -72,6 +73,7 @@
     chooser: new TargetChooser(directory, { ownZone: 'z', maxCandidates: 12 }, random),
     downstreamLevels: new DownstreamShedLevels(),
     random,
+    failureGate: new RouteFailureGate(random),
     retryBudget: new RetryBudget(
       () => ({ retryRatio: RATIO, retrySlack: 2 * BURST_RETRIES }),
       () => 1,
--- a/packages/store/src/key-value-store.ts
+++ b/packages/store/src/key-value-store.ts
@@ -64,13 +64,17 @@
 
 export type StoreResult<Value> = { readonly ok: true; readonly value: Value } | StoreFailure;
 
+export interface RangeQuery extends KeyQuery {
+  /** Maximum number of values. */
+  readonly limit?: number;
+  /** True if values that are some seconds old will do; stores answer such reads more cheaply. */
+  readonly mayBeStale?: boolean;
+}
+
 /** Key-value store with leases and watches. Failures are returned as values; no method rejects. */
 export interface KeyValueStore {
-  /** Reads one key, or the keys with a prefix in key order, at most `limit` of them. */
-  range(
-    query: KeyQuery & { readonly limit?: number },
-    timeoutMs: number,
-  ): Promise<StoreResult<RangeResult>>;
+  /** Reads one key, or the keys with a prefix in key order. */
+  range(query: RangeQuery, timeoutMs: number): Promise<StoreResult<RangeResult>>;
   /** Applies all writes atomically if every comparison holds. */
   transact(
     compares: readonly Compare[],
