Do not reset the store's connections because a lost machine accepts none

Change: only an established connection that stops responding resets them, and at most once in three seconds; reconnects back off to 1.5 s, followers that are refused to 1.6 s.

--- a/packages/peering/src/peer-link.ts
+++ b/packages/peering/src/peer-link.ts
@@ -21,7 +21,7 @@
 const PROBE_TIMEOUT_MS = 700;
 /** Minimum and maximum backoff before a reconnect. */
 const MIN_BACKOFF_MS = 50;
-const MAX_BACKOFF_MS = 1_000;
+const MAX_BACKOFF_MS = 1_500;
 /** Time after the loss of a connection within which the outcome of its calls must be queried. */
 const RESOLVE_TIMEOUT_MS = 2_000;
 
@@ -168,7 +168,8 @@
     } else if (this.state === 'up') {
       this.probeIfIdle(nowMs);
     } else if (nowMs - this.stateSinceMs > CONNECT_TIMEOUT_MS) {
-      this.breakConnection('connection attempt timed out', true);
+      // A lost machine does not respond either, so that this tells nothing of other connections.
+      this.breakConnection('connection attempt timed out', false);
     }
     this.expireOrphans(nowMs);
   }
--- a/packages/peering/tests/peer-link.test.ts
+++ b/packages/peering/tests/peer-link.test.ts
@@ -129,9 +129,11 @@
   let address: { readonly host: string; readonly port: number };
   let link: PeerLink;
   let timer: NodeJS.Timeout;
+  let downs: { readonly reason: string; readonly wasUnresponsive: boolean }[];
   let entryBudget: BufferBudget;
 
   beforeEach(async () => {
+    downs = [];
     home = new HomeStub();
     address = { host: '127.0.0.1', port: await freePort() };
     await home.server.listen({ ip: address.host, port: address.port });
@@ -150,7 +152,7 @@
         onHello: () => undefined,
         onControl: () => undefined,
         onUp: () => undefined,
-        onDown: () => undefined,
+        onDown: (reason, wasUnresponsive) => downs.push({ reason, wasUnresponsive }),
       },
       () => performance.now(),
       entryBudget,
@@ -267,6 +269,19 @@
     socket.destroy();
   });
 
+  it('does not take a machine that accepts no connection for an unresponsive network', async () => {
+    // Accepts the connection and never replies to the hello, as a lost machine never does.
+    const silent = createServer();
+    await new Promise<void>((resolve) => {
+      silent.listen(0, '127.0.0.1', resolve);
+    });
+    link.setAddress({ ip: '127.0.0.1', port: (silent.address() as AddressInfo).port });
+    link.connect();
+    await vi.waitFor(() => expect(downs).toHaveLength(1), 5_000);
+    expect(downs[0]).toEqual({ reason: 'connection attempt timed out', wasUnresponsive: false });
+    silent.close();
+  });
+
   describe('with large bodies', () => {
     const largeBody = Buffer.alloc(360_000, 'drawing ');
 
--- a/packages/sidecar/src/prefix-follower.ts
+++ b/packages/sidecar/src/prefix-follower.ts
@@ -17,7 +17,7 @@
 const CALL_TIMEOUT_MS = 1_500;
 /** Backoff between two attempts to read the store; it doubles up to the maximum. */
 const MIN_BACKOFF_MS = 100;
-const MAX_BACKOFF_MS = 800;
+const MAX_BACKOFF_MS = 1_600;
 
 /** Reads, then watches, all keys under a prefix while it is started. */
 export class PrefixFollower {
--- a/packages/sidecar/src/wire-sidecar.ts
+++ b/packages/sidecar/src/wire-sidecar.ts
@@ -4,6 +4,7 @@
 import { TargetSlotQueue } from '@daisyferry/mesh/target-slot-queue';
 import { RouteCallerCounter } from '@daisyferry/mesh/route-caller-counter';
 import { DownstreamShedLevels } from '@daisyferry/mesh/downstream-shed-levels';
+import { EventThrottle } from '@daisyferry/mesh/event-throttle';
 import { ExecutionRecordRegistry } from '@daisyferry/mesh/execution-record-registry';
 import { FleetDirectory } from '@daisyferry/mesh/fleet-directory';
 import { LinkPlan } from '@daisyferry/mesh/link-plan';
@@ -69,6 +70,11 @@
 const INITIAL_SLOTS = 16;
 /** Maximum number of targets that are compared for one call. */
 const MAX_CANDIDATES = 12;
+/**
+ * Shortest time between two resets of the store's connections because of an unresponsive peer: each
+ * of many lost machines would otherwise interrupt the watches, which are then read again.
+ */
+const STORE_RESET_INTERVAL_MS = 3_000;
 /** Daemons that were lost within this time, as in a partition, still have their share of retries. */
 const FLEET_SIZE_WINDOW_MS = 30_000;
 /** Maximum share of a target's slots in use, as some targets slow down when nearly full. */
@@ -106,6 +112,7 @@
   const shedLevel = new ShedLevel();
   const levelChanges = new Emitter<number>();
   const recordMissing = new Emitter<undefined>();
+  const storeResetThrottle = new EventThrottle(STORE_RESET_INTERVAL_MS);
   const downstreamLevels = new DownstreamShedLevels();
   const configuration = new ConfigurationHolder(platform.decodeConfiguration, log);
   const ownRecord = new OwnRecord(environment, target, startUnixMs, clock);
@@ -152,7 +159,9 @@
       isServiceUsed: (service) => chooser.isServiceUsed(service),
     }),
     isReading: () => storeState.isWatching,
-    onUnresponsivePeer: platform.resetStoreConnections,
+    onUnresponsivePeer: () => {
+      if (storeResetThrottle.passes(clock())) platform.resetStoreConnections();
+    },
     onShedLevel: (daemonId, level, nowMs) => {
       chooser.recordShedLevel(daemonId, level, nowMs);
       const service = directory.recordOf(daemonId)?.target?.service;
