--- a/packages/sidecar/src/record-exchange.ts
+++ b/packages/sidecar/src/record-exchange.ts
@@ -27,6 +27,9 @@
   readonly onRecordMissing: () => void;
 }
 
+/** Time without a view after which one is requested, and between two requests. */
+const VIEW_REQUEST_INTERVAL_MS = 1_500;
+
 /**
  * Spreads daemon records: each daemon sends its own to its peers, and those that follow the store
  * report to their data centre what they find there.
@@ -35,7 +38,17 @@
   /** Peers that follow the store, as they last reported. */
   private readonly readers = new Set<string>();
 
-  constructor(private readonly parts: RecordExchangeParts) {}
+  /** True once all records were read from the store or received from a peer. */
+  private hasView = false;
+
+  private viewRequestedAtMs: number;
+
+  /** Peers that a view was requested from. */
+  private readonly askedPeers = new Set<string>();
+
+  constructor(private readonly parts: RecordExchangeParts) {
+    this.viewRequestedAtMs = parts.clock();
+  }
 
   isReader(daemonId: string): boolean {
     return this.readers.has(daemonId);
@@ -69,6 +82,29 @@
     onRecordApplied(record);
   }
 
+  /** Notes that this daemon has read all records from the store. */
+  markViewComplete(): void {
+    this.hasView = true;
+  }
+
+  /**
+   * Requests all records from one peer after the other, if this daemon has neither read them nor
+   * received them: the store may be down, so that no peer follows it and reports. Called
+   * periodically.
+   */
+  requestViewIfMissing(nowMs: number): void {
+    if (this.hasView || nowMs - this.viewRequestedAtMs < VIEW_REQUEST_INTERVAL_MS) return;
+    for (const { daemonId, sender } of this.parts.peers.connectedPeers()) {
+      if (!this.askedPeers.has(daemonId)) {
+        this.viewRequestedAtMs = nowMs;
+        this.askedPeers.add(daemonId);
+        sender.sendControl(FrameKind.viewRequest, '');
+        return;
+      }
+    }
+    this.askedPeers.clear();
+  }
+
   /** Sends this daemon's record to all connected peers. */
   broadcastOwnRecord(): void {
     const head = JSON.stringify(this.parts.ownRecord.record());
@@ -127,7 +163,7 @@
         this.applyPeerRecord(decodeRecord(frame.head));
         return true;
       case FrameKind.view:
-        for (const record of decodeRecords(frame.head)) this.applyRecord(record, 'relayed');
+        this.applyView(decodeRecords(frame.head));
         return true;
       case FrameKind.viewRequest:
         this.sendView(sender);
@@ -151,6 +187,12 @@
     }
   }
 
+  /** Applies the records that a peer knows, which need not be in the store. */
+  private applyView(records: readonly DaemonRecord[]): void {
+    this.hasView = true;
+    for (const record of records) this.applyRecord(record, 'relayed');
+  }
+
   private applyPeerRecord(record: DaemonRecord | undefined): void {
     if (record !== undefined) this.applyRecord(record, 'direct');
     else this.parts.log.warn('malformed daemon record ignored', { source: 'peer' });
@@ -161,6 +203,7 @@
     const { directory, clock, ownRecord, isReading, onRecordMissing } = this.parts;
     // A daemon that follows the store itself relies on its own view of it.
     if (isReading()) return;
+    this.hasView = true;
     for (const record of records) this.applyRecord(record, 'stored');
     const storedIds = new Set(records.map(({ daemonId }) => daemonId));
     directory.retainStored(storedIds, clock());
--- a/packages/sidecar/src/store-sync.ts
+++ b/packages/sidecar/src/store-sync.ts
@@ -89,7 +89,8 @@
   }
 
   private decide(nowMs: number): void {
-    const { readerChoice, directory } = this.parts;
+    const { readerChoice, directory, peerConnections } = this.parts;
+    peerConnections.records.requestViewIfMissing(nowMs);
     const isSingleDataCentre = directory.zoneCount <= 1;
     const reading = readerChoice.decide(this.dataCentrePeers(), isSingleDataCentre, nowMs);
     if (reading === StoreReading.follow) this.follow();
@@ -188,6 +189,7 @@
   private applyRecordSnapshot(values: readonly StoredValue[]): void {
     const { peerConnections, directory, log, clock, ownDaemonId, registration } = this.parts;
     log.stateChange('daemon records read from the store', { count: values.length });
+    peerConnections.records.markViewComplete();
     const records = this.parseRecords(values);
     for (const record of records) peerConnections.records.applyRecord(record, 'stored');
     const storedIds = new Set(records.map(({ daemonId }) => daemonId));
