--- a/packages/mesh/src/announced-target.ts
+++ b/packages/mesh/src/announced-target.ts
@@ -12,8 +12,10 @@
 /** Number of ended incarnations that are recorded, so that their late announcements are ignored. */
 const MAX_ENDED_INCARNATIONS = 64;
 
-/** Announcements, and the time between the first and the last, after which an incarnation that
- * claims an earlier start has replaced a silent one: the time of day was set back in between. */
+/**
+ * Announcements, and time between the first and the last of them, after which an incarnation that
+ * claims an earlier start has replaced a silent one: the time of day was set back in between.
+ */
 const MIN_CLAIM_ANNOUNCEMENTS = 3;
 const MIN_CLAIM_MS = 2_000;
 
--- a/packages/peering/src/frame.ts
+++ b/packages/peering/src/frame.ts
@@ -12,6 +12,7 @@
   configurationRequest: 10,
   view: 11,
   level: 12,
+  /** A part of a large body whose length a call or reply of the same stream has announced. */
   bodyPart: 13,
   /** The stream field is the number of bytes of body parts that the receiver has taken. */
   bodyCredit: 14,
