Hold the announced length of a response, drop old departures, request from afar in a fast series

Causes, found in reading the change: the memory reserved for a response of announced length shrank to what had arrived, so that another body could take it and a response that had run was lost; departures of replaced daemons were remembered without end; each newer version restarted the delay after which a configuration is requested from another data centre, so that a fast series was never requested there. Result: three new tests failed before and pass now.

--- a/packages/http1/src/response-reader.ts
+++ b/packages/http1/src/response-reader.ts
@@ -75,11 +75,11 @@
   private readBody(head: ParsedResponseHead): ResponseReadResult {
     const { body } = this;
     if (body === undefined) return INCOMPLETE;
-    const { framing } = head;
-    if (framing.kind === 'length' && !this.mayHold(framing.bytes)) return BODY_TOO_LONG;
+    const announcedBytes = head.framing.kind === 'length' ? head.framing.bytes : 0;
+    if (!this.mayHold(announcedBytes)) return BODY_TOO_LONG;
     if (!body.isComplete) this.input.consume((bytes) => body.read(bytes, 0));
     if (body.problem !== undefined) return syntaxProblem(body.problem);
-    if (!this.mayHold(body.receivedBytes)) return BODY_TOO_LONG;
+    if (!this.mayHold(Math.max(announcedBytes, body.receivedBytes))) return BODY_TOO_LONG;
     if (!body.isComplete) return INCOMPLETE;
     this.head = undefined;
     this.body = undefined;
--- a/packages/http1/tests/response-reader.test.ts
+++ b/packages/http1/tests/response-reader.test.ts
@@ -108,4 +108,15 @@
     }
     expect(read.kind).toBe('invalid');
   });
+
+  it('never holds less for a body than its announced length', () => {
+    const heldBytes: number[] = [];
+    const reader = new ResponseReader((bytes) => heldBytes.push(bytes) > 0);
+    reader.push(Buffer.from('HTTP/1.1 200 OK\r\nContent-Length: 90000\r\n\r\n'));
+    for (let count = 0; count < 3; count += 1) {
+      reader.push(Buffer.alloc(30_000));
+      reader.next(false);
+    }
+    expect(new Set(heldBytes)).toEqual(new Set([90_000]));
+  });
 });
--- a/packages/mesh/src/document-requests.ts
+++ b/packages/mesh/src/document-requests.ts
@@ -30,8 +30,9 @@
 
   private isRemoteDue(version: number, nowMs: number): boolean {
     if (version > this.remoteVersion) {
+      // The delay goes on if the previous version is still missing, however many follow it.
+      if (this.requestedVersion >= this.remoteVersion) this.remoteSinceMs = nowMs;
       this.remoteVersion = version;
-      this.remoteSinceMs = nowMs;
     }
     return nowMs - this.remoteSinceMs >= REMOTE_DELAY_MS;
   }
--- a/packages/mesh/src/fleet-directory.ts
+++ b/packages/mesh/src/fleet-directory.ts
@@ -50,6 +50,11 @@
     return this.entries.size;
   }
 
+  /** Number of announced departures that are remembered. */
+  get departureCount(): number {
+    return this.departures.size;
+  }
+
   recordOf(daemonId: string): DaemonRecord | undefined {
     return this.entries.get(daemonId)?.record;
   }
@@ -138,6 +143,7 @@
 
   /** Removes expired records and returns their ids. */
   removeExpired(nowMs: number): string[] {
+    this.forgetDepartures(nowMs);
     const expiredIds: string[] = [];
     for (const [daemonId, entry] of this.entries) {
       if (!entry.isStored && !entry.isConnected && nowMs >= entry.expiresAtMs)
@@ -147,6 +153,7 @@
       const entry = this.entries.get(daemonId);
       if (entry !== undefined) this.removeFromIndex(entry.record);
       if (entry?.record.isLeaving === true) {
+        this.departures.delete(daemonId);
         this.departures.set(daemonId, { record: entry.record, atMs: nowMs });
       }
       this.entries.delete(daemonId);
@@ -154,6 +161,14 @@
     return expiredIds;
   }
 
+  /** Drops old departures; the map has them in the order of their times. */
+  private forgetDepartures(nowMs: number): void {
+    for (const [daemonId, { atMs }] of this.departures) {
+      if (nowMs - atMs < DEPARTURE_RETENTION_MS) return;
+      this.departures.delete(daemonId);
+    }
+  }
+
   /** Whether the daemon has announced its departure in this record or in a newer one. */
   private hasLeft(record: DaemonRecord, nowMs: number): boolean {
     const departure = this.departures.get(record.daemonId);
--- a/packages/mesh/tests/document-requests.test.ts
+++ b/packages/mesh/tests/document-requests.test.ts
@@ -25,4 +25,12 @@
     others.shouldRequest(7, false, 0);
     expect(others.shouldRequest(7, true, 10)).toBe(true);
   });
+
+  it('requests from another data centre although newer versions follow each other quickly', () => {
+    const requests = new DocumentRequests();
+    let requested = 0;
+    for (let nowMs = 0; nowMs < 1_000; nowMs += 100)
+      if (requests.shouldRequest(10 + nowMs, false, nowMs)) requested += 1;
+    expect(requested).toBeGreaterThanOrEqual(2);
+  });
 });
--- a/packages/mesh/tests/fleet-directory.test.ts
+++ b/packages/mesh/tests/fleet-directory.test.ts
@@ -122,4 +122,15 @@
     expect(directory.servingRecords('s')).toEqual([]);
     expect(directory.applyRecord(record({ incarnation: 11 }), 'stored', 4_000)).toBe(true);
   });
+
+  it('drops the departures of replaced daemons after a minute', () => {
+    const directory = new FleetDirectory();
+    for (let index = 0; index < 1_000; index += 1) {
+      const daemonId = `d-${index}`;
+      const nowMs = index * 1_000;
+      directory.applyRecord(record({ daemonId, isLeaving: true }), 'direct', nowMs);
+      directory.removeExpired(nowMs + 2_000);
+      expect(directory.departureCount).toBeLessThanOrEqual(62);
+    }
+  });
 });
