Log and count what the connections to a target discard

A late or second response of a target left no trace, so that a report of an answer that is not its own could not be followed: nothing told a target that answers twice from a fault between the daemons.

The decisions are as before.

--- a/packages/http1/src/message.ts
+++ b/packages/http1/src/message.ts
@@ -37,6 +37,18 @@
   | { readonly kind: 'chunked' }
   | { readonly kind: 'untilClose' };
 
+/** Returns the values of all fields of that name in order; `lowerName` is in lower case. */
+export function fieldValues(fields: HeaderFields, lowerName: string): string[] {
+  const values: string[] = [];
+  for (let index = 0; index < fields.length; index += 2) {
+    const name = fields[index] ?? '';
+    if (name.length === lowerName.length && name.toLowerCase() === lowerName) {
+      values.push(fields[index + 1] ?? '');
+    }
+  }
+  return values;
+}
+
 /** Returns the value of the first field of that name; `lowerName` is in lower case. */
 export function fieldValue(fields: HeaderFields, lowerName: string): string | undefined {
   for (let index = 0; index < fields.length; index += 2) {
--- a/packages/sidecar/src/sidecar-metrics.ts
+++ b/packages/sidecar/src/sidecar-metrics.ts
@@ -24,6 +24,11 @@
     this.increment(`daisyferry_store_calls_total{cause="${cause}"}`);
   }
 
+  /** Counts bytes of the local target that were not passed on as a response. */
+  countDiscardedResponse(reason: string): void {
+    this.increment(`daisyferry_target_responses_discarded_total{reason="${reason}"}`);
+  }
+
   addGauge(name: string, read: () => number): void {
     this.gauges.set(name, read);
   }
--- a/packages/sidecar/src/target-connection-pool.ts
+++ b/packages/sidecar/src/target-connection-pool.ts
@@ -1,5 +1,6 @@
 import type { BufferBudget } from '@daisyferry/mesh/buffer-budget';
 import type { SocketAddress } from './daemon-environment';
+import type { DiscardedResponseListener } from './discarded-response';
 import type { TargetExchangeResult } from './target-connection';
 import { TargetConnection } from './target-connection';
 
@@ -19,6 +20,7 @@
     private readonly requestIdField: string,
     private readonly clock: () => number,
     private readonly bufferBudget: BufferBudget,
+    private readonly discardedResponses: DiscardedResponseListener,
   ) {}
 
   /** Connections opened since the start of the daemon. */
@@ -59,6 +61,7 @@
       {
         onIdle: () => this.idle.push(connection),
         onClosed: () => this.removeIdle(connection),
+        onDiscarded: (response) => this.discardedResponses.discarded(response),
       },
       this.clock,
       this.bufferBudget,
--- a/packages/sidecar/src/target-connection.ts
+++ b/packages/sidecar/src/target-connection.ts
@@ -1,9 +1,14 @@
 import type { ResponseMessage } from '@daisyferry/http1/message';
-import { fieldValue } from '@daisyferry/http1/message';
+import { fieldValues } from '@daisyferry/http1/message';
 import { ResponseReader } from '@daisyferry/http1/response-reader';
 import { HeldBody, type BodyReservation, type BufferBudget } from '@daisyferry/mesh/buffer-budget';
 import { createConnection, type Socket } from 'node:net';
 import type { SocketAddress } from './daemon-environment';
+import {
+  DiscardReason,
+  type DiscardedResponse,
+  type DiscardReasonName,
+} from './discarded-response';
 import { writeBuffers } from './write-buffers';
 
 /** The result of sending one request to the target. */
@@ -18,6 +23,7 @@
   readonly requestId: string;
   readonly isHeadRequest: boolean;
   readonly message: readonly Buffer[];
+  readonly sentMs: number;
   readonly onResult: (result: TargetExchangeResult) => void;
 }
 
@@ -46,6 +52,11 @@
 
   private exchange: RunningExchange | undefined;
 
+  private requestCount = 0;
+
+  /** Id of the request in progress, or of the last one. */
+  private lastRequestId = '';
+
   private isConnected = false;
 
   private idleSinceMs: number | undefined;
@@ -60,7 +71,11 @@
   constructor(
     address: SocketAddress,
     private readonly requestIdField: string,
-    private readonly events: { onIdle(): void; onClosed(): void },
+    private readonly events: {
+      onIdle(): void;
+      onClosed(): void;
+      onDiscarded(response: DiscardedResponse): void;
+    },
     private readonly clock: () => number,
     private readonly bufferBudget: BufferBudget,
   ) {
@@ -92,7 +107,9 @@
     message: readonly Buffer[],
     onResult: (result: TargetExchangeResult) => void,
   ): void {
-    this.exchange = { requestId, isHeadRequest, message, onResult };
+    this.exchange = { requestId, isHeadRequest, message, sentMs: this.clock(), onResult };
+    this.requestCount += 1;
+    this.lastRequestId = requestId;
     this.idleSinceMs = undefined;
     if (this.isConnected) writeBuffers(this.socket, message);
   }
@@ -119,6 +136,7 @@
   private receive(chunk: Buffer): void {
     if (this.exchange === undefined) {
       // After an unsolicited response, later ones could not be matched to their requests.
+      if (!this.isRetired) this.reportDiscarded(DiscardReason.noRequest, chunk.length);
       this.destroy();
       return;
     }
@@ -133,6 +151,7 @@
         case 'incomplete':
           return;
         case 'invalid':
+          this.reportDiscarded(DiscardReason.unreadable, this.reader.bufferedBytes);
           this.failExchange(`unreadable answer: ${read.detail}`);
           return;
         case 'response':
@@ -145,16 +164,25 @@
   }
 
   private handleResponse(exchange: RunningExchange, response: ResponseMessage): void {
-    const responseRequestId = fieldValue(response.fields, this.requestIdField);
+    const [responseRequestId] = fieldValues(response.fields, this.requestIdField);
     if (responseRequestId !== undefined && responseRequestId !== exchange.requestId) {
       // A second response to an earlier request; the response to this one follows it.
       this.isRetired = true;
       this.foreignResponses += 1;
-      if (this.foreignResponses > MAX_FOREIGN_RESPONSES) {
+      const isTooMany = this.foreignResponses > MAX_FOREIGN_RESPONSES;
+      this.reportDiscarded(
+        isTooMany ? DiscardReason.tooManyOtherRequests : DiscardReason.otherRequest,
+        response.body.length,
+        response,
+      );
+      if (isTooMany) {
         this.failExchange('too many responses to other requests');
       }
       return;
     }
+    if (this.reader.unreadBytes > 0) {
+      this.reportDiscarded(DiscardReason.bytesAfterResponse, this.reader.unreadBytes, response);
+    }
     this.exchange = undefined;
     if (response.keepAliveMs !== undefined) this.keepAliveMs = response.keepAliveMs;
     if (!response.isPersistent || this.reader.unreadBytes > 0) this.isRetired = true;
@@ -168,6 +196,23 @@
     this.releaseReservation();
   }
 
+  private reportDiscarded(
+    reason: DiscardReasonName,
+    bytes: number,
+    response?: ResponseMessage,
+  ): void {
+    const nowMs = this.clock();
+    this.events.onDiscarded({
+      reason,
+      requestId: this.lastRequestId,
+      responseIds: response === undefined ? [] : fieldValues(response.fields, this.requestIdField),
+      status: response?.status,
+      bytes,
+      isReused: this.requestCount > 1,
+      waitedMs: nowMs - (this.exchange?.sentMs ?? this.idleSinceMs ?? nowMs),
+    });
+  }
+
   /** Small bodies are not counted; their number is bounded by the target's slots. */
   private mayHold(bytes: number): boolean {
     if (bytes < MIN_COUNTED_BODY_BYTES) return true;
--- a/packages/sidecar/src/wire-sidecar.ts
+++ b/packages/sidecar/src/wire-sidecar.ts
@@ -26,6 +26,7 @@
 import { ConfigurationHolder } from './configuration-holder';
 import { ControlListener } from './control-listener';
 import type { DaemonEnvironment } from './daemon-environment';
+import { DiscardedResponseReport } from './discarded-response-report';
 import { Entry } from './entry';
 import { EventLog } from './event-log';
 import { PeerConnections } from './peer-connections';
@@ -105,6 +106,7 @@
     headerNames.requestId.toLowerCase(),
     clock,
     bufferBudget,
+    new DiscardedResponseReport(log, metrics),
   );
   const queue = new TargetSlotQueue(INITIAL_SLOTS);
   const directory = new FleetDirectory();
--- a/packages/sidecar/tests/target-connection.test.ts
+++ b/packages/sidecar/tests/target-connection.test.ts
@@ -1,10 +1,13 @@
 import { BufferBudget } from '@daisyferry/mesh/buffer-budget';
+import type { DiscardedResponse } from '@daisyferry/sidecar/discarded-response';
+import { DiscardedResponseReport } from '@daisyferry/sidecar/discarded-response-report';
+import { SidecarMetrics } from '@daisyferry/sidecar/sidecar-metrics';
 import type { TargetExchangeResult } from '@daisyferry/sidecar/target-connection';
 import { TargetConnectionPool } from '@daisyferry/sidecar/target-connection-pool';
 import { once } from 'node:events';
 import { createServer, type AddressInfo, type Server, type Socket } from 'node:net';
 import { setTimeout as sleep } from 'node:timers/promises';
-import { afterEach, beforeEach, describe, expect, it } from 'vitest';
+import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
 
 const ID_FIELD = 'X-Id';
 const LATE_MS = 20;
@@ -84,14 +87,17 @@
 describe('connection to the target', () => {
   let target: ScriptedTarget;
   let pool: TargetConnectionPool;
+  let discarded: DiscardedResponse[];
 
   beforeEach(async () => {
     target = new ScriptedTarget();
+    discarded = [];
     pool = new TargetConnectionPool(
       { ip: '127.0.0.1', port: await target.listen() },
       ID_FIELD.toLowerCase(),
       () => performance.now(),
       new BufferBudget(1_000_000),
+      { discarded: (response) => discarded.push(response) },
     );
   });
 
@@ -164,6 +170,31 @@
     expect((await requestOnReusedConnection(...steps)).kind).toBe('lost');
   });
 
+  it.each([
+    ['otherRequest', [FIRST, SECOND], { responseIds: ['r1'], status: 200, bytes: 5 }],
+    ['unreadable', ['nonsense\r\n\r\n'], { responseIds: [], status: undefined }],
+    ['bytesAfterResponse', [SECOND + FIRST], { responseIds: ['r2'], bytes: FIRST.length }],
+    ['noRequest', [SECOND, LATE_MS, FIRST], { responseIds: [], bytes: FIRST.length }],
+  ] as const)('leaves a trace of what it discards: %s', async (reason, steps, facts) => {
+    await requestOnReusedConnection(...steps);
+    const expected = { reason, requestId: 'r2', isReused: true, ...facts };
+    await vi.waitFor(() => expect(discarded).toMatchObject([expected]));
+  });
+
+  it('limits what the ids of a response add to the log', () => {
+    const lines: unknown[] = [];
+    const metrics = new SidecarMetrics();
+    const log = { decision: (_message: string, fields: unknown) => lines.push(fields) };
+    const response = { reason: 'otherRequest', requestId: 'r2', status: 200, bytes: 0 } as const;
+    const responseIds = Array.from({ length: 1_000 }, () => 'x'.repeat(1_000));
+    const report = new DiscardedResponseReport(log, metrics);
+    report.discarded({ ...response, responseIds, isReused: true, waitedMs: 0.1 });
+    expect(JSON.stringify(lines).length).toBeLessThan(1_000);
+    expect(metrics.render()).toContain(
+      'daisyferry_target_responses_discarded_total{reason="otherRequest"} 1',
+    );
+  });
+
   it('does not take a reset for the end of a body without a length', async () => {
     const result = await requestOnReusedConnection(SECOND_UNFRAMED, LATE_MS, RESET);
     expect(result.kind).toBe('lost');
