Attribute a target's responses by all of their ids

What callers could see: a success with the body of another request (a late copy without an id, or with two ids), and a 421 or 503 that promised 'not run' on the word of such a copy.

Cause: only the first id field was read, and a response without one was taken for that to the request in progress, whatever the connection had carried.

ResponseAttribution decides without sockets: all id fields must name the request; a response without an id is only believed on a connection that has carried no other request and no foreign response, so that nothing else can be meant; a request to which its caller gave no id therefore has a connection of its own. Anything else ends the exchange as lost, that is, with the outcome unknown, and closes the connection. An exchange now detaches the memory of its body before the receiver may send the next request on the same connection.

Before: 'does not take a late copy without an id' and 'does not believe a response whose id fields differ' failed.

--- a/packages/sidecar/src/discarded-response.ts
+++ b/packages/sidecar/src/discarded-response.ts
@@ -3,6 +3,10 @@
   /** The response names another request; the one to the request in progress is still awaited. */
   otherRequest: 'otherRequest',
   tooManyOtherRequests: 'tooManyOtherRequests',
+  /** The response names no request, and more than one may be meant. */
+  noId: 'noId',
+  /** The response names more than one request. */
+  differingIds: 'differingIds',
   /** Not a response in the protocol, or one that is too large. */
   unreadable: 'unreadable',
   /** Bytes that arrived while no request was in progress. */
--- /dev/null
+++ b/packages/sidecar/src/response-attribution.ts
@@ -0,0 +1,59 @@
+import type { ResponseMessage } from '@daisyferry/http1/message';
+import { fieldValues } from '@daisyferry/http1/message';
+import type { ResponseFieldNames } from './classify-target-response';
+import { DiscardReason, type DiscardReasonName } from './discarded-response';
+
+/** Whether a response belongs to the request in progress. */
+export type Attribution =
+  | { readonly kind: 'own' }
+  /** It names another request; the response to the one in progress may follow. */
+  | { readonly kind: 'foreign' }
+  /** It cannot be told what the response answers, nor where the next one starts. */
+  | { readonly kind: 'unattributable'; readonly reason: DiscardReasonName };
+
+/** Maximum number of responses to other requests on one connection. */
+const MAX_FOREIGN_RESPONSES = 8;
+const OWN: Attribution = { kind: 'own' };
+const FOREIGN: Attribution = { kind: 'foreign' };
+
+function unattributable(reason: DiscardReasonName): Attribution {
+  return { kind: 'unattributable', reason };
+}
+
+/**
+ * Attributes the responses on one connection to its requests, which are sent one at a time. Targets
+ * may answer a request twice, the second time late, and may cut a response short.
+ */
+export class ResponseAttribution {
+  private requestCount = 0;
+
+  private foreignCount = 0;
+
+  constructor(private readonly fieldNames: ResponseFieldNames) {}
+
+  /** True once the connection has carried a request before the present one. */
+  get isReused(): boolean {
+    return this.requestCount > 1;
+  }
+
+  recordRequest(): void {
+    this.requestCount += 1;
+  }
+
+  /** @param requestId id of the request in progress; empty if its caller assigned none */
+  attribute(requestId: string, response: ResponseMessage): Attribution {
+    const ids = new Set(fieldValues(response.fields, this.fieldNames.requestId));
+    if (ids.size > 1) return unattributable(DiscardReason.differingIds);
+    const [responseId = ''] = ids;
+    if (responseId === '') {
+      // Without an id, the first response to the only request cannot be that of another one.
+      const isOnlyRequest = this.requestCount === 1 && this.foreignCount === 0;
+      return isOnlyRequest ? OWN : unattributable(DiscardReason.noId);
+    }
+    if (responseId === requestId) return OWN;
+    this.foreignCount += 1;
+    return this.foreignCount > MAX_FOREIGN_RESPONSES
+      ? unattributable(DiscardReason.tooManyOtherRequests)
+      : FOREIGN;
+  }
+}
--- a/packages/sidecar/src/target-connection-pool.ts
+++ b/packages/sidecar/src/target-connection-pool.ts
@@ -1,4 +1,5 @@
 import type { BufferBudget } from '@daisyferry/mesh/buffer-budget';
+import type { ResponseFieldNames } from './classify-target-response';
 import type { SocketAddress } from './daemon-environment';
 import type { DiscardedResponseListener } from './discarded-response';
 import type { TargetExchangeResult } from './target-connection';
@@ -17,7 +18,7 @@
 
   constructor(
     private readonly address: SocketAddress,
-    private readonly requestIdField: string,
+    private readonly fieldNames: ResponseFieldNames,
     private readonly clock: () => number,
     private readonly bufferBudget: BufferBudget,
     private readonly discardedResponses: DiscardedResponseListener,
@@ -28,13 +29,15 @@
     return this.opened;
   }
 
+  /** A request without an id (`requestId` is empty) is sent on a connection of its own. */
   send(
     requestId: string,
     isHeadRequest: boolean,
     message: readonly Buffer[],
     onResult: (result: TargetExchangeResult) => void,
   ): AbortableExchange {
-    const connection = this.takeIdle(this.clock()) ?? this.connect();
+    const idleConnection = requestId === '' ? undefined : this.takeIdle(this.clock());
+    const connection = idleConnection ?? this.connect();
     connection.send(requestId, isHeadRequest, message, onResult);
     return { abort: () => connection.abort() };
   }
@@ -57,7 +60,7 @@
     this.opened += 1;
     const connection: TargetConnection = new TargetConnection(
       this.address,
-      this.requestIdField,
+      this.fieldNames,
       {
         onIdle: () => this.idle.push(connection),
         onClosed: () => this.removeIdle(connection),
--- a/packages/sidecar/src/target-connection.ts
+++ b/packages/sidecar/src/target-connection.ts
@@ -3,12 +3,14 @@
 import { ResponseReader } from '@daisyferry/http1/response-reader';
 import { HeldBody, type BodyReservation, type BufferBudget } from '@daisyferry/mesh/buffer-budget';
 import { createConnection, type Socket } from 'node:net';
+import type { ResponseFieldNames } from './classify-target-response';
 import type { SocketAddress } from './daemon-environment';
 import {
   DiscardReason,
   type DiscardedResponse,
   type DiscardReasonName,
 } from './discarded-response';
+import { ResponseAttribution } from './response-attribution';
 import { writeBuffers } from './write-buffers';
 
 /** The result of sending one request to the target. */
@@ -31,8 +33,6 @@
 const CONNECT_TIMEOUT_MS = 500;
 /** Time before the keep-alive timeout of a connection after which it is no longer reused. */
 const KEEP_ALIVE_MARGIN_MS = 500;
-/** Maximum number of responses to other requests before the response to a request. */
-const MAX_FOREIGN_RESPONSES = 8;
 /** Size from which a response body counts in the memory budget. */
 const MIN_COUNTED_BODY_BYTES = 65_536;
 /** Keep-alive timeout where the target states none. */
@@ -47,13 +47,10 @@
   /** Memory of a large response body; undefined until there is one. */
   private reservation: BodyReservation | undefined;
 
-  /** Responses to other requests that preceded the response to the present one. */
-  private foreignResponses = 0;
+  private readonly attribution: ResponseAttribution;
 
   private exchange: RunningExchange | undefined;
 
-  private requestCount = 0;
-
   /** Id of the request in progress, or of the last one. */
   private lastRequestId = '';
 
@@ -70,7 +67,7 @@
 
   constructor(
     address: SocketAddress,
-    private readonly requestIdField: string,
+    private readonly fieldNames: ResponseFieldNames,
     private readonly events: {
       onIdle(): void;
       onClosed(): void;
@@ -79,6 +76,7 @@
     private readonly clock: () => number,
     private readonly bufferBudget: BufferBudget,
   ) {
+    this.attribution = new ResponseAttribution(fieldNames);
     this.socket = createConnection({ host: address.ip, port: address.port });
     this.socket.setNoDelay(true);
     this.connectTimer = setTimeout(
@@ -108,8 +106,10 @@
     onResult: (result: TargetExchangeResult) => void,
   ): void {
     this.exchange = { requestId, isHeadRequest, message, sentMs: this.clock(), onResult };
-    this.requestCount += 1;
+    this.attribution.recordRequest();
     this.lastRequestId = requestId;
+    // A second response to a request without an id could be taken for that to the next one.
+    if (requestId === '') this.isRetired = true;
     this.idleSinceMs = undefined;
     if (this.isConnected) writeBuffers(this.socket, message);
   }
@@ -164,28 +164,35 @@
   }
 
   private handleResponse(exchange: RunningExchange, response: ResponseMessage): void {
-    const [responseRequestId] = fieldValues(response.fields, this.requestIdField);
-    if (responseRequestId !== undefined && responseRequestId !== exchange.requestId) {
-      // A second response to an earlier request; the response to this one follows it.
-      this.isRetired = true;
-      this.foreignResponses += 1;
-      const isTooMany = this.foreignResponses > MAX_FOREIGN_RESPONSES;
-      this.reportDiscarded(
-        isTooMany ? DiscardReason.tooManyOtherRequests : DiscardReason.otherRequest,
-        response.body.length,
-        response,
-      );
-      if (isTooMany) {
-        this.failExchange('too many responses to other requests');
-      }
-      return;
+    const attribution = this.attribution.attribute(exchange.requestId, response);
+    switch (attribution.kind) {
+      case 'own':
+        this.finishExchange(exchange, response);
+        return;
+      case 'foreign':
+        this.isRetired = true;
+        this.reportDiscarded(DiscardReason.otherRequest, response.body.length, response);
+        return;
+      case 'unattributable':
+        this.reportDiscarded(attribution.reason, response.body.length, response);
+        this.failExchange(`answer not believed: ${attribution.reason}`);
+        return;
+      default:
+        attribution satisfies never;
     }
-    if (this.reader.unreadBytes > 0) {
-      this.reportDiscarded(DiscardReason.bytesAfterResponse, this.reader.unreadBytes, response);
+  }
+
+  private finishExchange(exchange: RunningExchange, response: ResponseMessage): void {
+    const { unreadBytes } = this.reader;
+    if (unreadBytes > 0) {
+      this.reportDiscarded(DiscardReason.bytesAfterResponse, unreadBytes, response);
     }
     this.exchange = undefined;
+    // The receiver may send the next request at once; the body counts until it is handed over.
+    const { reservation } = this;
+    this.reservation = undefined;
     if (response.keepAliveMs !== undefined) this.keepAliveMs = response.keepAliveMs;
-    if (!response.isPersistent || this.reader.unreadBytes > 0) this.isRetired = true;
+    if (!response.isPersistent || unreadBytes > 0) this.isRetired = true;
     if (this.isRetired) {
       this.destroy();
     } else {
@@ -193,7 +200,7 @@
       this.events.onIdle();
     }
     exchange.onResult({ kind: 'response', response });
-    this.releaseReservation();
+    reservation?.release();
   }
 
   private reportDiscarded(
@@ -205,10 +212,11 @@
     this.events.onDiscarded({
       reason,
       requestId: this.lastRequestId,
-      responseIds: response === undefined ? [] : fieldValues(response.fields, this.requestIdField),
+      responseIds:
+        response === undefined ? [] : fieldValues(response.fields, this.fieldNames.requestId),
       status: response?.status,
       bytes,
-      isReused: this.requestCount > 1,
+      isReused: this.attribution.isReused,
       waitedMs: nowMs - (this.exchange?.sentMs ?? this.idleSinceMs ?? nowMs),
     });
   }
--- a/packages/sidecar/src/wire-sidecar.ts
+++ b/packages/sidecar/src/wire-sidecar.ts
@@ -23,6 +23,7 @@
 import { AnnouncementHandler, type AnnouncementDecoder } from './announcement-handler';
 import type { ListenerLimits } from './caller-connection';
 import { CallerListener } from './caller-listener';
+import type { ResponseFieldNames } from './classify-target-response';
 import { ConfigurationHolder } from './configuration-holder';
 import { ControlListener } from './control-listener';
 import type { DaemonEnvironment } from './daemon-environment';
@@ -101,9 +102,14 @@
   const bounds = new CurrentBounds(environment.bounds);
   const fleetSize = new RecentMaximum(FLEET_SIZE_WINDOW_MS);
   const bufferBudget = new BufferBudget(environment.memoryLimitBytes * BUFFER_SHARE_OF_MEMORY);
+  const responseFieldNames: ResponseFieldNames = {
+    requestId: headerNames.requestId.toLowerCase(),
+    notRun: headerNames.notRun.toLowerCase(),
+    signature: headerNames.signature.toLowerCase(),
+  };
   const pool = new TargetConnectionPool(
     environment.targetAddress,
-    headerNames.requestId.toLowerCase(),
+    responseFieldNames,
     clock,
     bufferBudget,
     new DiscardedResponseReport(log, metrics),
@@ -130,11 +136,7 @@
     classCount: () => configuration.routes?.classCount ?? 1,
     executionRecords: new ExecutionRecordRegistry(),
     headerNames,
-    responseFieldNames: {
-      requestId: headerNames.requestId.toLowerCase(),
-      notRun: headerNames.notRun.toLowerCase(),
-      signature: headerNames.signature.toLowerCase(),
-    },
+    responseFieldNames,
     log,
     clock,
     onTargetChange: () => ownRecord.publish(),
--- /dev/null
+++ b/packages/sidecar/tests/response-attribution.test.ts
@@ -0,0 +1,64 @@
+import type { ResponseMessage } from '@daisyferry/http1/message';
+import { ResponseAttribution, type Attribution } from '@daisyferry/sidecar/response-attribution';
+import { describe, expect, it } from 'vitest';
+
+const FIELD_NAMES = { requestId: 'x-id', signature: 'x-signature', notRun: 'x-not-run' };
+const OTHER_RESPONSES = 8;
+
+function response(ids: readonly string[], overrides: Partial<ResponseMessage> = {}) {
+  return {
+    status: 200,
+    reason: 'OK',
+    fields: ids.flatMap((id) => ['X-Id', id]),
+    body: Buffer.from('body'),
+    isPersistent: true,
+    endsWithConnection: false,
+    keepAliveMs: undefined,
+    ...overrides,
+  };
+}
+
+function attributionAfter(requestCount: number): ResponseAttribution {
+  const attribution = new ResponseAttribution(FIELD_NAMES);
+  for (let count = 0; count < requestCount; count += 1) attribution.recordRequest();
+  return attribution;
+}
+
+/** What a response with these id fields is to request `r2`, the n-th on its connection. */
+function attributionOf(requestCount: number, ids: readonly string[]): Attribution {
+  return attributionAfter(requestCount).attribute('r2', response(ids));
+}
+
+describe('ResponseAttribution', () => {
+  it.each([
+    [1, ['r2'], { kind: 'own' }],
+    [2, ['r2'], { kind: 'own' }],
+    [2, ['r2', 'r2'], { kind: 'own' }],
+    [1, [], { kind: 'own' }],
+    [1, [''], { kind: 'own' }],
+    [2, [], { kind: 'unattributable', reason: 'noId' }],
+    [2, [''], { kind: 'unattributable', reason: 'noId' }],
+    [1, ['r1'], { kind: 'foreign' }],
+    [2, ['r1', 'r1'], { kind: 'foreign' }],
+    [1, ['r2', 'r1'], { kind: 'unattributable', reason: 'differingIds' }],
+    [2, ['r1', 'r2'], { kind: 'unattributable', reason: 'differingIds' }],
+    [1, ['r2', ''], { kind: 'unattributable', reason: 'differingIds' }],
+  ] as const)('attributes as request %i on its connection ids %j: %j', (count, ids, expected) => {
+    expect(attributionOf(count, ids)).toEqual(expected);
+  });
+
+  it('believes no response without an id behind one to another request', () => {
+    const attribution = attributionAfter(1);
+    attribution.attribute('r2', response(['r1']));
+    expect(attribution.attribute('r2', response([]))).toMatchObject({ reason: 'noId' });
+  });
+
+  it('ends the wait for the response behind too many to other requests', () => {
+    const attribution = attributionAfter(2);
+    for (let count = 0; count < OTHER_RESPONSES; count += 1) {
+      expect(attribution.attribute('r2', response(['r1'])).kind).toBe('foreign');
+    }
+    const last = attribution.attribute('r2', response(['r1']));
+    expect(last).toEqual({ kind: 'unattributable', reason: 'tooManyOtherRequests' });
+  });
+});
--- a/packages/sidecar/tests/target-connection.test.ts
+++ b/packages/sidecar/tests/target-connection.test.ts
@@ -94,7 +94,7 @@
     discarded = [];
     pool = new TargetConnectionPool(
       { ip: '127.0.0.1', port: await target.listen() },
-      ID_FIELD.toLowerCase(),
+      { requestId: ID_FIELD.toLowerCase(), signature: 'x-signature', notRun: 'x-not-run' },
       () => performance.now(),
       new BufferBudget(1_000_000),
       { discarded: (response) => discarded.push(response) },
@@ -123,13 +123,13 @@
     return result;
   }
 
-  it.fails('does not take a late copy without an id for the response', async () => {
+  it('does not take a late copy without an id for the response', async () => {
     const copy = responseTo('first', { ids: [] });
     const result = await requestOnReusedConnection(copy, SECOND);
     expect(result.kind).toBe('lost');
   });
 
-  it.fails('does not believe a response whose id fields differ', async () => {
+  it('does not believe a response whose id fields differ', async () => {
     const mixed = responseTo('first', { ids: ['r2', 'r1'] });
     const result = await requestOnReusedConnection(mixed);
     expect(result.kind).toBe('lost');
@@ -151,6 +151,39 @@
     },
   );
 
+  it.each([
+    ['421', '421 Misdirected Request', []],
+    ['503 that says not run', '503 Service Unavailable', ['X-Not-Run: 1']],
+  ])('takes no %s without an id for a guarantee', async (_name, status, fields) => {
+    const result = await requestOnReusedConnection(responseTo('', { ids: [], status, fields }));
+    expect(result.kind).toBe('lost');
+  });
+
+  it('takes a response without an id on a connection that carried no other request', async () => {
+    const result = await request('r1', responseTo('first', { ids: [] }));
+    expect(result).toMatchObject({ response: { body: Buffer.from('first') } });
+  });
+
+  it('sends a request without an id on a connection of its own', async () => {
+    await request('r1', FIRST);
+    for (const body of ['a', 'b']) {
+      const result = await request('', responseTo(body, { ids: [] }));
+      expect(result).toMatchObject({ response: { body: Buffer.from(body) } });
+    }
+    expect(target.connectionCount).toBe(3);
+  });
+
+  it('gives a request that is sent as the last one ends its own response', async () => {
+    target.answerNext(FIRST);
+    target.answerNext(FIRST, SECOND);
+    const message = [Buffer.from('GET / HTTP/1.1\r\n\r\n')];
+    const second = new Promise<TargetExchangeResult>((resolve) => {
+      pool.send('r1', false, message, () => pool.send('r2', false, message, resolve));
+    });
+    expect(await second).toMatchObject({ response: { body: Buffer.from('second body') } });
+    expect(target.connectionCount).toBe(1);
+  });
+
   it.each([
     ['late copies', [FIRST, FIRST, SECOND]],
     ['a late copy in pieces', [FIRST.slice(0, 30), LATE_MS, FIRST.slice(30), SECOND]],
