--- a/packages/sidecar/src/target-connection.ts
+++ b/packages/sidecar/src/target-connection.ts
@@ -1,9 +1,16 @@
 import type { ResponseMessage } from '@daisyferry/http1/message';
-import { fieldValue } from '@daisyferry/http1/message';
+import { fieldValues } from '@daisyferry/http1/message';
 import { ResponseReader } from '@daisyferry/http1/response-reader';
 import { HeldBody, type BodyReservation, type BufferBudget } from '@daisyferry/mesh/buffer-budget';
 import { createConnection, type Socket } from 'node:net';
+import type { ResponseFieldNames } from './classify-target-response';
 import type { SocketAddress } from './daemon-environment';
+import {
+  DiscardReason,
+  type DiscardedResponse,
+  type DiscardReasonName,
+} from './discarded-response';
+import { ResponseAttribution } from './response-attribution';
 import { writeBuffers } from './write-buffers';
 
 /** The result of sending one request to the target. */
@@ -18,6 +25,7 @@
   readonly requestId: string;
   readonly isHeadRequest: boolean;
   readonly message: readonly Buffer[];
+  readonly sentMs: number;
   readonly onResult: (result: TargetExchangeResult) => void;
 }
 
@@ -25,8 +33,8 @@
 const CONNECT_TIMEOUT_MS = 500;
 /** Time before the keep-alive timeout of a connection after which it is no longer reused. */
 const KEEP_ALIVE_MARGIN_MS = 500;
-/** Maximum number of responses to other requests before the response to a request. */
-const MAX_FOREIGN_RESPONSES = 8;
+/** Unread bytes that are examined for the rest of a head that starts in a body. */
+const MAX_EXAMINED_UNREAD_BYTES = 16_384;
 /** Size from which a response body counts in the memory budget. */
 const MIN_COUNTED_BODY_BYTES = 65_536;
 /** Keep-alive timeout where the target states none. */
@@ -41,11 +49,13 @@
   /** Memory of a large response body; undefined until there is one. */
   private reservation: BodyReservation | undefined;
 
-  /** Responses to other requests that preceded the response to the present one. */
-  private foreignResponses = 0;
+  private readonly attribution: ResponseAttribution;
 
   private exchange: RunningExchange | undefined;
 
+  /** Id of the request in progress, or of the last one. */
+  private lastRequestId = '';
+
   private isConnected = false;
 
   private idleSinceMs: number | undefined;
@@ -59,11 +69,16 @@
 
   constructor(
     address: SocketAddress,
-    private readonly requestIdField: string,
-    private readonly events: { onIdle(): void; onClosed(): void },
+    private readonly fieldNames: ResponseFieldNames,
+    private readonly events: {
+      onIdle(): void;
+      onClosed(): void;
+      onDiscarded(response: DiscardedResponse): void;
+    },
     private readonly clock: () => number,
     private readonly bufferBudget: BufferBudget,
   ) {
+    this.attribution = new ResponseAttribution(fieldNames);
     this.socket = createConnection({ host: address.ip, port: address.port });
     this.socket.setNoDelay(true);
     this.connectTimer = setTimeout(
@@ -92,7 +107,11 @@
     message: readonly Buffer[],
     onResult: (result: TargetExchangeResult) => void,
   ): void {
-    this.exchange = { requestId, isHeadRequest, message, onResult };
+    this.exchange = { requestId, isHeadRequest, message, sentMs: this.clock(), onResult };
+    this.attribution.recordRequest();
+    this.lastRequestId = requestId;
+    // A second response to a request without an id could be taken for that to the next one.
+    if (requestId === '') this.isRetired = true;
     this.idleSinceMs = undefined;
     if (this.isConnected) writeBuffers(this.socket, message);
   }
@@ -119,6 +138,7 @@
   private receive(chunk: Buffer): void {
     if (this.exchange === undefined) {
       // After an unsolicited response, later ones could not be matched to their requests.
+      if (!this.isRetired) this.reportDiscarded(DiscardReason.noRequest, chunk.length);
       this.destroy();
       return;
     }
@@ -133,6 +153,7 @@
         case 'incomplete':
           return;
         case 'invalid':
+          this.reportDiscarded(DiscardReason.unreadable, this.reader.bufferedBytes);
           this.failExchange(`unreadable answer: ${read.detail}`);
           return;
         case 'response':
@@ -145,19 +166,39 @@
   }
 
   private handleResponse(exchange: RunningExchange, response: ResponseMessage): void {
-    const responseRequestId = fieldValue(response.fields, this.requestIdField);
-    if (responseRequestId !== undefined && responseRequestId !== exchange.requestId) {
-      // A second response to an earlier request; the response to this one follows it.
-      this.isRetired = true;
-      this.foreignResponses += 1;
-      if (this.foreignResponses > MAX_FOREIGN_RESPONSES) {
-        this.failExchange('too many responses to other requests');
-      }
-      return;
+    const attribution = this.attribution.attribute(
+      exchange.requestId,
+      response,
+      this.reader.peekUnread(MAX_EXAMINED_UNREAD_BYTES),
+    );
+    switch (attribution.kind) {
+      case 'own':
+        this.finishExchange(exchange, response);
+        return;
+      case 'foreign':
+        this.isRetired = true;
+        this.reportDiscarded(DiscardReason.otherRequest, response.body.length, response);
+        return;
+      case 'unattributable':
+        this.reportDiscarded(attribution.reason, response.body.length, response);
+        this.failExchange(`answer not believed: ${attribution.reason}`);
+        return;
+      default:
+        attribution satisfies never;
+    }
+  }
+
+  private finishExchange(exchange: RunningExchange, response: ResponseMessage): void {
+    const { unreadBytes } = this.reader;
+    if (unreadBytes > 0) {
+      this.reportDiscarded(DiscardReason.bytesAfterResponse, unreadBytes, response);
     }
     this.exchange = undefined;
+    // The receiver may send the next request at once; the body counts until it is handed over.
+    const { reservation } = this;
+    this.reservation = undefined;
     if (response.keepAliveMs !== undefined) this.keepAliveMs = response.keepAliveMs;
-    if (!response.isPersistent || this.reader.unreadBytes > 0) this.isRetired = true;
+    if (!response.isPersistent || unreadBytes > 0) this.isRetired = true;
     if (this.isRetired) {
       this.destroy();
     } else {
@@ -165,7 +206,25 @@
       this.events.onIdle();
     }
     exchange.onResult({ kind: 'response', response });
-    this.releaseReservation();
+    reservation?.release();
+  }
+
+  private reportDiscarded(
+    reason: DiscardReasonName,
+    bytes: number,
+    response?: ResponseMessage,
+  ): void {
+    const nowMs = this.clock();
+    this.events.onDiscarded({
+      reason,
+      requestId: this.lastRequestId,
+      responseIds:
+        response === undefined ? [] : fieldValues(response.fields, this.fieldNames.requestId),
+      status: response?.status,
+      bytes,
+      isReused: this.attribution.isReused,
+      waitedMs: nowMs - (this.exchange?.sentMs ?? this.idleSinceMs ?? nowMs),
+    });
   }
 
   /** Small bodies are not counted; their number is bounded by the target's slots. */
