Answer a request once when its own home settles it at the deadline

A caller that kept its connection could get the answer to its next request from the one before: at the deadline of a request whose call was at the target of the same machine, the entry wrote two responses, and the second stood where the answer to the next request was due.

Cause: the entry cancels the call before it responds. A home in the same process settles the cancelled call at once and replies before cancel() returns; the entry took that reply for the outcome, responded (504, or 503 if the call had waited), and then responded to the deadline as well. Calls to other machines do not do this, as a link drops the replies to cancelled calls.

The entry now takes only the reply of the call that it waits for. A second reply of the same call is dropped too, and a cancelled call is counted as ended once.

--- a/packages/sidecar/src/caller-request.ts
+++ b/packages/sidecar/src/caller-request.ts
@@ -61,11 +61,18 @@
   }
 }
 
+interface SentCall {
+  readonly daemonId: string;
+  /** Undefined while the call is being sent. */
+  call: CancellableCall | undefined;
+}
+
 /** One request of a caller: tries one target after another until it has its single response. */
 export class CallerRequest {
   private readonly excluded = new Set<string>();
 
-  private sentCall: { readonly daemonId: string; readonly call: CancellableCall } | undefined;
+  /** The call whose reply is awaited; other replies are dropped. */
+  private sentCall: SentCall | undefined;
 
   private targetsReached = 0;
 
@@ -184,8 +191,9 @@
     const { daemonId, target } = choice.record;
     this.excluded.add(daemonId);
     parts.chooser.recordSent(daemonId);
-    let isReplied = false;
-    const call = parts.transport.send(
+    const sentCall: SentCall = { daemonId, call: undefined };
+    this.sentCall = sentCall;
+    sentCall.call = parts.transport.send(
       daemonId,
       {
         requestId: input.requestId,
@@ -203,12 +211,12 @@
       },
       input.body,
       (reply) => {
-        isReplied = true;
+        // The home of this daemon replies also to a call that is being cancelled.
+        if (this.sentCall !== sentCall) return;
         this.sentCall = undefined;
         this.handleReply(daemonId, reply, parts.clock());
       },
     );
-    if (!isReplied) this.sentCall = { daemonId, call };
   }
 
   private handleReply(daemonId: string, { outcome, load }: CallReply, nowMs: number): void {
@@ -364,7 +372,7 @@
     const { sentCall } = this;
     if (sentCall === undefined) return;
     this.sentCall = undefined;
-    sentCall.call.cancel();
+    sentCall.call?.cancel();
     this.parts.chooser.recordEnded(
       sentCall.daemonId,
       this.input.route.name,
--- a/packages/sidecar/tests/caller-request.test.ts
+++ b/packages/sidecar/tests/caller-request.test.ts
@@ -5,11 +5,10 @@
   CallRefusalReason,
   type ForwardedCallOutcome,
   type CallReply,
-  type ForwardedCall,
 } from '@daisyferry/mesh/forwarded-call';
 import type { Route } from '@daisyferry/mesh/routing-configuration';
 import { TargetChooser } from '@daisyferry/mesh/target-chooser';
-import { CallerRequest } from '@daisyferry/sidecar/caller-request';
+import { CallerRequest, type CallerRequestInput } from '@daisyferry/sidecar/caller-request';
 import type { SidecarEntryParts } from '@daisyferry/sidecar/entry';
 import type { EventLog } from '@daisyferry/sidecar/event-log';
 import { RouteFailureGate } from '@daisyferry/mesh/route-failure-gate';
@@ -52,12 +51,11 @@
   readonly status: number | undefined;
 }
 
-/** Forwards one request to homes that reply with the outcomes in order. */
-function forwardRequest(
-  route: Route,
+function buildParts(
   daemonIds: readonly string[],
-  outcomes: readonly ForwardedCallOutcome[],
-): ForwardingResult {
+  send: SidecarEntryParts['transport']['send'],
+  nowMs = 0,
+): SidecarEntryParts {
   const directory = new FleetDirectory();
   for (const daemonId of daemonIds) {
     const target = { targetId: daemonId, service: 's', slots: 10, isServing: true, coldMs: 0 };
@@ -65,9 +63,7 @@
     directory.applyRecord({ ...record, isLeaving: false }, 'stored', 0);
   }
   const random = () => 0.5;
-  const sentTo: string[] = [];
-  let status: number | undefined;
-  const parts: SidecarEntryParts = {
+  return {
     routes: () => undefined,
     destinations: new DestinationSelector(0),
     chooser: new TargetChooser(directory, { ownZone: 'z', maxCandidates: 12 }, random),
@@ -78,22 +74,18 @@
       () => ({ retryRatio: RATIO, retrySlack: 2 * BURST_RETRIES }),
       () => 1,
     ),
-    transport: {
-      send: (daemonId: string, _call: ForwardedCall, _body: Buffer, deliver) => {
-        const outcome = outcomes[sentTo.length] ?? SERVED;
-        sentTo.push(daemonId);
-        deliver({ outcome, load: undefined } satisfies CallReply);
-        return { cancel: () => undefined };
-      },
-    },
+    transport: { send },
     headerNames: {} as SidecarEntryParts['headerNames'],
     callerService: 'caller',
     internalIdPrefix: 'm/1/',
     log: { decision: () => undefined } as unknown as EventLog,
     metrics: new SidecarMetrics(),
-    clock: () => 0,
+    clock: () => nowMs,
   };
-  const input = {
+}
+
+function buildInput(route: Route): CallerRequestInput {
+  return {
     requestId: 'request',
     route,
     service: 's',
@@ -107,7 +99,23 @@
     callerDeadlineMs: 1_000,
     routeDeadlineMs: 1_000,
   };
-  new CallerRequest(input, parts, (response) => {
+}
+
+/** Forwards one request to homes that reply with the outcomes in order. */
+function forwardRequest(
+  route: Route,
+  daemonIds: readonly string[],
+  outcomes: readonly ForwardedCallOutcome[],
+): ForwardingResult {
+  const sentTo: string[] = [];
+  let status: number | undefined;
+  const parts = buildParts(daemonIds, (daemonId, _call, _body, deliver) => {
+    const outcome = outcomes[sentTo.length] ?? SERVED;
+    sentTo.push(daemonId);
+    deliver({ outcome, load: undefined });
+    return { cancel: () => undefined };
+  });
+  new CallerRequest(buildInput(route), parts, (response) => {
     status = response.status;
   }).start(0);
   return { sentTo, status };
@@ -127,6 +135,41 @@
   return new Array<ForwardedCallOutcome>(count).fill(outcome);
 }
 
+describe('a request at its deadline', () => {
+  it.each([
+    { action: 'refuses it', outcome: { ...FULL, reason: CallRefusalReason.cancelled } },
+    { action: 'loses it', outcome: UNKNOWN },
+  ])('is answered once though its home $action when it is cancelled', ({ outcome }) => {
+    const statuses: number[] = [];
+    // The home of the same daemon settles a cancelled call before `cancel` returns.
+    const input = buildInput(ROUTE);
+    const send: SidecarEntryParts['transport']['send'] = (_daemonId, _call, _body, deliver) => ({
+      cancel: () => deliver({ outcome, load: undefined }),
+    });
+    const parts = buildParts(['a', 'b'], send, input.routeDeadlineMs);
+    const request = new CallerRequest(input, parts, ({ status }) => statuses.push(status));
+    request.start(0);
+    request.checkDeadline(input.routeDeadlineMs);
+    expect(statuses).toEqual([504]);
+  });
+
+  it('is answered once by a home that replies twice', () => {
+    const statuses: number[] = [];
+    let reply: (reply: CallReply) => void = () => undefined;
+    const parts = buildParts(['a', 'b'], (_daemonId, _call, _body, deliver) => {
+      reply = deliver;
+      return { cancel: () => undefined };
+    });
+    const request = new CallerRequest(buildInput(ROUTE), parts, ({ status }) =>
+      statuses.push(status),
+    );
+    request.start(0);
+    reply({ outcome: SERVED, load: undefined });
+    reply({ outcome: FAILED, load: undefined });
+    expect(statuses).toEqual([200]);
+  });
+});
+
 describe('a request that its targets do not serve', () => {
   it.each([
     { action: 'shed it', outcome: SHED_BY_TARGET, isIdempotent: true, sends: 2, status: 503 },
