Pass on no request that follows a response that closes the connection

A caller that had pipelined a request behind one with Connection: close, or that sent one while the closing response was under way, had it run at a target and never got an answer; a request that is not idempotent could then be repeated by the caller, as its connection was closed without the request having been read.

Cause: after the response that ends a connection, the connection still read requests from what arrived.

Evidence: caller-connection.test, [/first, /pipelined] passed on before, [/first] after.

What follows such a response is read and dropped, as after a rejected request, and the connection is closed two seconds after its last byte was sent.

--- a/packages/sidecar/src/caller-connection.ts
+++ b/packages/sidecar/src/caller-connection.ts
@@ -43,10 +43,10 @@
 /** Size from which a body counts in the memory budget. */
 const MIN_COUNTED_BODY_BYTES = 65_536;
 /**
- * Time for which the rest of a rejected request is read and dropped: closing the connection with
+ * Time for which bytes are read and dropped after the last response: closing the connection with
  * unread bytes would reset it, and the caller might lose the response.
  */
-const REJECTED_READ_MS = 2_000;
+const ENDED_READ_MS = 2_000;
 /** Time after which a response that the caller does not read closes the connection. */
 const UNREAD_RESPONSE_TIMEOUT_MS = 10_000;
 /** Bytes of pipelined requests that are buffered while one request is in progress. */
@@ -63,8 +63,8 @@
 
   private hasSentContinue = false;
 
-  /** Time at which a request was rejected; what arrives afterwards is dropped. */
-  private rejectedAtMs: number | undefined;
+  /** True once the last response was written; what arrives afterwards is dropped. */
+  private hasEnded = false;
 
   /** Memory of the present large request body; undefined until there is one. */
   private bodyReservation: BodyReservation | undefined;
@@ -89,21 +89,21 @@
 
   /** Closes the connection if it is idle between two requests. */
   closeIfIdle(): void {
-    if (!this.isBusy && !this.reader.hasPartialRequest) this.socket.destroy();
+    if (!this.isBusy && !this.hasEnded && !this.reader.hasPartialRequest) this.socket.destroy();
   }
 
   checkTimeouts(nowMs: number): void {
-    if (this.rejectedAtMs !== undefined) {
-      if (nowMs - this.rejectedAtMs > REJECTED_READ_MS) this.socket.destroy();
+    const idleMs = nowMs - this.lastActivityAtMs;
+    if (this.socket.writableLength > 0) {
+      if (idleMs > UNREAD_RESPONSE_TIMEOUT_MS) this.socket.destroy();
       return;
     }
-    if (this.socket.writableLength > 0) {
-      if (nowMs - this.lastActivityAtMs > UNREAD_RESPONSE_TIMEOUT_MS) this.socket.destroy();
+    if (this.hasEnded) {
+      if (idleMs > ENDED_READ_MS) this.socket.destroy();
       return;
     }
     if (this.isBusy) return;
     const { idleTimeoutMs, headerTimeoutMs } = this.listener.parts.limits();
-    const idleMs = nowMs - this.lastActivityAtMs;
     if (this.reader.hasPartialRequest) {
       if (idleMs > headerTimeoutMs) this.reject(408, 'request arrives too slowly');
     } else if (idleMs > idleTimeoutMs) {
@@ -112,7 +112,7 @@
   }
 
   private receive(chunk: Buffer): void {
-    if (this.rejectedAtMs !== undefined) return;
+    if (this.hasEnded) return;
     if (!this.isBusy && !this.reader.hasPartialRequest)
       this.lastActivityAtMs = this.listener.parts.clock();
     this.reader.push(chunk);
@@ -165,28 +165,35 @@
     this.countUnread(response.body.length);
     writeBuffers(this.socket, message);
     if (closesConnection) {
-      this.socket.end();
+      this.end();
       return;
     }
     this.socket.resume();
     if (this.reader.hasPartialRequest) setImmediate(() => this.readNextRequest());
   }
 
+  /** Ends the connection once all that was written is sent. */
+  private end(): void {
+    this.hasEnded = true;
+    this.socket.end(() => {
+      this.lastActivityAtMs = this.listener.parts.clock();
+    });
+    this.socket.resume();
+  }
+
   private readNextRequest(): void {
-    if (!this.isBusy && !this.socket.destroyed) this.readRequest();
+    if (!this.isBusy && !this.hasEnded && !this.socket.destroyed) this.readRequest();
   }
 
   private reject(status: number, detail: string, fields: readonly string[] = []): void {
     const { parts } = this.listener;
     parts.onProblem(detail);
-    this.isBusy = true;
-    this.rejectedAtMs = parts.clock();
+    this.lastActivityAtMs = parts.clock();
     this.releaseBody();
     const reason = REASON_PHRASE[status] ?? '';
     const body = Buffer.from(`${detail}\n`);
     writeBuffers(this.socket, encodeResponse({ status, reason, fields, body }, false, true));
-    this.socket.end();
-    this.socket.resume();
+    this.end();
   }
 
   /** Rejects a request that was not passed on, as there is no memory for its body. */
--- /dev/null
+++ b/packages/sidecar/tests/caller-connection.test.ts
@@ -0,0 +1,84 @@
+import type { RequestMessage } from '@daisyferry/http1/message';
+import { BufferBudget } from '@daisyferry/mesh/buffer-budget';
+import { CallerConnection } from '@daisyferry/sidecar/caller-connection';
+import type { Respond } from '@daisyferry/sidecar/entry';
+import { createConnection, createServer, type AddressInfo, type Socket } from 'node:net';
+import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
+
+const OK = { status: 200, reason: 'OK', fields: [], body: Buffer.from('done') };
+
+function encodeGet(path: string, fields = ''): string {
+  return `GET ${path} HTTP/1.1\r\nHost: h\r\n${fields}\r\n`;
+}
+
+describe('CallerConnection', () => {
+  const requests: { readonly request: RequestMessage; readonly respond: Respond }[] = [];
+  let caller: Socket;
+  let end: string;
+
+  const server = createServer((socket) => {
+    const parts = {
+      handle: (request: RequestMessage, respond: Respond) => {
+        requests.push({ request, respond });
+        return undefined;
+      },
+      limits: () => ({
+        maxHeaderBytes: 1_024,
+        maxBodyBytes: 1_024,
+        headerTimeoutMs: 1_000,
+        idleTimeoutMs: 60_000,
+      }),
+      bufferBudget: new BufferBudget(64_000_000),
+      onProblem: () => undefined,
+      clock: () => 0,
+    };
+    const connection = new CallerConnection(socket, {
+      parts,
+      isClosing: false,
+      remove: () => undefined,
+    });
+    connection.checkTimeouts(0);
+  });
+
+  /** Paths of the requests that were passed on, in order. */
+  function paths(): string[] {
+    return requests.map(({ request }) => request.head.target);
+  }
+
+  async function answer(index: number, response: Parameters<Respond>[0] = OK): Promise<void> {
+    await vi.waitFor(() => expect(requests.length).toBeGreaterThan(index));
+    requests[index]?.respond(response);
+  }
+
+  beforeEach(async () => {
+    requests.length = 0;
+    end = '';
+    await new Promise<void>((resolve) => {
+      server.listen(0, '127.0.0.1', resolve);
+    });
+    caller = createConnection((server.address() as AddressInfo).port, '127.0.0.1');
+    caller.resume();
+    caller.on('error', (error: NodeJS.ErrnoException) => {
+      end = error.code ?? '';
+    });
+    caller.on('end', () => {
+      end = 'complete';
+    });
+  });
+
+  afterEach(() => {
+    caller.destroy();
+    server.close();
+  });
+
+  it('does not pass on a request that follows a response that closes the connection', async () => {
+    caller.write(encodeGet('/first', 'Connection: close\r\n') + encodeGet('/pipelined'));
+    await answer(0);
+    caller.write(encodeGet('/late'));
+    await vi.waitFor(() => expect(end).toBe('complete'));
+    await new Promise((resolve) => {
+      setTimeout(resolve, 50);
+    });
+    expect(paths()).toEqual(['/first']);
+  });
+});
