Write one response for each request of a caller's connection

A second response to one request stands on the connection where the answer to the next one is due, and nothing checked that there was none: the connection wrote whatever it was handed, also for a request that was answered before.

Evidence: caller-connection.test with two requests on one connection and a late second response to the first: 'done', 'late', 'next' before, 'done', 'next' after.

The connection now knows the request whose response is awaited and drops any other response.

--- a/packages/sidecar/src/caller-connection.ts
+++ b/packages/sidecar/src/caller-connection.ts
@@ -59,7 +59,8 @@
 
   private currentRequest: CancellableRequest | undefined;
 
-  private isBusy = false;
+  /** The request whose response is awaited; other responses are dropped. */
+  private awaited: RequestMessage | undefined;
 
   private hasSentContinue = false;
 
@@ -87,6 +88,11 @@
     socket.on('drain', () => this.releaseUnread());
   }
 
+  /** True while a request is in progress. */
+  private get isBusy(): boolean {
+    return this.awaited !== undefined;
+  }
+
   /** Closes the connection if it is idle between two requests. */
   closeIfIdle(): void {
     if (!this.isBusy && !this.hasEnded && !this.reader.hasPartialRequest) this.socket.destroy();
@@ -136,7 +142,7 @@
           this.rejectForMemory();
           return;
         }
-        this.isBusy = true;
+        this.awaited = read.request;
         this.hasSentContinue = false;
         this.currentRequest = parts.handle(read.request, (response) =>
           this.respond(response, read.request),
@@ -153,8 +159,10 @@
     this.socket.write(CONTINUE_RESPONSE);
   }
 
-  private respond(response: ResponseParts, { head }: RequestMessage): void {
-    this.isBusy = false;
+  private respond(response: ResponseParts, request: RequestMessage): void {
+    if (this.awaited !== request) return;
+    const { head } = request;
+    this.awaited = undefined;
     this.currentRequest = undefined;
     this.releaseBody();
     if (this.socket.destroyed) return;
--- a/packages/sidecar/tests/caller-connection.test.ts
+++ b/packages/sidecar/tests/caller-connection.test.ts
@@ -12,8 +12,12 @@
 }
 
 describe('CallerConnection', () => {
-  const requests: { readonly request: RequestMessage; readonly respond: Respond }[] = [];
+  const requests: {
+    readonly request: RequestMessage;
+    readonly respond: Respond;
+  }[] = [];
   let caller: Socket;
+  let received: string;
   let end: string;
 
   const server = createServer((socket) => {
@@ -52,12 +56,15 @@
 
   beforeEach(async () => {
     requests.length = 0;
+    received = '';
     end = '';
     await new Promise<void>((resolve) => {
       server.listen(0, '127.0.0.1', resolve);
     });
     caller = createConnection((server.address() as AddressInfo).port, '127.0.0.1');
-    caller.resume();
+    caller.on('data', (chunk) => {
+      received += chunk.toString('latin1');
+    });
     caller.on('error', (error: NodeJS.ErrnoException) => {
       end = error.code ?? '';
     });
@@ -81,4 +88,14 @@
     });
     expect(paths()).toEqual(['/first']);
   });
+
+  it('sends one response for each request, in the order of the requests', async () => {
+    caller.write(encodeGet('/first') + encodeGet('/second'));
+    await answer(0);
+    await answer(0, { ...OK, body: Buffer.from('late') });
+    await answer(1, { ...OK, body: Buffer.from('next') });
+    await vi.waitFor(() => expect(received).toContain('next'));
+    await answer(0, { ...OK, body: Buffer.from('late') });
+    expect(received.match(/done|late|next/g)).toEqual(['done', 'next']);
+  });
 });
