Cut off a response that is not sent whole by a reset

A caller that read a response slowly could get the start of it and a proper end of the connection. For a response without a length, only the end of the connection says that it is whole.

Cause: the connection was destroyed, which ends it properly after the bytes that the system already holds: when the caller had not read for 10 s, when a stopping daemon closed idle connections (one whose response was written counted as idle), and when the daemon exited, as its stop waited for the responses only until they were written.

Such a connection is now reset. A stop waits for unsent bytes within its grace time and resets what is left then; connections with unsent bytes are not idle.

--- a/packages/sidecar/src/caller-connection.ts
+++ b/packages/sidecar/src/caller-connection.ts
@@ -93,19 +93,35 @@
     return this.awaited !== undefined;
   }
 
-  /** Closes the connection if it is idle between two requests. */
+  /** Closes the connection if it is idle between two requests and has sent all responses. */
   closeIfIdle(): void {
-    if (!this.isBusy && !this.hasEnded && !this.reader.hasPartialRequest) this.socket.destroy();
+    if (this.isBusy || this.hasEnded || this.hasUnsentBytes) return;
+    if (!this.reader.hasPartialRequest) this.close();
+  }
+
+  /** True while a response is not sent whole. */
+  get hasUnsentBytes(): boolean {
+    return !this.socket.destroyed && this.socket.writableLength > 0;
+  }
+
+  /**
+   * Closes the connection in any state. A response that is not sent whole is cut off by a reset:
+   * if its end is that of the connection, it would look complete otherwise.
+   */
+  close(): void {
+    // By itself, a reset waits until the bytes are sent.
+    if (this.hasUnsentBytes) this.socket.resetAndDestroy();
+    this.socket.destroy();
   }
 
   checkTimeouts(nowMs: number): void {
     const idleMs = nowMs - this.lastActivityAtMs;
-    if (this.socket.writableLength > 0) {
-      if (idleMs > UNREAD_RESPONSE_TIMEOUT_MS) this.socket.destroy();
+    if (this.hasUnsentBytes) {
+      if (idleMs > UNREAD_RESPONSE_TIMEOUT_MS) this.close();
       return;
     }
     if (this.hasEnded) {
-      if (idleMs > ENDED_READ_MS) this.socket.destroy();
+      if (idleMs > ENDED_READ_MS) this.close();
       return;
     }
     if (this.isBusy) return;
@@ -113,7 +129,7 @@
     if (this.reader.hasPartialRequest) {
       if (idleMs > headerTimeoutMs) this.reject(408, 'request arrives too slowly');
     } else if (idleMs > idleTimeoutMs) {
-      this.socket.destroy();
+      this.close();
     }
   }
 
--- a/packages/sidecar/src/caller-listener.ts
+++ b/packages/sidecar/src/caller-listener.ts
@@ -34,6 +34,12 @@
     return this.connections.size;
   }
 
+  /** True while a response of a connection is not sent whole. */
+  get hasUnsentBytes(): boolean {
+    for (const connection of this.connections) if (connection.hasUnsentBytes) return true;
+    return false;
+  }
+
   listen({ ip, port }: SocketAddress): Promise<void> {
     return new Promise((resolve, reject) => {
       this.server.once('error', reject);
@@ -55,6 +61,11 @@
     if (this.server.listening) this.server.close();
   }
 
+  /** Closes all connections, as the daemon exits. */
+  closeConnections(): void {
+    for (const connection of this.connections) connection.close();
+  }
+
   close(): void {
     clearInterval(this.timer);
     this.stopListening();
--- a/packages/sidecar/src/sidecar-lifecycle.ts
+++ b/packages/sidecar/src/sidecar-lifecycle.ts
@@ -99,7 +99,8 @@
     // A request accepted from now on might not be finished in the remaining time.
     callers.stopListening();
     callers.closeIdle();
-    while (this.parts.clock() < stopDeadlineMs && (entry.activeCount > 0 || home.activeCount > 0)) {
+    const hasWork = () => entry.activeCount > 0 || home.activeCount > 0 || callers.hasUnsentBytes;
+    while (this.parts.clock() < stopDeadlineMs && hasWork()) {
       await delay(STOP_CHECK_INTERVAL_MS);
       callers.closeIdle();
     }
@@ -108,6 +109,7 @@
     this.parts.storeSync.stop();
     await Promise.race([registration.stop(), delay(EXIT_MARGIN_MS / 2)]);
     peerConnections.stop();
+    callers.closeConnections();
     this.parts.announcements.close();
     this.parts.readiness.close();
     clearInterval(this.flushTimer);
--- a/packages/sidecar/tests/caller-connection.test.ts
+++ b/packages/sidecar/tests/caller-connection.test.ts
@@ -3,6 +3,7 @@
 import { CallerConnection } from '@daisyferry/sidecar/caller-connection';
 import type { Respond } from '@daisyferry/sidecar/entry';
 import { createConnection, createServer, type AddressInfo, type Socket } from 'node:net';
+import { setTimeout as sleep } from 'node:timers/promises';
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
 
 const OK = { status: 200, reason: 'OK', fields: [], body: Buffer.from('done') };
@@ -16,8 +17,10 @@
     readonly request: RequestMessage;
     readonly respond: Respond;
   }[] = [];
+  let connection: CallerConnection | undefined;
   let caller: Socket;
   let received: string;
+  let receivedBytes: number;
   let end: string;
 
   const server = createServer((socket) => {
@@ -36,12 +39,11 @@
       onProblem: () => undefined,
       clock: () => 0,
     };
-    const connection = new CallerConnection(socket, {
+    connection = new CallerConnection(socket, {
       parts,
       isClosing: false,
       remove: () => undefined,
     });
-    connection.checkTimeouts(0);
   });
 
   /** Paths of the requests that were passed on, in order. */
@@ -57,13 +59,15 @@
   beforeEach(async () => {
     requests.length = 0;
     received = '';
+    receivedBytes = 0;
     end = '';
     await new Promise<void>((resolve) => {
       server.listen(0, '127.0.0.1', resolve);
     });
     caller = createConnection((server.address() as AddressInfo).port, '127.0.0.1');
     caller.on('data', (chunk) => {
-      received += chunk.toString('latin1');
+      receivedBytes += chunk.length;
+      if (receivedBytes < 1_024) received += chunk.toString('latin1');
     });
     caller.on('error', (error: NodeJS.ErrnoException) => {
       end = error.code ?? '';
@@ -83,12 +87,44 @@
     await answer(0);
     caller.write(encodeGet('/late'));
     await vi.waitFor(() => expect(end).toBe('complete'));
-    await new Promise((resolve) => {
-      setTimeout(resolve, 50);
-    });
+    await sleep(50);
     expect(paths()).toEqual(['/first']);
   });
 
+  describe('with a response that the caller has not read', () => {
+    /** More than the buffers of the system hold. */
+    const body = Buffer.alloc(32_000_000);
+
+    async function answerUnread(endsWithConnection: boolean): Promise<void> {
+      caller.pause();
+      caller.write(encodeGet('/'));
+      await answer(0, { ...OK, body, endsWithConnection });
+    }
+
+    // Only the end of its connection shows that a response without a length is whole.
+    it.each([
+      { event: 'the caller is too slow', act: () => connection?.checkTimeouts(10_001) },
+      { event: 'the daemon exits', act: () => connection?.close() },
+    ])('resets the connection when $event', async ({ act }) => {
+      await answerUnread(true);
+      act();
+      await sleep(100);
+      // A connection that has ended without a reset still takes a first write.
+      const failure = await new Promise<unknown>((resolve) => {
+        caller.write('x', resolve);
+      });
+      expect(failure).toBeInstanceOf(Error);
+    });
+
+    it('keeps it when idle connections are closed', async () => {
+      await answerUnread(false);
+      connection?.closeIfIdle();
+      caller.resume();
+      await vi.waitFor(() => expect(receivedBytes).toBeGreaterThan(body.length), 5_000);
+      expect(end).toBe('');
+    });
+  });
+
   it('sends one response for each request, in the order of the requests', async () => {
     caller.write(encodeGet('/first') + encodeGet('/second'));
     await answer(0);
--- a/packages/sidecar/tests/sidecar-lifecycle.test.ts
+++ b/packages/sidecar/tests/sidecar-lifecycle.test.ts
@@ -13,6 +13,8 @@
 
   activeHomeCalls = 0;
 
+  hasUnsentBytes = false;
+
   private readonly startMs = performance.now();
 
   recordStep(step: string): void {
@@ -27,6 +29,7 @@
   parts(): SidecarLifecycleParts {
     const record = (step: string) => () => this.recordStep(step);
     const activeHomeCalls = () => this.activeHomeCalls;
+    const hasUnsentBytes = () => this.hasUnsentBytes;
     return {
       bounds: new CurrentBounds({ graceMs: GRACE_MS, retryRatio: 0.2, retrySlack: 48 }),
       readyState: { isStopping: false, beginStop: record('unready') },
@@ -35,6 +38,10 @@
         closeIdle: () => undefined,
         stopListening: record('listening stopped'),
         close: record('callers closed'),
+        closeConnections: record('caller connections closed'),
+        get hasUnsentBytes() {
+          return hasUnsentBytes();
+        },
       },
       ownRecord: { publishLeaving: record('leaving published') },
       entry: { activeCount: 0 },
@@ -77,6 +84,8 @@
       'home closed',
       'callers closed',
       'peers closed',
+      // Calls that end with their peers are answered before.
+      'caller connections closed',
     ]);
     expect(recorder.atMs('leaving published')).toBeGreaterThanOrEqual(2_000);
     // Calls that are in flight when other daemons learn of the stop still reach the target.
@@ -85,6 +94,18 @@
     ).toBeGreaterThanOrEqual(200);
   });
 
+  it('waits until its last responses are sent', async () => {
+    const recorder = new StopRecorder();
+    recorder.hasUnsentBytes = true;
+    const stopped = new SidecarLifecycle(recorder.parts()).stop();
+    await vi.advanceTimersByTimeAsync(4_000);
+    expect(recorder.atMs('home closed')).toBeNaN();
+    recorder.hasUnsentBytes = false;
+    await vi.advanceTimersByTimeAsync(100);
+    await stopped;
+    expect(recorder.atMs('home closed')).toBeLessThan(4_100);
+  });
+
   it('stops within the grace time even if its target has unfinished work', async () => {
     const recorder = new StopRecorder();
     recorder.activeHomeCalls = 1;
