Give the outcome of an attempt only to that attempt

A caller that used a request id again, for a request that is not idempotent, got the response to the earlier request; while that one was still running, the later request also took its response away, and the first caller waited until its deadline. All requests with an empty id counted as one attempt: the second and third got the response of the first and were not run.

Cause: the execution records of a home, and the queries for an outcome, are keyed by the caller's id alone, and an empty id was taken for an id.

The entry now gives each attempt a key of its own, which calls and queries carry behind the items that the previous build reads. A record serves only its own attempt. Another attempt with the same id still never runs beside it: it is replied 'unknown' (502), or 'barred' if the first never ran. An empty id counts as none. Records without a key, from the previous build, are matched by id as before. A call whose announced length is no length is refused as unreadable.

--- a/packages/mesh/src/execution-record-registry.ts
+++ b/packages/mesh/src/execution-record-registry.ts
@@ -1,8 +1,9 @@
-import type { CallReply } from './forwarded-call';
+import type { Attempt, CallReply } from './forwarded-call';
 import { ExecutionRecord, type AttemptEvent } from './execution-record';
 
 export type OpenResult =
   | { readonly kind: 'opened'; readonly record: ExecutionRecord }
+  /** The record with the id, which may be that of another attempt. */
   | { readonly kind: 'present'; readonly record: ExecutionRecord };
 
 interface RetainedReply {
@@ -34,21 +35,24 @@
     return this.records.size;
   }
 
-  open(requestId: string, deliver: (reply: CallReply) => void, nowMs: number): OpenResult {
-    const present = this.records.get(requestId);
+  open(attempt: Attempt, deliver: (reply: CallReply) => void, nowMs: number): OpenResult {
+    const present = this.records.get(attempt.requestId);
     if (present !== undefined) return { kind: 'present', record: present };
-    const record = new ExecutionRecord(requestId, nowMs, deliver);
-    this.records.set(requestId, record);
+    const record = new ExecutionRecord(attempt, nowMs, deliver);
+    this.records.set(attempt.requestId, record);
     return { kind: 'opened', record };
   }
 
-  /** Looks up an attempt for an entry that lost its connection; bars one not yet received. */
-  resolve(requestId: string, nowMs: number): ExecutionRecord {
-    const present = this.records.get(requestId);
+  /**
+   * Looks up an attempt for an entry that lost its connection; bars one not yet received. The record
+   * found may be that of another attempt with the same id.
+   */
+  resolve(attempt: Attempt, nowMs: number): ExecutionRecord {
+    const present = this.records.get(attempt.requestId);
     if (present !== undefined) return present;
-    const record = new ExecutionRecord(requestId, nowMs);
+    const record = new ExecutionRecord(attempt, nowMs);
     record.transition('REFUSE');
-    this.records.set(requestId, record);
+    this.records.set(attempt.requestId, record);
     return record;
   }
 
--- a/packages/mesh/src/execution-record.ts
+++ b/packages/mesh/src/execution-record.ts
@@ -1,6 +1,6 @@
 import attemptChart from '@daisyferry/charts/attempt.chart.json';
 import { Chart } from '@daisyferry/charts/chart';
-import type { CallReply } from './forwarded-call';
+import type { Attempt, CallReply } from './forwarded-call';
 
 export type AttemptState = 'waiting' | 'running' | 'barred' | 'finished' | 'unknown';
 export type AttemptEvent = 'HAND_OVER' | 'REFUSE' | 'ANSWER' | 'SHED' | 'LOSE';
@@ -15,12 +15,22 @@
   reply: CallReply | undefined;
 
   constructor(
-    readonly requestId: string,
+    private readonly attempt: Attempt,
     readonly openedAtMs: number,
     /** Sends the reply over the connection that sent the attempt or, later, last queried it. */
     private deliver?: (reply: CallReply) => void,
   ) {}
 
+  /** False for another attempt with the same id. */
+  isOf({ requestId, attemptKey }: Attempt): boolean {
+    const present = this.attempt;
+    const isSameKey =
+      attemptKey === undefined ||
+      present.attemptKey === undefined ||
+      attemptKey === present.attemptKey;
+    return isSameKey && requestId === present.requestId;
+  }
+
   get state(): AttemptState {
     return this.currentState;
   }
--- a/packages/mesh/src/forwarded-call.ts
+++ b/packages/mesh/src/forwarded-call.ts
@@ -1,7 +1,16 @@
-/** One attempt of a caller's request, forwarded by its entry to the home of one target. */
-export interface ForwardedCall {
+/** Identity of one attempt of a caller's request. */
+export interface Attempt {
   /** Id that the caller assigned to its attempt; the key of the execution record. */
   readonly requestId: string;
+  /**
+   * Assigned by the entry, unique among all entries: callers may use an id again. Undefined for an
+   * idempotent call, which has no record, and from an earlier build.
+   */
+  readonly attemptKey: string | undefined;
+}
+
+/** One attempt of a caller's request, forwarded by its entry to the home of one target. */
+export interface ForwardedCall extends Attempt {
   readonly service: string;
   readonly targetId: string;
   /** Service that the request is attributed to. */
--- a/packages/mesh/tests/execution-record-registry.test.ts
+++ b/packages/mesh/tests/execution-record-registry.test.ts
@@ -1,5 +1,5 @@
 import { ExecutionRecordRegistry } from '@daisyferry/mesh/execution-record-registry';
-import type { CallReply } from '@daisyferry/mesh/forwarded-call';
+import type { Attempt, CallReply } from '@daisyferry/mesh/forwarded-call';
 import { describe, expect, it } from 'vitest';
 
 const REPLY: CallReply = {
@@ -14,44 +14,56 @@
   load: undefined,
 };
 
+function attempt(requestId: string): Attempt {
+  return { requestId, attemptKey: 'entry/1' };
+}
+
 function ignoreReply(): void {}
 
 describe('ExecutionRecordRegistry', () => {
   it('bars an attempt whose outcome is queried before it arrives', () => {
     const registry = new ExecutionRecordRegistry();
-    expect(registry.resolve('r', 0).state).toBe('barred');
-    const late = registry.open('r', ignoreReply, 1);
+    expect(registry.resolve(attempt('r'), 0).state).toBe('barred');
+    const late = registry.open(attempt('r'), ignoreReply, 1);
     expect(late.kind).toBe('present');
     expect(late.record.transition('HAND_OVER')).toBe(false);
   });
 
   it('allows an attempt to be sent to the target only once', () => {
     const registry = new ExecutionRecordRegistry();
-    const { record } = registry.open('r', ignoreReply, 0);
+    const { record } = registry.open(attempt('r'), ignoreReply, 0);
     expect(record.transition('HAND_OVER')).toBe(true);
     expect(record.transition('HAND_OVER')).toBe(false);
     expect(record.transition('REFUSE')).toBe(false);
   });
 
+  it('tells the attempts of two entries with the same id apart, but not those of old builds', () => {
+    const registry = new ExecutionRecordRegistry();
+    const { record } = registry.open(attempt('r'), ignoreReply, 0);
+    expect(record.isOf(attempt('r'))).toBe(true);
+    expect(record.isOf({ requestId: 'r', attemptKey: 'other/1' })).toBe(false);
+    expect(record.isOf({ requestId: 'r', attemptKey: undefined })).toBe(true);
+  });
+
   it('sends the reply over the connection that queried last and retains it for a while', () => {
     const registry = new ExecutionRecordRegistry();
     const receivers: string[] = [];
-    const { record } = registry.open('r', () => receivers.push('first'), 0);
+    const { record } = registry.open(attempt('r'), () => receivers.push('first'), 0);
     record.transition('HAND_OVER');
-    registry.resolve('r', 1).redirectReply(() => receivers.push('second'));
+    registry.resolve(attempt('r'), 1).redirectReply(() => receivers.push('second'));
     registry.settle(record, 'ANSWER', REPLY, 2);
     expect(receivers).toEqual(['second']);
-    expect(registry.resolve('r', 3).reply).toBe(REPLY);
+    expect(registry.resolve(attempt('r'), 3).reply).toBe(REPLY);
     registry.sweep(6_000);
-    expect(registry.resolve('r', 6_000).reply).toBeUndefined();
-    expect(registry.resolve('r', 6_000).state).toBe('finished');
+    expect(registry.resolve(attempt('r'), 6_000).reply).toBeUndefined();
+    expect(registry.resolve(attempt('r'), 6_000).state).toBe('finished');
   });
 
   it('removes settled attempts after a minute but never a running one', () => {
     const registry = new ExecutionRecordRegistry();
-    const { record } = registry.open('settled', ignoreReply, 0);
+    const { record } = registry.open(attempt('settled'), ignoreReply, 0);
     record.transition('REFUSE');
-    registry.open('running', ignoreReply, 0).record.transition('HAND_OVER');
+    registry.open(attempt('running'), ignoreReply, 0).record.transition('HAND_OVER');
     registry.sweep(59_000);
     expect(registry.size).toBe(2);
     registry.sweep(60_000);
--- a/packages/peering/src/call-codec.ts
+++ b/packages/peering/src/call-codec.ts
@@ -23,6 +23,7 @@
   path: string,
   fields: string[],
   bodyBytes?: number,
+  attemptKey?: string,
 ];
 
 type EncodedLoad = number[] | null;
@@ -53,8 +54,9 @@
     call.method,
     call.path,
     call.fields as string[],
+    bodyBytes,
   ];
-  if (bodyBytes > 0) encoded.push(bodyBytes);
+  if (call.attemptKey !== undefined) encoded.push(call.attemptKey);
   return JSON.stringify(encoded);
 }
 
@@ -62,24 +64,35 @@
   return Array.isArray(value) && value.every((item) => typeof item === 'string');
 }
 
-/** Types of the items of an encoded call, except for the last, its header fields. */
+function isLength(value: unknown): value is number {
+  return Number.isSafeInteger(value) && (value as number) >= 0;
+}
+
+/** Types of the items of an encoded call before its header fields. */
 const CALL_ITEM_TYPES = [
   ...['string', 'string', 'string', 'string', 'string'],
   ...['boolean', 'number', 'number', 'number', 'string', 'string'],
 ];
 
+/** Positions of the items that earlier builds leave out. */
+const BODY_BYTES_INDEX = 12;
+const ATTEMPT_KEY_INDEX = 13;
+
 function isEncodedCall(value: unknown): value is EncodedCall {
   if (!Array.isArray(value)) return false;
   const items: readonly unknown[] = value;
   return (
     CALL_ITEM_TYPES.every((type, index) => typeof items[index] === type) &&
-    isStringList(items[CALL_ITEM_TYPES.length])
+    isStringList(items[CALL_ITEM_TYPES.length]) &&
+    (items[BODY_BYTES_INDEX] === undefined || isLength(items[BODY_BYTES_INDEX])) &&
+    ['undefined', 'string'].includes(typeof items[ATTEMPT_KEY_INDEX])
   );
 }
 
 function toCall(encoded: EncodedCall): ForwardedCall {
   return {
     requestId: encoded[0],
+    attemptKey: encoded[ATTEMPT_KEY_INDEX],
     service: encoded[1],
     targetId: encoded[2],
     callerService: encoded[3],
@@ -108,7 +121,7 @@
 export function decodeCall(text: string): DecodedCall | undefined {
   const encoded = parseJson(text);
   if (!isEncodedCall(encoded)) return undefined;
-  return { call: toCall(encoded), bodyBytes: bodyBytesOf(encoded[CALL_ITEM_TYPES.length + 1]) };
+  return { call: toCall(encoded), bodyBytes: encoded[BODY_BYTES_INDEX] ?? 0 };
 }
 
 function roundToTenths(value: number): number {
--- a/packages/peering/src/control-codec.ts
+++ b/packages/peering/src/control-codec.ts
@@ -1,4 +1,5 @@
 import type { DaemonRecord, ServingTarget } from '@daisyferry/mesh/daemon-record';
+import type { Attempt } from '@daisyferry/mesh/forwarded-call';
 import type { Hello } from './hello';
 
 // Heads of control frames are JSON. A peer of another build may send more or other fields: unknown
@@ -118,9 +119,15 @@
     : undefined;
 }
 
-/** Decodes the id of the attempt whose outcome an entry queries. */
-export function decodeResolve(text: string): string | undefined {
+/** Encodes the attempt whose outcome an entry queries. */
+export function encodeResolve({ requestId, attemptKey }: Attempt): string {
+  return JSON.stringify([requestId, attemptKey]);
+}
+
+/** Decodes the attempt whose outcome an entry queries. */
+export function decodeResolve(text: string): Attempt | undefined {
   const value = parseJson(text);
-  const requestId: unknown = Array.isArray(value) ? value[0] : undefined;
-  return typeof requestId === 'string' ? requestId : undefined;
+  const [requestId, attemptKey]: readonly unknown[] = Array.isArray(value) ? value : [];
+  if (typeof requestId !== 'string') return undefined;
+  return { requestId, attemptKey: typeof attemptKey === 'string' ? attemptKey : undefined };
 }
--- a/packages/peering/src/inbound-peer.ts
+++ b/packages/peering/src/inbound-peer.ts
@@ -1,5 +1,6 @@
 import { HeldBody, type BodyReservation, type BufferBudget } from '@daisyferry/mesh/buffer-budget';
 import type {
+  Attempt,
   CallRefusalReasonName,
   CallReply,
   ForwardedCall,
@@ -30,7 +31,7 @@
    * Called when an entry queries the outcome of a call whose connection broke. Returns the call if
    * it is still in progress, so that the entry can cancel it over the new connection.
    */
-  onResolve(requestId: string, deliver: (reply: CallReply) => void): InboundCall | undefined;
+  onResolve(attempt: Attempt, deliver: (reply: CallReply) => void): InboundCall | undefined;
   onControl(frame: Frame, peer: InboundPeer): void;
   /** Called once the connection has ended. */
   onClosed(peer: InboundPeer): void;
@@ -159,10 +160,10 @@
   }
 
   private handleResolve(frame: Frame): void {
-    const requestId = decodeResolve(frame.head);
+    const attempt = decodeResolve(frame.head);
     // Without its id, the attempt cannot be barred; the entry gives up after a timeout.
-    if (requestId === undefined) return;
-    this.track(frame.stream, (deliver) => this.events.onResolve(requestId, deliver));
+    if (attempt === undefined) return;
+    this.track(frame.stream, (deliver) => this.events.onResolve(attempt, deliver));
   }
 
   /** Starts a call and keeps it until its reply, so that the entry can cancel it. */
--- a/packages/peering/src/peer-link.ts
+++ b/packages/peering/src/peer-link.ts
@@ -3,7 +3,7 @@
 import { HeldBody, type BufferBudget } from '@daisyferry/mesh/buffer-budget';
 import { createConnection, type Socket } from 'node:net';
 import { decodeCallReply, encodeCall } from './call-codec';
-import { decodeHello } from './control-codec';
+import { decodeHello, encodeResolve } from './control-codec';
 import type { Frame, FrameKindNumber } from './frame';
 import { encodeFrame, FrameKind, FrameReader } from './frame';
 import { FrameWriter, MIN_BODY_BYTES_FOR_PARTS } from './frame-writer';
@@ -270,8 +270,7 @@
     } else {
       outstanding.clearOrphaned();
       const { stream, call } = outstanding;
-      const head = JSON.stringify([call.requestId]);
-      this.writer?.write(encodeFrame(FrameKind.resolve, stream, head));
+      this.writer?.write(encodeFrame(FrameKind.resolve, stream, encodeResolve(call)));
     }
   }
 
--- a/packages/peering/tests/control-codec.test.ts
+++ b/packages/peering/tests/control-codec.test.ts
@@ -71,6 +71,7 @@
   it('rejects a call with an item of another type', () => {
     const call = {
       requestId: 'r',
+      attemptKey: 'e/1',
       service: 's',
       targetId: 'i',
       callerService: 'c',
--- a/packages/peering/tests/frame.test.ts
+++ b/packages/peering/tests/frame.test.ts
@@ -39,6 +39,7 @@
 
 const CALL: ForwardedCall = {
   requestId: 'r-1',
+  attemptKey: 'e/1',
   service: 's',
   targetId: 'i-1',
   callerService: 'c',
@@ -59,6 +60,12 @@
     expect(decodeCall(encodeCall(CALL))?.call).toEqual(CALL);
   });
 
+  it('reads a call of a build that sends no attempt key and no length', () => {
+    const items = JSON.parse(encodeCall(CALL)) as unknown[];
+    const call = { ...CALL, attemptKey: undefined };
+    expect(decodeCall(JSON.stringify(items.slice(0, 12)))).toEqual({ call, bodyBytes: 0 });
+  });
+
   const replies: readonly CallReply[] = [
     {
       outcome: {
--- a/packages/peering/tests/peer-link.test.ts
+++ b/packages/peering/tests/peer-link.test.ts
@@ -14,6 +14,7 @@
 
 const CALL: ForwardedCall = {
   requestId: 'r-1',
+  attemptKey: 'entry/1',
   service: 's',
   targetId: 'i-1',
   callerService: 'c',
@@ -101,15 +102,15 @@
       onHello: () => undefined,
       onCall: (call, body, deliver) => {
         this.bodies.push(body);
-        const opened = this.executionRecords.open(call.requestId, deliver, 0);
+        const opened = this.executionRecords.open(call, deliver, 0);
         if (opened.kind === 'opened' && opened.record.transition('HAND_OVER')) {
           this.runs.push(call.requestId);
           this.finish = () => this.executionRecords.settle(opened.record, 'ANSWER', this.reply, 0);
         }
         return this.inboundCall;
       },
-      onResolve: (requestId, deliver) => {
-        const found = this.executionRecords.resolve(requestId, 0);
+      onResolve: (attempt, deliver) => {
+        const found = this.executionRecords.resolve(attempt, 0);
         if (found.reply !== undefined) deliver(found.reply);
         else if (found.isOpen) found.redirectReply(deliver);
         else deliver({ outcome: barredOutcome(), load: undefined });
--- a/packages/sidecar/src/caller-request.ts
+++ b/packages/sidecar/src/caller-request.ts
@@ -13,6 +13,7 @@
 
 export interface CallerRequestInput {
   readonly requestId: string;
+  readonly attemptKey: string;
   readonly route: Route;
   readonly service: string;
   readonly configurationVersion: number;
@@ -197,6 +198,7 @@
       daemonId,
       {
         requestId: input.requestId,
+        attemptKey: input.route.isIdempotent ? undefined : input.attemptKey,
         service: input.service,
         targetId: target?.targetId ?? '',
         callerService: parts.callerService,
--- a/packages/sidecar/src/entry.ts
+++ b/packages/sidecar/src/entry.ts
@@ -39,8 +39,8 @@
   readonly headerNames: HeaderNames;
   /** Service that requests from this instance are attributed to. */
   readonly callerService: string;
-  /** Unique for this process, so that ids built from it never occur at another entry. */
-  readonly internalIdPrefix: string;
+  /** Unique for this process, so that keys built from it never occur at another entry. */
+  readonly attemptKeyPrefix: string;
   readonly log: EventLog;
   readonly metrics: SidecarMetrics;
   readonly clock: () => number;
@@ -68,7 +68,7 @@
 
   private readonly replacedFields: ReadonlySet<string>;
 
-  private internalIdCount = 0;
+  private attemptCount = 0;
 
   private sweepTimer: NodeJS.Timeout | undefined;
 
@@ -107,15 +107,17 @@
       return undefined;
     }
     const nowMs = clock();
-    const requestId =
-      fieldValue(head.fields, headerNames.requestId.toLowerCase()) ?? this.nextInternalId();
+    const attemptKey = this.nextAttemptKey();
+    const callerId = fieldValue(head.fields, headerNames.requestId.toLowerCase()) ?? '';
     const requestedMs = Number(fieldValue(head.fields, headerNames.deadline.toLowerCase()));
     const callerTimeoutMs =
       Number.isFinite(requestedMs) && requestedMs > 0 ? requestedMs : DEFAULT_DEADLINE_MS;
     const fields = endToEndFields(head.fields, this.replacedFields);
     const callerRequest = new CallerRequest(
       {
-        requestId,
+        // Without an id of its own, an attempt would share the record of another.
+        requestId: callerId === '' ? attemptKey : callerId,
+        attemptKey,
         route,
         service: destinations.nextService(route),
         configurationVersion: routes.configuration.version,
@@ -144,10 +146,9 @@
     };
   }
 
-  /** Id of an attempt whose caller assigned none; without one it would share another's record. */
-  private nextInternalId(): string {
-    this.internalIdCount += 1;
-    return `${this.parts.internalIdPrefix}${this.internalIdCount}`;
+  private nextAttemptKey(): string {
+    this.attemptCount += 1;
+    return `${this.parts.attemptKeyPrefix}${this.attemptCount}`;
   }
 
   private scheduleSweep(): void {
--- a/packages/sidecar/src/home.ts
+++ b/packages/sidecar/src/home.ts
@@ -1,4 +1,5 @@
 import type {
+  Attempt,
   ForwardedCallOutcome,
   CallReply,
   ForwardedCall,
@@ -28,6 +29,12 @@
   load: undefined,
 };
 
+/** Reply to an attempt with the id of an earlier one, which may have run. */
+const REUSED_ID_REPLY: CallReply = {
+  outcome: { kind: 'unknown', detail: 'the request id belongs to another attempt' },
+  load: undefined,
+};
+
 type OpenedCall =
   /** An attempt that the home sees for the first time, with its record if it has one. */
   | { readonly kind: 'new'; readonly record: ExecutionRecord | undefined }
@@ -82,16 +89,19 @@
    * Replies with the outcome of a call to an entry whose connection broke after sending it. Returns
    * the call if it is still in progress.
    */
-  resolve(requestId: string, deliver: (reply: CallReply) => void): InboundCall | undefined {
+  resolve(attempt: Attempt, deliver: (reply: CallReply) => void): InboundCall | undefined {
     const { executionRecords, log, clock } = this.parts;
-    const record = executionRecords.resolve(requestId, clock());
-    log.decision('outcome of an attempt queried', { requestId, state: record.state });
-    if (record.reply !== undefined) deliver(record.reply);
+    const { requestId } = attempt;
+    const record = executionRecords.resolve(attempt, clock());
+    const isOwn = record.isOf(attempt);
+    log.decision('outcome of an attempt queried', { requestId, state: record.state, isOwn });
+    if (isOwn && record.reply !== undefined) deliver(record.reply);
     else if (record.state === 'barred')
       deliver({ outcome: refusedOutcome(CallRefusalReason.barred, 0), load: undefined });
+    else if (!isOwn) deliver(REUSED_ID_REPLY);
     else if (record.isOpen) record.redirectReply(deliver);
     else deliver(EXPIRED_REPLY);
-    return this.recordedCalls.get(requestId);
+    return isOwn ? this.recordedCalls.get(requestId) : undefined;
   }
 
   buildReply(outcome: ForwardedCallOutcome, route: string): CallReply {
@@ -154,9 +164,9 @@
     nowMs: number,
   ): OpenedCall {
     if (call.isIdempotent) return { kind: 'new', record: undefined };
-    const opened = this.parts.executionRecords.open(call.requestId, deliver, nowMs);
+    const opened = this.parts.executionRecords.open(call, deliver, nowMs);
     if (opened.kind === 'opened') return { kind: 'new', record: opened.record };
-    return { kind: 'received', call: this.resolve(call.requestId, deliver) ?? SETTLED_CALL };
+    return { kind: 'received', call: this.resolve(call, deliver) ?? SETTLED_CALL };
   }
 
   private scheduleSweep(): void {
--- a/packages/sidecar/src/peer-connections.ts
+++ b/packages/sidecar/src/peer-connections.ts
@@ -96,7 +96,7 @@
         },
         onClosed: (peer) => this.removeInbound(peer),
         onCall: (call, body, deliver) => parts.home.submit(call, body, deliver),
-        onResolve: (requestId, deliver) => parts.home.resolve(requestId, deliver),
+        onResolve: (attempt, deliver) => parts.home.resolve(attempt, deliver),
         onControl: (frame, peer) => this.handleControlFrame(frame, peer),
       },
       parts.bufferBudget,
--- a/packages/sidecar/src/wire-sidecar.ts
+++ b/packages/sidecar/src/wire-sidecar.ts
@@ -213,7 +213,7 @@
     transport: peerConnections,
     headerNames,
     callerService: environment.service,
-    internalIdPrefix: `${environment.daemonId}/${startUnixMs}/${randomUUID()}/`,
+    attemptKeyPrefix: `${environment.daemonId}/${startUnixMs}/${randomUUID()}/`,
     log,
     metrics,
     clock,
--- a/packages/sidecar/tests/caller-request.test.ts
+++ b/packages/sidecar/tests/caller-request.test.ts
@@ -77,7 +77,7 @@
     transport: { send },
     headerNames: {} as SidecarEntryParts['headerNames'],
     callerService: 'caller',
-    internalIdPrefix: 'm/1/',
+    attemptKeyPrefix: 'm/1/',
     log: { decision: () => undefined } as unknown as EventLog,
     metrics: new SidecarMetrics(),
     clock: () => nowMs,
@@ -87,6 +87,7 @@
 function buildInput(route: Route): CallerRequestInput {
   return {
     requestId: 'request',
+    attemptKey: 'm/1/1',
     route,
     service: 's',
     configurationVersion: 1,
