--- a/packages/sidecar/src/caller-connection.ts
+++ b/packages/sidecar/src/caller-connection.ts
@@ -43,10 +43,10 @@
 /** Size from which a body counts in the memory budget. */
 const MIN_COUNTED_BODY_BYTES = 65_536;
 /**
- * Time for which the rest of a rejected request is read and dropped: closing the connection with
+ * Time for which bytes are read and dropped after the last response: closing the connection with
  * unread bytes would reset it, and the caller might lose the response.
  */
-const REJECTED_READ_MS = 2_000;
+const ENDED_READ_MS = 2_000;
 /** Time after which a response that the caller does not read closes the connection. */
 const UNREAD_RESPONSE_TIMEOUT_MS = 10_000;
 /** Bytes of pipelined requests that are buffered while one request is in progress. */
@@ -59,12 +59,13 @@
 
   private currentRequest: CancellableRequest | undefined;
 
-  private isBusy = false;
+  /** The request whose response is awaited; other responses are dropped. */
+  private awaited: RequestMessage | undefined;
 
   private hasSentContinue = false;
 
-  /** Time at which a request was rejected; what arrives afterwards is dropped. */
-  private rejectedAtMs: number | undefined;
+  /** True once the last response was written; what arrives afterwards is dropped. */
+  private hasEnded = false;
 
   /** Memory of the present large request body; undefined until there is one. */
   private bodyReservation: BodyReservation | undefined;
@@ -87,32 +88,53 @@
     socket.on('drain', () => this.releaseUnread());
   }
 
-  /** Closes the connection if it is idle between two requests. */
+  /** True while a request is in progress. */
+  private get isBusy(): boolean {
+    return this.awaited !== undefined;
+  }
+
+  /** Closes the connection if it is idle between two requests and has sent all responses. */
   closeIfIdle(): void {
-    if (!this.isBusy && !this.reader.hasPartialRequest) this.socket.destroy();
+    if (this.isBusy || this.hasEnded || this.hasUnsentBytes) return;
+    if (!this.reader.hasPartialRequest) this.close();
+  }
+
+  /** True while a response is not sent whole. */
+  get hasUnsentBytes(): boolean {
+    return !this.socket.destroyed && this.socket.writableLength > 0;
+  }
+
+  /**
+   * Closes the connection in any state. A response that is not sent whole is cut off by a reset:
+   * if its end is that of the connection, it would look complete otherwise.
+   */
+  close(): void {
+    // By itself, a reset waits until the bytes are sent.
+    if (this.hasUnsentBytes) this.socket.resetAndDestroy();
+    this.socket.destroy();
   }
 
   checkTimeouts(nowMs: number): void {
-    if (this.rejectedAtMs !== undefined) {
-      if (nowMs - this.rejectedAtMs > REJECTED_READ_MS) this.socket.destroy();
+    const idleMs = nowMs - this.lastActivityAtMs;
+    if (this.hasUnsentBytes) {
+      if (idleMs > UNREAD_RESPONSE_TIMEOUT_MS) this.close();
       return;
     }
-    if (this.socket.writableLength > 0) {
-      if (nowMs - this.lastActivityAtMs > UNREAD_RESPONSE_TIMEOUT_MS) this.socket.destroy();
+    if (this.hasEnded) {
+      if (idleMs > ENDED_READ_MS) this.close();
       return;
     }
     if (this.isBusy) return;
     const { idleTimeoutMs, headerTimeoutMs } = this.listener.parts.limits();
-    const idleMs = nowMs - this.lastActivityAtMs;
     if (this.reader.hasPartialRequest) {
       if (idleMs > headerTimeoutMs) this.reject(408, 'request arrives too slowly');
     } else if (idleMs > idleTimeoutMs) {
-      this.socket.destroy();
+      this.close();
     }
   }
 
   private receive(chunk: Buffer): void {
-    if (this.rejectedAtMs !== undefined) return;
+    if (this.hasEnded) return;
     if (!this.isBusy && !this.reader.hasPartialRequest)
       this.lastActivityAtMs = this.listener.parts.clock();
     this.reader.push(chunk);
@@ -136,7 +158,7 @@
           this.rejectForMemory();
           return;
         }
-        this.isBusy = true;
+        this.awaited = read.request;
         this.hasSentContinue = false;
         this.currentRequest = parts.handle(read.request, (response) =>
           this.respond(response, read.request),
@@ -153,8 +175,10 @@
     this.socket.write(CONTINUE_RESPONSE);
   }
 
-  private respond(response: ResponseParts, { head }: RequestMessage): void {
-    this.isBusy = false;
+  private respond(response: ResponseParts, request: RequestMessage): void {
+    if (this.awaited !== request) return;
+    const { head } = request;
+    this.awaited = undefined;
     this.currentRequest = undefined;
     this.releaseBody();
     if (this.socket.destroyed) return;
@@ -165,28 +189,35 @@
     this.countUnread(response.body.length);
     writeBuffers(this.socket, message);
     if (closesConnection) {
-      this.socket.end();
+      this.end();
       return;
     }
     this.socket.resume();
     if (this.reader.hasPartialRequest) setImmediate(() => this.readNextRequest());
   }
 
+  /** Ends the connection once all that was written is sent. */
+  private end(): void {
+    this.hasEnded = true;
+    this.socket.end(() => {
+      this.lastActivityAtMs = this.listener.parts.clock();
+    });
+    this.socket.resume();
+  }
+
   private readNextRequest(): void {
-    if (!this.isBusy && !this.socket.destroyed) this.readRequest();
+    if (!this.isBusy && !this.hasEnded && !this.socket.destroyed) this.readRequest();
   }
 
   private reject(status: number, detail: string, fields: readonly string[] = []): void {
     const { parts } = this.listener;
     parts.onProblem(detail);
-    this.isBusy = true;
-    this.rejectedAtMs = parts.clock();
+    this.lastActivityAtMs = parts.clock();
     this.releaseBody();
     const reason = REASON_PHRASE[status] ?? '';
     const body = Buffer.from(`${detail}\n`);
     writeBuffers(this.socket, encodeResponse({ status, reason, fields, body }, false, true));
-    this.socket.end();
-    this.socket.resume();
+    this.end();
   }
 
   /** Rejects a request that was not passed on, as there is no memory for its body. */
--- /dev/null
+++ b/packages/sidecar/tests/caller-connection.test.ts
@@ -0,0 +1,137 @@
+import type { RequestMessage } from '@daisyferry/http1/message';
+import { BufferBudget } from '@daisyferry/mesh/buffer-budget';
+import { CallerConnection } from '@daisyferry/sidecar/caller-connection';
+import type { Respond } from '@daisyferry/sidecar/entry';
+import { createConnection, createServer, type AddressInfo, type Socket } from 'node:net';
+import { setTimeout as sleep } from 'node:timers/promises';
+import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
+
+const OK = { status: 200, reason: 'OK', fields: [], body: Buffer.from('done') };
+
+function encodeGet(path: string, fields = ''): string {
+  return `GET ${path} HTTP/1.1\r\nHost: h\r\n${fields}\r\n`;
+}
+
+describe('CallerConnection', () => {
+  const requests: {
+    readonly request: RequestMessage;
+    readonly respond: Respond;
+  }[] = [];
+  let connection: CallerConnection | undefined;
+  let caller: Socket;
+  let received: string;
+  let receivedBytes: number;
+  let end: string;
+
+  const server = createServer((socket) => {
+    const parts = {
+      handle: (request: RequestMessage, respond: Respond) => {
+        requests.push({ request, respond });
+        return undefined;
+      },
+      limits: () => ({
+        maxHeaderBytes: 1_024,
+        maxBodyBytes: 1_024,
+        headerTimeoutMs: 1_000,
+        idleTimeoutMs: 60_000,
+      }),
+      bufferBudget: new BufferBudget(64_000_000),
+      onProblem: () => undefined,
+      clock: () => 0,
+    };
+    connection = new CallerConnection(socket, {
+      parts,
+      isClosing: false,
+      remove: () => undefined,
+    });
+  });
+
+  /** Paths of the requests that were passed on, in order. */
+  function paths(): string[] {
+    return requests.map(({ request }) => request.head.target);
+  }
+
+  async function answer(index: number, response: Parameters<Respond>[0] = OK): Promise<void> {
+    await vi.waitFor(() => expect(requests.length).toBeGreaterThan(index));
+    requests[index]?.respond(response);
+  }
+
+  beforeEach(async () => {
+    requests.length = 0;
+    received = '';
+    receivedBytes = 0;
+    end = '';
+    await new Promise<void>((resolve) => {
+      server.listen(0, '127.0.0.1', resolve);
+    });
+    caller = createConnection((server.address() as AddressInfo).port, '127.0.0.1');
+    caller.on('data', (chunk) => {
+      receivedBytes += chunk.length;
+      if (receivedBytes < 1_024) received += chunk.toString('latin1');
+    });
+    caller.on('error', (error: NodeJS.ErrnoException) => {
+      end = error.code ?? '';
+    });
+    caller.on('end', () => {
+      end = 'complete';
+    });
+  });
+
+  afterEach(() => {
+    caller.destroy();
+    server.close();
+  });
+
+  it('does not pass on a request that follows a response that closes the connection', async () => {
+    caller.write(encodeGet('/first', 'Connection: close\r\n') + encodeGet('/pipelined'));
+    await answer(0);
+    caller.write(encodeGet('/late'));
+    await vi.waitFor(() => expect(end).toBe('complete'));
+    await sleep(50);
+    expect(paths()).toEqual(['/first']);
+  });
+
+  describe('with a response that the caller has not read', () => {
+    /** More than the buffers of the system hold. */
+    const body = Buffer.alloc(32_000_000);
+
+    async function answerUnread(endsWithConnection: boolean): Promise<void> {
+      caller.pause();
+      caller.write(encodeGet('/'));
+      await answer(0, { ...OK, body, endsWithConnection });
+    }
+
+    // Only the end of its connection shows that a response without a length is whole.
+    it.each([
+      { event: 'the caller is too slow', act: () => connection?.checkTimeouts(10_001) },
+      { event: 'the daemon exits', act: () => connection?.close() },
+    ])('resets the connection when $event', async ({ act }) => {
+      await answerUnread(true);
+      act();
+      await sleep(100);
+      // A connection that has ended without a reset still takes a first write.
+      const failure = await new Promise<unknown>((resolve) => {
+        caller.write('x', resolve);
+      });
+      expect(failure).toBeInstanceOf(Error);
+    });
+
+    it('keeps it when idle connections are closed', async () => {
+      await answerUnread(false);
+      connection?.closeIfIdle();
+      caller.resume();
+      await vi.waitFor(() => expect(receivedBytes).toBeGreaterThan(body.length), 5_000);
+      expect(end).toBe('');
+    });
+  });
+
+  it('sends one response for each request, in the order of the requests', async () => {
+    caller.write(encodeGet('/first') + encodeGet('/second'));
+    await answer(0);
+    await answer(0, { ...OK, body: Buffer.from('late') });
+    await answer(1, { ...OK, body: Buffer.from('next') });
+    await vi.waitFor(() => expect(received).toContain('next'));
+    await answer(0, { ...OK, body: Buffer.from('late') });
+    expect(received.match(/done|late|next/g)).toEqual(['done', 'next']);
+  });
+});
