Write the daemon's record again after a write that did not take effect

A transaction answered with 412 counted as a stored record, although a write without a condition never gets that answer of its own: the record was then missing from the store until its lease was renewed in vain or another daemon noticed. It now counts as a failed write, which is repeated under a new lease.

Test: registration.test.ts failed before (one write in place of two).

--- a/packages/sidecar/src/registration.ts
+++ b/packages/sidecar/src/registration.ts
@@ -179,7 +179,7 @@
     const key = `${DAEMON_PREFIX}${record.daemonId}`;
     const put = { kind: 'put', key, value: JSON.stringify(record), leaseId } as const;
     const written = await this.parts.store.transact([], [put], CALL_TIMEOUT_MS);
-    if (!written.ok) {
+    if (!written.ok || !written.value.succeeded) {
       // The lease may have expired; granting a new one costs only one call.
       this.leaseId = undefined;
       return false;
