Log responses of the store that do not fit their call

A response that was not believed was seen only as a lost watch or an unreachable store. The line "response of the store rejected" now gives the kind of the call and the field that does not fit.

--- a/packages/sidecar/src/wire-sidecar.ts
+++ b/packages/sidecar/src/wire-sidecar.ts
@@ -184,6 +184,9 @@
     log.stateChange('store came back from an older copy');
     registration.renewAfterRestore();
   });
+  store.onRejectedResponse?.((cause, detail) =>
+    log.warn('response of the store rejected', { cause, detail }),
+  );
   recordMissing.subscribe(() => registration.scheduleRewrite());
   const storeSync = new StoreSync({
     store,
--- a/packages/store/src/key-value-store.ts
+++ b/packages/store/src/key-value-store.ts
@@ -102,5 +102,10 @@
    * a store never does that.
    */
   onRestored?(listener: () => void): void;
+  /**
+   * Calls the listener when a response cannot be that of its call, or not a whole one; the call then
+   * fails. `cause` is the kind of the call, `detail` what does not fit.
+   */
+  onRejectedResponse?(listener: (cause: string, detail: string) => void): void;
   close(): Promise<void>;
 }
