--- a/packages/sidecar/src/target-connection-pool.ts
+++ b/packages/sidecar/src/target-connection-pool.ts
@@ -1,5 +1,7 @@
 import type { BufferBudget } from '@daisyferry/mesh/buffer-budget';
+import type { ResponseFieldNames } from './classify-target-response';
 import type { SocketAddress } from './daemon-environment';
+import type { DiscardedResponseListener } from './discarded-response';
 import type { TargetExchangeResult } from './target-connection';
 import { TargetConnection } from './target-connection';
 
@@ -16,9 +18,10 @@
 
   constructor(
     private readonly address: SocketAddress,
-    private readonly requestIdField: string,
+    private readonly fieldNames: ResponseFieldNames,
     private readonly clock: () => number,
     private readonly bufferBudget: BufferBudget,
+    private readonly discardedResponses: DiscardedResponseListener,
   ) {}
 
   /** Connections opened since the start of the daemon. */
@@ -26,13 +29,15 @@
     return this.opened;
   }
 
+  /** A request without an id (`requestId` is empty) is sent on a connection of its own. */
   send(
     requestId: string,
     isHeadRequest: boolean,
     message: readonly Buffer[],
     onResult: (result: TargetExchangeResult) => void,
   ): AbortableExchange {
-    const connection = this.takeIdle(this.clock()) ?? this.connect();
+    const idleConnection = requestId === '' ? undefined : this.takeIdle(this.clock());
+    const connection = idleConnection ?? this.connect();
     connection.send(requestId, isHeadRequest, message, onResult);
     return { abort: () => connection.abort() };
   }
@@ -55,10 +60,11 @@
     this.opened += 1;
     const connection: TargetConnection = new TargetConnection(
       this.address,
-      this.requestIdField,
+      this.fieldNames,
       {
         onIdle: () => this.idle.push(connection),
         onClosed: () => this.removeIdle(connection),
+        onDiscarded: (response) => this.discardedResponses.discarded(response),
       },
       this.clock,
       this.bufferBudget,
