Take replies only from the daemon and the process that the call was sent to

An entry could take another daemon for the home of a call. A daemon at the address of a machine that is gone got its calls and queries, and a reply behind its hello in the same read was given to the caller. A query for an outcome that reached another process with the same incarnation was replied 'barred', so that a request that is not idempotent was sent to a second target although the first may have run it. Incarnations collide where two processes of a daemon exceed the same stored record, or where the clock was set back.

Cause: a link never compared the daemon id in the hello with its own, told processes apart by the incarnation only, and handled the frames left in a read after it had closed the connection; the accepting side did that too.

A hello has a key of its process that decides; the incarnation decides for the previous build, which sends and reads no key. Frames after the closing one, replies before the hello and a second hello are not used. A hello whose record has another address no longer marks the closed link as connected.

--- a/packages/peering/src/control-codec.ts
+++ b/packages/peering/src/control-codec.ts
@@ -61,10 +61,12 @@
 /** Decodes the first frame of a connection. */
 export function decodeHello(text: string): Hello | undefined {
   const hello = fieldsOf<Hello>(parseJson(text));
-  const { record, configurationVersion, wantsView, isReading, acceptsBodyParts } = hello;
+  const { record, processKey, configurationVersion, wantsView, isReading, acceptsBodyParts } =
+    hello;
   if (!isDaemonRecord(record)) return undefined;
   return {
     record,
+    processKey: typeof processKey === 'string' ? processKey : undefined,
     configurationVersion: isNumber(configurationVersion) ? configurationVersion : 0,
     wantsView: wantsView === true,
     isReading: isReading === true,
--- a/packages/peering/src/inbound-peer.ts
+++ b/packages/peering/src/inbound-peer.ts
@@ -83,6 +83,8 @@
   }
 
   private handleFrame(frame: Frame): void {
+    // A frame that follows the one for which the connection was closed.
+    if (this.socket.destroyed) return;
     switch (frame.kind) {
       case FrameKind.call:
         this.handleCall(frame);
--- a/packages/peering/src/outstanding-call.ts
+++ b/packages/peering/src/outstanding-call.ts
@@ -1,12 +1,10 @@
 import type { BodyReservation } from '@daisyferry/mesh/buffer-budget';
 import type { CallReply, ForwardedCall } from '@daisyferry/mesh/forwarded-call';
+import type { Hello } from './hello';
 
 /** A call that waits for its reply, also across reconnects. */
 export class OutstandingCall {
-  private wasSent = false;
-
-  /** Incarnation of the peer that the call was sent to. */
-  sentToIncarnation: number | undefined;
+  private sentToPeer: Hello | undefined;
 
   /** Time at which the connection broke, while the outcome of the call is unknown. */
   orphanedAtMs: number | undefined;
@@ -23,13 +21,13 @@
     readonly deliver: (reply: CallReply) => void,
   ) {}
 
-  get isSent(): boolean {
-    return this.wasSent;
+  /** Hello of the peer that the call was sent to; undefined until it is sent. */
+  get sentTo(): Hello | undefined {
+    return this.sentToPeer;
   }
 
-  markSent(incarnation: number | undefined): void {
-    this.wasSent = true;
-    this.sentToIncarnation = incarnation;
+  markSent(hello: Hello): void {
+    this.sentToPeer = hello;
   }
 
   markOrphaned(nowMs: number): void {
--- a/packages/peering/src/peer-link.ts
+++ b/packages/peering/src/peer-link.ts
@@ -7,7 +7,7 @@
 import type { Frame, FrameKindNumber } from './frame';
 import { encodeFrame, FrameKind, FrameReader } from './frame';
 import { FrameWriter, MIN_BODY_BYTES_FOR_PARTS } from './frame-writer';
-import type { Hello } from './hello';
+import { isSameProcess, type Hello } from './hello';
 import { IncomingBodies } from './incoming-bodies';
 import { OutstandingCall } from './outstanding-call';
 
@@ -74,9 +74,8 @@
 
   private nextStream = 1;
 
-  private incarnation: number | undefined;
-
-  private peerAcceptsBodyParts = false;
+  /** The last hello of the peer. */
+  private peerHello: Hello | undefined;
 
   private readonly incomingBodies = new IncomingBodies((bytes) =>
     this.writer?.write(encodeFrame(FrameKind.bodyCredit, bytes, '')),
@@ -95,6 +94,7 @@
   private isClosed = false;
 
   constructor(
+    private readonly daemonId: string,
     private address: PeerAddress,
     private readonly events: PeerLinkEvents,
     private readonly clock: () => number,
@@ -133,7 +133,8 @@
     this.nextStream = (this.nextStream % 0xffff_fff0) + 1;
     const outstanding = this.toOutstandingCall(stream, call, body, deliver);
     this.calls.set(stream, outstanding);
-    if (this.state === 'up') this.send(outstanding);
+    const { peerHello } = this;
+    if (this.isUp && peerHello !== undefined) this.send(outstanding, peerHello);
     else this.connect();
     return { cancel: () => this.cancel(outstanding) };
   }
@@ -148,7 +149,8 @@
     body: Buffer,
     deliver: (reply: CallReply) => void,
   ): OutstandingCall {
-    const isLarge = this.peerAcceptsBodyParts && body.length >= MIN_BODY_BYTES_FOR_PARTS;
+    const isLarge =
+      this.peerHello?.acceptsBodyParts === true && body.length >= MIN_BODY_BYTES_FOR_PARTS;
     const frame = isLarge
       ? encodeFrame(FrameKind.call, stream, encodeCall(call, body.length))
       : encodeFrame(FrameKind.call, stream, encodeCall(call), body);
@@ -213,8 +215,8 @@
     socket.on('data', (chunk: Buffer) => {
       if (this.socket !== socket) return;
       this.lastReceivedAtMs = this.clock();
-      if (!reader.push(chunk, (frame) => this.handleFrame(frame))) {
-        this.breakConnection('malformed frame', false);
+      if (!reader.push(chunk, (frame) => this.handleFrame(frame, socket))) {
+        this.handleSocketEnd(socket, 'malformed frame');
       }
     });
     socket.on('error', (error) => this.handleSocketEnd(socket, error.message));
@@ -225,7 +227,9 @@
     if (this.socket === socket) this.breakConnection(reason, false);
   }
 
-  private handleFrame(frame: Frame): void {
+  private handleFrame(frame: Frame, socket: Socket): void {
+    // A frame that follows the one for which the connection was closed.
+    if (this.socket !== socket) return;
     switch (frame.kind) {
       case FrameKind.hello:
         this.handleHello(decodeHello(frame.head));
@@ -251,21 +255,33 @@
       this.breakConnection('unreadable hello', false);
       return;
     }
-    this.incarnation = hello.record.incarnation;
-    this.peerAcceptsBodyParts = hello.acceptsBodyParts;
+    const { daemonId } = hello.record;
+    if (daemonId !== this.daemonId) {
+      // Addresses of daemons that are gone are used again.
+      this.breakConnection(`daemon ${daemonId} responds at the address`, false);
+      return;
+    }
+    if (this.isUp) {
+      this.breakConnection('second hello', false);
+      return;
+    }
+    this.peerHello = hello;
     this.backoffMs = MIN_BACKOFF_MS;
     this.probedAtMs = undefined;
     this.setState('up', this.clock());
     this.events.onHello(hello);
+    // The record in the hello may have another address, for which the connection was closed.
+    if (!this.isUp) return;
     this.events.onUp();
-    for (const outstanding of [...this.calls.values()]) this.resume(outstanding);
+    for (const outstanding of [...this.calls.values()]) this.resume(outstanding, hello);
   }
 
   /** Sends a call that waited for the connection, or queries the outcome of one already sent. */
-  private resume(outstanding: OutstandingCall): void {
-    if (!outstanding.isSent) {
-      this.send(outstanding);
-    } else if (outstanding.sentToIncarnation !== this.incarnation) {
+  private resume(outstanding: OutstandingCall, hello: Hello): void {
+    const { sentTo } = outstanding;
+    if (sentTo === undefined) {
+      this.send(outstanding, hello);
+    } else if (!isSameProcess(sentTo, hello)) {
       this.settle(outstanding, unknownReply('the home daemon restarted'));
     } else {
       outstanding.clearOrphaned();
@@ -274,14 +290,16 @@
     }
   }
 
-  private send(outstanding: OutstandingCall): void {
-    outstanding.markSent(this.incarnation);
+  private send(outstanding: OutstandingCall, hello: Hello): void {
+    outstanding.markSent(hello);
     const { stream, frame, largeBody } = outstanding;
     this.writer?.write(frame);
     if (largeBody !== undefined) this.writer?.writeBody(stream, largeBody);
   }
 
   private handleReply(frame: Frame): void {
+    // No call is sent and no outcome queried before the hello.
+    if (this.state !== 'up') return;
     const outstanding = this.calls.get(frame.stream);
     if (outstanding === undefined) return;
     const { bodyBytes, withBody } = decodeCallReply(frame.head);
@@ -316,7 +334,7 @@
   private cancel(outstanding: OutstandingCall): void {
     if (!this.calls.delete(outstanding.stream)) return;
     this.releaseBodies(outstanding);
-    if (!outstanding.isSent) return;
+    if (outstanding.sentTo === undefined) return;
     if (this.state === 'up') {
       this.writer?.write(encodeFrame(FrameKind.cancel, outstanding.stream, ''));
     }
@@ -338,7 +356,7 @@
 
   private orphan(outstanding: OutstandingCall, nowMs: number): void {
     outstanding.reservation?.release();
-    if (!outstanding.isSent) {
+    if (outstanding.sentTo === undefined) {
       this.settle(outstanding, notSentReply());
     } else if (outstanding.call.isIdempotent || this.isClosed) {
       this.settle(outstanding, unknownReply('connection to the home daemon broke'));
--- a/packages/peering/tests/peer-link.test.ts
+++ b/packages/peering/tests/peer-link.test.ts
@@ -2,7 +2,7 @@
 import { ExecutionRecordRegistry } from '@daisyferry/mesh/execution-record-registry';
 import type { DaemonRecord } from '@daisyferry/mesh/daemon-record';
 import { BufferBudget } from '@daisyferry/mesh/buffer-budget';
-import { decodeCallReply } from '@daisyferry/peering/call-codec';
+import { decodeCallReply, encodeCallReply } from '@daisyferry/peering/call-codec';
 import { encodeFrame, FrameKind, FrameReader } from '@daisyferry/peering/frame';
 import type { InboundCall } from '@daisyferry/peering/inbound-peer';
 import type { Hello } from '@daisyferry/peering/hello';
@@ -63,9 +63,13 @@
 
 /** A home whose calls run until the test finishes them. */
 class HomeStub {
+  daemonId = 'home';
+
   incarnation = 1;
 
-  readonly executionRecords = new ExecutionRecordRegistry();
+  processKey: string | undefined;
+
+  executionRecords = new ExecutionRecordRegistry();
 
   runs: string[] = [];
 
@@ -93,7 +97,8 @@
   readonly server = new PeerServer(
     {
       hello: (): Hello => ({
-        record: record('home', this.incarnation),
+        record: record(this.daemonId, this.incarnation),
+        processKey: this.processKey,
         configurationVersion: 1,
         wantsView: false,
         isReading: false,
@@ -141,10 +146,12 @@
     entryBudget = new BufferBudget(2_000_000);
     proxy = new BreakableProxy({ ip: address.host, port: address.port });
     link = new PeerLink(
+      'home',
       await proxy.listen(),
       {
         hello: () => ({
           record: record('entry', 1),
+          processKey: 'entry/1',
           configurationVersion: 1,
           wantsView: false,
           isReading: false,
@@ -196,6 +203,59 @@
     await vi.waitFor(() => expect(replies[0]?.outcome.kind).toBe('unknown'), 5_000);
   });
 
+  it('reports an unknown outcome when another process of the home has its incarnation', async () => {
+    home.processKey = 'home/1';
+    const replies: CallReply[] = [];
+    link.call(CALL, BODY, (reply) => replies.push(reply));
+    await vi.waitFor(() => expect(home.runs).toEqual(['r-1']), 5_000);
+    home.processKey = 'home/2';
+    home.executionRecords = new ExecutionRecordRegistry();
+    proxy.breakConnections();
+    await vi.waitFor(() => expect(replies[0]?.outcome.kind).toBe('unknown'), 5_000);
+  });
+
+  it('neither calls nor queries another daemon that responds at the address', async () => {
+    const replies: CallReply[] = [];
+    link.call(CALL, BODY, (reply) => replies.push(reply));
+    await vi.waitFor(() => expect(home.runs).toEqual(['r-1']), 5_000);
+    home.daemonId = 'other';
+    home.executionRecords = new ExecutionRecordRegistry();
+    proxy.breakConnections();
+    await vi.waitFor(() => expect(replies[0]?.outcome.kind).toBe('unknown'), 5_000);
+    link.call({ ...CALL, requestId: 'r-2' }, BODY, (reply) => replies.push(reply));
+    await vi.waitFor(
+      () => expect(replies[1]?.outcome).toMatchObject({ kind: 'refused', reason: 'unreachable' }),
+      5_000,
+    );
+    expect(home.runs).toEqual(['r-1']);
+    expect(link.isUp).toBe(false);
+    expect(downs.at(-1)?.reason).toBe('daemon other responds at the address');
+  });
+
+  it('ignores what follows the hello of another daemon', async () => {
+    const replies: CallReply[] = [];
+    const server = createServer((socket) => {
+      const hello = { record: record('other', 1) };
+      const head = encodeCallReply(REPLY);
+      socket.write(
+        Buffer.concat([
+          encodeFrame(FrameKind.hello, 0, JSON.stringify(hello)),
+          encodeFrame(FrameKind.reply, 1, head, Buffer.from('of another')),
+        ]),
+      );
+      socket.on('error', () => undefined);
+    });
+    const port = await freePort();
+    await new Promise<void>((resolve) => {
+      server.listen(port, '127.0.0.1', resolve);
+    });
+    link.setAddress({ ip: '127.0.0.1', port });
+    link.call(CALL, BODY, (reply) => replies.push(reply));
+    await vi.waitFor(() => expect(replies).toHaveLength(1), 5_000);
+    expect(replies[0]?.outcome.kind).toBe('refused');
+    server.close();
+  });
+
   it('reports an unknown outcome when the home cannot be reached to query it', async () => {
     const replies: CallReply[] = [];
     link.call(CALL, BODY, (reply) => replies.push(reply));
--- a/packages/sidecar/src/peer-connections.ts
+++ b/packages/sidecar/src/peer-connections.ts
@@ -23,6 +23,8 @@
   readonly directory: FleetDirectory;
   readonly linkPlan: LinkPlan;
   readonly ownRecord: OwnRecord;
+  /** Unique for this process. */
+  readonly processKey: string;
   readonly home: Home;
   readonly bufferBudget: BufferBudget;
   readonly configuration: ConfigurationHolder;
@@ -177,6 +179,7 @@
     if (record === undefined) return undefined;
     const { directory, log, clock, bufferBudget } = this.parts;
     const link: PeerLink = new PeerLink(
+      daemonId,
       parseAddress(record.address),
       {
         hello: () => this.hello(),
@@ -254,6 +257,7 @@
   private hello(): Hello {
     return {
       record: this.parts.ownRecord.record(),
+      processKey: this.parts.processKey,
       configurationVersion: this.parts.configuration.version,
       wantsView: false,
       isReading: this.parts.isReading(),
--- a/packages/sidecar/src/wire-sidecar.ts
+++ b/packages/sidecar/src/wire-sidecar.ts
@@ -115,6 +115,7 @@
   const storeResetThrottle = new EventThrottle(STORE_RESET_INTERVAL_MS);
   const downstreamLevels = new DownstreamShedLevels();
   const configuration = new ConfigurationHolder(platform.decodeConfiguration, log);
+  const processKey = `${environment.daemonId}/${startUnixMs}/${randomUUID()}`;
   const ownRecord = new OwnRecord(environment, target, startUnixMs, clock);
   const home = new Home({
     target,
@@ -147,6 +148,7 @@
   const peerConnections = new PeerConnections({
     directory,
     ownRecord,
+    processKey,
     home,
     bufferBudget,
     configuration,
@@ -213,7 +215,7 @@
     transport: peerConnections,
     headerNames,
     callerService: environment.service,
-    attemptKeyPrefix: `${environment.daemonId}/${startUnixMs}/${randomUUID()}/`,
+    attemptKeyPrefix: `${processKey}/`,
     log,
     metrics,
     clock,
