Take no reply whose parts do not add up to the announced body

A reply in parts could reach a caller as a whole answer although it was not: with more bytes than announced, made of the parts of two replies for one call, or empty where the announced length was negative, a fraction or no number. A call could be run at a target with such a body.

Such a connection is closed with a reason of its own, as after a malformed frame: calls that are not idempotent are then queried, others are unknown. No build sends such frames.

--- a/packages/peering/src/inbound-peer.ts
+++ b/packages/peering/src/inbound-peer.ts
@@ -99,7 +99,7 @@
         this.writer.addBodyCredit(frame.stream);
         return;
       case FrameKind.bodyPart:
-        this.incomingBodies.append(frame.stream, frame.body);
+        if (!this.incomingBodies.append(frame.stream, frame.body)) this.socket.destroy();
         return;
       case FrameKind.resolve:
         this.handleResolve(frame);
@@ -128,6 +128,10 @@
 
   private handleCall({ stream, head, body }: Frame): void {
     const decoded = decodeCall(head);
+    if (this.isInUse(stream)) {
+      this.socket.destroy();
+      return;
+    }
     if (decoded === undefined) {
       this.reply(stream, refusedReply(CallRefusalReason.unreadable, 0));
       return;
@@ -155,6 +159,11 @@
     });
   }
 
+  /** True while a call of the stream is in progress, whose reply could be taken for another's. */
+  private isInUse(stream: number): boolean {
+    return this.calls.has(stream) || this.incomingBodies.isExpecting(stream);
+  }
+
   private releaseBody(stream: number): void {
     this.incomingBodies.discard(stream);
     this.reservations.get(stream)?.release();
@@ -165,6 +174,10 @@
     const attempt = decodeResolve(frame.head);
     // Without its id, the attempt cannot be barred; the entry gives up after a timeout.
     if (attempt === undefined) return;
+    if (this.isInUse(frame.stream)) {
+      this.socket.destroy();
+      return;
+    }
     this.track(frame.stream, (deliver) => this.events.onResolve(attempt, deliver));
   }
 
--- a/packages/peering/src/incoming-bodies.ts
+++ b/packages/peering/src/incoming-bodies.ts
@@ -16,9 +16,19 @@
   /** `sendCredit` tells the sender how many bytes of parts were taken. */
   constructor(private readonly sendCredit: (bytes: number) => void) {}
 
-  /** Expects a body of `bytes` bytes, more than none, on the stream. */
-  expect(stream: number, bytes: number, onComplete: (body: Buffer) => void): void {
+  /** True until the last part of the stream's body has arrived. */
+  isExpecting(stream: number): boolean {
+    return this.bodies.has(stream);
+  }
+
+  /**
+   * Expects a body of `bytes` bytes, more than none, on the stream. Returns false if one is arriving
+   * on it, from whose parts the new ones could not be told apart.
+   */
+  expect(stream: number, bytes: number, onComplete: (body: Buffer) => void): boolean {
+    if (this.bodies.has(stream)) return false;
     this.bodies.set(stream, { parts: [], missingBytes: bytes, onComplete });
+    return true;
   }
 
   /** Drops what has arrived of a body. Returns true if it was incomplete. */
@@ -31,17 +41,22 @@
     this.uncreditedBytes = 0;
   }
 
-  /** Adds a part; parts of streams that were dropped are ignored. */
-  append(stream: number, part: Buffer): void {
+  /**
+   * Adds a part; parts of streams that were dropped are ignored. Returns false if the body is longer
+   * than announced, after which the connection is unusable.
+   */
+  append(stream: number, part: Buffer): boolean {
     this.credit(part.length);
     const incoming = this.bodies.get(stream);
-    if (incoming === undefined) return;
+    if (incoming === undefined) return true;
+    if (part.length > incoming.missingBytes) return false;
     // A part is a view of the bytes that were read with it, which would stay in memory otherwise.
     incoming.parts.push(Buffer.from(part));
     incoming.missingBytes -= part.length;
-    if (incoming.missingBytes > 0) return;
+    if (incoming.missingBytes > 0) return true;
     this.bodies.delete(stream);
     incoming.onComplete(Buffer.concat(incoming.parts));
+    return true;
   }
 
   private credit(bytes: number): void {
--- a/packages/peering/src/peer-link.ts
+++ b/packages/peering/src/peer-link.ts
@@ -241,7 +241,8 @@
         this.writer?.addBodyCredit(frame.stream);
         return;
       case FrameKind.bodyPart:
-        this.incomingBodies.append(frame.stream, frame.body);
+        if (!this.incomingBodies.append(frame.stream, frame.body))
+          this.breakConnection('body longer than announced', false);
         return;
       case FrameKind.pong:
         return;
@@ -302,6 +303,10 @@
     if (this.state !== 'up') return;
     const outstanding = this.calls.get(frame.stream);
     if (outstanding === undefined) return;
+    if (this.incomingBodies.isExpecting(frame.stream)) {
+      this.breakConnection('second reply to a call', false);
+      return;
+    }
     const { bodyBytes, withBody } = decodeCallReply(frame.head);
     if (bodyBytes === 0) {
       this.settle(outstanding, withBody(frame.body));
--- a/packages/peering/tests/peer-link.test.ts
+++ b/packages/peering/tests/peer-link.test.ts
@@ -2,7 +2,7 @@
 import { ExecutionRecordRegistry } from '@daisyferry/mesh/execution-record-registry';
 import type { DaemonRecord } from '@daisyferry/mesh/daemon-record';
 import { BufferBudget } from '@daisyferry/mesh/buffer-budget';
-import { decodeCallReply, encodeCallReply } from '@daisyferry/peering/call-codec';
+import { decodeCallReply, encodeCall, encodeCallReply } from '@daisyferry/peering/call-codec';
 import { encodeFrame, FrameKind, FrameReader } from '@daisyferry/peering/frame';
 import type { InboundCall } from '@daisyferry/peering/inbound-peer';
 import type { Hello } from '@daisyferry/peering/hello';
@@ -232,6 +232,64 @@
     expect(downs.at(-1)?.reason).toBe('daemon other responds at the address');
   });
 
+  describe('at a home that sends a scripted stream', () => {
+    /** Sends the frames once the home has received the first call, which is of stream 1. */
+    async function replyWith(...frames: readonly Buffer[]): Promise<CallReply['outcome']> {
+      const hello = { record: record('home', 1) };
+      const server = createServer((socket) => {
+        const reader = new FrameReader();
+        socket.on('error', () => undefined);
+        socket.on('data', (chunk: Buffer) => {
+          reader.push(chunk, ({ kind }) => {
+            if (kind === FrameKind.hello)
+              socket.write(encodeFrame(FrameKind.hello, 0, JSON.stringify(hello)));
+            if (kind === FrameKind.call) for (const frame of frames) socket.write(frame);
+          });
+        });
+      });
+      const port = await freePort();
+      await new Promise<void>((resolve) => {
+        server.listen(port, '127.0.0.1', resolve);
+      });
+      link.setAddress({ ip: '127.0.0.1', port });
+      const replies: CallReply[] = [];
+      link.call({ ...CALL, isIdempotent: true }, BODY, (reply) => replies.push(reply));
+      await vi.waitFor(() => expect(replies).toHaveLength(1), 5_000);
+      server.close();
+      expect(entryBudget.usedBytes).toBe(0);
+      return replies[0]?.outcome ?? barredOutcome();
+    }
+
+    function announce(bodyBytes: unknown): Buffer {
+      const head = encodeCallReply(REPLY, 70_000).replace('70000', JSON.stringify(bodyBytes));
+      return encodeFrame(FrameKind.reply, 1, head);
+    }
+
+    function part(text: string): Buffer {
+      return encodeFrame(FrameKind.bodyPart, 1, '', Buffer.from(text));
+    }
+
+    it.each([
+      ['a body longer than announced', [announce(4), part('abc'), part('de')]],
+      [
+        'a second reply between the parts of the first',
+        [announce(4), part('ab'), announce(2), part('cd')],
+      ],
+      ['a negative length', [announce(-4), part('abcd')]],
+      ['a fraction as length', [announce(4.5), part('abcd')]],
+      ['a text as length', [announce('4'), part('abcd')]],
+    ])('reports an unknown outcome for %s', async (_name, frames) => {
+      expect((await replyWith(...frames)).kind).toBe('unknown');
+    });
+
+    it('takes the first of two whole replies', async () => {
+      expect(await replyWith(announce(4), part('abcd'), announce(2), part('ef'))).toMatchObject({
+        kind: 'answered',
+        body: Buffer.from('abcd'),
+      });
+    });
+  });
+
   it('ignores what follows the hello of another daemon', async () => {
     const replies: CallReply[] = [];
     const server = createServer((socket) => {
@@ -312,6 +370,21 @@
     await closed;
   });
 
+  it.each([
+    { state: 'whose body arrives', first: encodeFrame(FrameKind.call, 7, encodeCall(CALL, 8)) },
+    { state: 'of a running call', first: encodeFrame(FrameKind.call, 7, encodeCall(CALL), BODY) },
+  ])('closes a connection that uses the stream $state again', async ({ first }) => {
+    const socket = createConnection(address);
+    const closed = new Promise((resolve) => {
+      socket.on('close', resolve);
+    });
+    const second = encodeCall({ ...CALL, requestId: 'r-2' });
+    socket.write(Buffer.concat([first, encodeFrame(FrameKind.call, 7, second, BODY)]));
+    await closed;
+    expect(home.runs).not.toContain('r-2');
+    expect(home.bufferBudget.usedBytes).toBe(0);
+  });
+
   it('refuses a call that cannot be read, as not run', async () => {
     const frames: string[] = [];
     const reader = new FrameReader();
