Send no interim response to an HTTP/1.0 caller

A caller that speaks HTTP/1.0 and sends Expect: 100-continue could take the interim response for the answer, and the answer for bytes behind it.

Cause: the expectation was honoured whatever the version (RFC 9110, section 10.1.1: a server ignores it in an HTTP/1.0 request).

Evidence: request-reader.test, expectsContinue true for an HTTP/1.0 request before, false after; unchanged for HTTP/1.1.

--- a/packages/http1/src/head-parser.ts
+++ b/packages/http1/src/head-parser.ts
@@ -70,7 +70,8 @@
     fields,
     host: hostName(framingFields.host),
     isPersistent: framingFields.isPersistent(requestLine[3]),
-    expectsContinue: framingFields.expectsContinue,
+    // HTTP/1.0 has no interim responses.
+    expectsContinue: requestLine[3] === '1' && framingFields.expectsContinue,
   };
   return { kind: 'head', head, framing };
 }
--- a/packages/http1/tests/request-reader.test.ts
+++ b/packages/http1/tests/request-reader.test.ts
@@ -32,6 +32,18 @@
     expect(read?.kind === 'request' && read.request.body.toString()).toBe('hello world');
   });
 
+  it('expects no interim response on behalf of a caller that would take it for the final one', () => {
+    const head = 'Host: h\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\nok';
+    const reads = [
+      ...readAll(`PUT /a HTTP/1.1\r\n${head}`),
+      ...readAll(`PUT /a HTTP/1.0\r\n${head}`),
+    ];
+    expect(reads).toMatchObject([
+      { request: { head: { expectsContinue: true } } },
+      { request: { head: { expectsContinue: false } } },
+    ]);
+  });
+
   it('reads pipelined requests in order', () => {
     const first = 'PUT /a/ HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nok';
     const second = 'GET /b/ HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n';
