Give a call with the id of an earlier one no reply of that one

What callers could see: where two callers used the same id for requests that run at most once, the later one got the answer to the earlier one (a 200 of another path) and the earlier one got none, until its deadline.

Cause: a home took a second call with an id on record for a repetition of the first, redirected the reply to it, and later replied with the retained one. No entry repeats a call: after a broken connection it queries the outcome.

The later call gets the outcome unknown, or barred if the earlier one did not and will not run; it is not run, and its cancellation does not cancel the earlier one. A decision line has the id and the state of the earlier call.

Before: the first of two such POST requests got 504 instead of 200.

--- a/packages/sidecar/src/home.ts
+++ b/packages/sidecar/src/home.ts
@@ -28,11 +28,21 @@
   load: undefined,
 };
 
+const ID_IN_USE_REPLY: CallReply = {
+  outcome: { kind: 'unknown', detail: 'another request has the same id' },
+  load: undefined,
+};
+
+const BARRED_REPLY: CallReply = {
+  outcome: refusedOutcome(CallRefusalReason.barred, 0),
+  load: undefined,
+};
+
 type OpenedCall =
   /** An attempt that the home sees for the first time, with its record if it has one. */
   | { readonly kind: 'new'; readonly record: ExecutionRecord | undefined }
-  /** An attempt that was received before. */
-  | { readonly kind: 'received'; readonly call: InboundCall };
+  /** An attempt whose id is barred, or that another attempt has used; it was replied to. */
+  | { readonly kind: 'replied' };
 
 /**
  * The home side of the sidecar daemon: admits the calls of entries to the local target and sends
@@ -64,7 +74,7 @@
     this.parts.routeCallers.recordCall(call.route, call.callerService);
     const refusalReason = this.refusalReasonFor(call);
     const opened = this.openRecord(call, deliver, nowMs);
-    if (opened.kind === 'received') return opened.call;
+    if (opened.kind === 'replied') return SETTLED_CALL;
     const { record } = opened;
     const targetCall = new TargetCall(call, body, deliver, record, this, nowMs);
     if (refusalReason !== undefined) {
@@ -87,8 +97,7 @@
     const record = executionRecords.resolve(requestId, clock());
     log.decision('outcome of an attempt queried', { requestId, state: record.state });
     if (record.reply !== undefined) deliver(record.reply);
-    else if (record.state === 'barred')
-      deliver({ outcome: refusedOutcome(CallRefusalReason.barred, 0), load: undefined });
+    else if (record.state === 'barred') deliver(BARRED_REPLY);
     else if (record.isOpen) record.redirectReply(deliver);
     else deliver(EXPIRED_REPLY);
     return this.recordedCalls.get(requestId);
@@ -154,9 +163,17 @@
     nowMs: number,
   ): OpenedCall {
     if (call.isIdempotent) return { kind: 'new', record: undefined };
-    const opened = this.parts.executionRecords.open(call.requestId, deliver, nowMs);
-    if (opened.kind === 'opened') return { kind: 'new', record: opened.record };
-    return { kind: 'received', call: this.resolve(call.requestId, deliver) ?? SETTLED_CALL };
+    const { requestId, route } = call;
+    const { kind, record } = this.parts.executionRecords.open(requestId, deliver, nowMs);
+    if (kind === 'opened') return { kind: 'new', record };
+    // An entry sends an attempt once, so that the outcome on record is not this call's.
+    this.parts.log.decision('call with the id of an earlier one', {
+      requestId,
+      route,
+      state: record.state,
+    });
+    deliver(record.state === 'barred' ? BARRED_REPLY : ID_IN_USE_REPLY);
+    return { kind: 'replied' };
   }
 
   private scheduleSweep(): void {
