Send no two requests with the same id on one connection to a target

What callers could see: where two requests that may be repeated had the same id, the later one could get a late second response to the earlier one, as the id is all that tells the two apart.

Cause: the connection was chosen without regard to the ids that it had carried. A connection now remembers the ids of its last 64 requests and is not used for one of them again, so that what it still sends cannot be taken for the later response.

Before: the second request went out on the connection of the first (1 connection instead of 2).

--- a/packages/sidecar/src/response-attribution.ts
+++ b/packages/sidecar/src/response-attribution.ts
@@ -12,6 +12,8 @@
   /** It cannot be told what the response answers, nor where the next one starts. */
   | { readonly kind: 'unattributable'; readonly reason: DiscardReasonName };
 
+/** Number of the last requests whose second responses may still arrive. */
+const MAX_RECENT_IDS = 64;
 /** Maximum number of responses to other requests on one connection. */
 const MAX_FOREIGN_RESPONSES = 8;
 const OWN: Attribution = { kind: 'own' };
@@ -28,6 +30,8 @@
 export class ResponseAttribution {
   private readonly markerNames: ReadonlySet<string>;
 
+  private readonly recentIds = new Set<string>();
+
   private requestCount = 0;
 
   private foreignCount = 0;
@@ -41,8 +45,17 @@
     return this.requestCount > 1;
   }
 
-  recordRequest(): void {
+  /** True if a late response to an earlier request would be taken for that to this one. */
+  hasRecentRequest(requestId: string): boolean {
+    return this.recentIds.has(requestId);
+  }
+
+  recordRequest(requestId: string): void {
     this.requestCount += 1;
+    this.recentIds.add(requestId);
+    if (this.recentIds.size <= MAX_RECENT_IDS) return;
+    const [oldestId = ''] = this.recentIds;
+    this.recentIds.delete(oldestId);
   }
 
   /**
--- a/packages/sidecar/src/target-connection.ts
+++ b/packages/sidecar/src/target-connection.ts
@@ -95,9 +95,13 @@
     });
   }
 
-  /** True while the connection is idle and the target is not about to close it. */
-  isUsable(nowMs: number): boolean {
+  /**
+   * True while the connection is idle, the target is not about to close it, and no recent request
+   * on it had this id.
+   */
+  isUsable(requestId: string, nowMs: number): boolean {
     if (this.isRetired || this.socket.destroyed || this.idleSinceMs === undefined) return false;
+    if (this.attribution.hasRecentRequest(requestId)) return false;
     return nowMs - this.idleSinceMs < this.keepAliveMs - KEEP_ALIVE_MARGIN_MS;
   }
 
@@ -108,7 +112,7 @@
     onResult: (result: TargetExchangeResult) => void,
   ): void {
     this.exchange = { requestId, isHeadRequest, message, sentMs: this.clock(), onResult };
-    this.attribution.recordRequest();
+    this.attribution.recordRequest(requestId);
     this.lastRequestId = requestId;
     // A second response to a request without an id could be taken for that to the next one.
     if (requestId === '') this.isRetired = true;
--- a/packages/sidecar/tests/response-attribution.test.ts
+++ b/packages/sidecar/tests/response-attribution.test.ts
@@ -21,7 +21,7 @@
 
 function attributionAfter(requestCount: number): ResponseAttribution {
   const attribution = new ResponseAttribution(FIELD_NAMES);
-  for (let count = 0; count < requestCount; count += 1) attribution.recordRequest();
+  for (let count = 0; count < requestCount; count += 1) attribution.recordRequest(`r${count}`);
   return attribution;
 }
 
@@ -65,6 +65,12 @@
     expect(attribution).toEqual({ kind: 'unattributable', reason });
   });
 
+  it('remembers the ids of recent requests in bounded memory', () => {
+    const attribution = attributionAfter(100);
+    expect(attribution.hasRecentRequest('r99')).toBe(true);
+    expect(attribution.hasRecentRequest('r0')).toBe(false);
+  });
+
   it('ends the wait for the response behind too many to other requests', () => {
     const attribution = attributionAfter(2);
     for (let count = 0; count < OTHER_RESPONSES; count += 1) {
--- a/packages/sidecar/tests/target-connection.test.ts
+++ b/packages/sidecar/tests/target-connection.test.ts
@@ -106,13 +106,26 @@
     target.close();
   });
 
-  function request(requestId: string, ...steps: readonly Step[]): Promise<TargetExchangeResult> {
+  function requestBy(
+    method: 'GET' | 'HEAD',
+    requestId: string,
+    ...steps: readonly Step[]
+  ): Promise<TargetExchangeResult> {
     target.answerNext(...steps);
     return new Promise((resolve) => {
-      pool.send(requestId, false, [Buffer.from(`GET / HTTP/1.1\r\n\r\n`)], resolve);
+      pool.send(
+        requestId,
+        method === 'HEAD',
+        [Buffer.from(`${method} / HTTP/1.1\r\n\r\n`)],
+        resolve,
+      );
     });
   }
 
+  function request(requestId: string, ...steps: readonly Step[]): Promise<TargetExchangeResult> {
+    return requestBy('GET', requestId, ...steps);
+  }
+
   /** Result of a request that follows another one on the same connection. */
   async function requestOnReusedConnection(
     ...steps: readonly Step[]
@@ -241,6 +254,23 @@
     expect((await requestOnReusedConnection(bytes)).kind).toBe('response');
   });
 
+  it('does not guess a response where a late copy is framed by the other method', async () => {
+    const head = responseTo('', { ids: ['r1'], length: 5 });
+    await requestBy('HEAD', 'r1', head);
+    expect((await request('r2', head, SECOND)).kind).toBe('lost');
+    await request('r3', FIRST.replace('r1', 'r3'));
+    const headOfFourth = responseTo('', { ids: ['r4'], length: 5 });
+    const copy = FIRST.replace('r1', 'r3');
+    expect((await requestBy('HEAD', 'r4', copy, headOfFourth)).kind).toBe('lost');
+  });
+
+  it('sends no two requests with the same id on one connection', async () => {
+    await request('r1', FIRST);
+    const result = await request('r1', FIRST.replace('first', 'other'));
+    expect(result).toMatchObject({ response: { body: Buffer.from('other') } });
+    expect(target.connectionCount).toBe(2);
+  });
+
   it('does not take a reset for the end of a body without a length', async () => {
     const result = await requestOnReusedConnection(SECOND_UNFRAMED, LATE_MS, RESET);
     expect(result.kind).toBe('lost');
