Give a request whose deadline passes one response

A caller could get two responses to one request, of which the second reached the next request on the connection. When the deadline of a request passed while the home of the same daemon had it, the entry cancelled the call; the call delivered its reply within the cancellation, the reply found the deadline passed and sent 504, and the entry then sent 504 again.

The request now ends before its call is cancelled, as it already does when the caller disconnects, and the entry passes on one response for each request.

Test: three cases in caller-request.test.ts failed before (two responses).

--- a/packages/sidecar/src/caller-request.ts
+++ b/packages/sidecar/src/caller-request.ts
@@ -129,6 +129,8 @@
 
   checkDeadline(nowMs: number): void {
     if (this.isDone || !this.isPastDeadline(nowMs)) return;
+    // First, as the cancelled call may deliver a reply at once.
+    this.isDone = true;
     this.cancelSentCall(nowMs);
     this.respondFromDaemon(DaemonResponseReason.timedOut, 0, nowMs, 'deadline passed');
   }
--- a/packages/sidecar/src/entry.ts
+++ b/packages/sidecar/src/entry.ts
@@ -130,8 +130,8 @@
       },
       this.parts,
       (response) => {
-        this.activeRequests.delete(callerRequest);
-        respond(response);
+        // A second response would reach the next request on the connection.
+        if (this.activeRequests.delete(callerRequest)) respond(response);
       },
     );
     this.activeRequests.add(callerRequest);
--- a/packages/sidecar/tests/caller-request.test.ts
+++ b/packages/sidecar/tests/caller-request.test.ts
@@ -50,13 +50,18 @@
   /** Ids of the daemons that the request was sent to, in order. */
   readonly sentTo: readonly string[];
   readonly status: number | undefined;
+  readonly responseCount: number;
 }
 
-/** Forwards one request to homes that reply with the outcomes in order. */
+/**
+ * Forwards one request to homes that reply with the outcomes in order. Calls without an outcome are
+ * served, or with `isHeld` have their outcome when the request's deadline cancels them.
+ */
 function forwardRequest(
   route: Route,
   daemonIds: readonly string[],
   outcomes: readonly ForwardedCallOutcome[],
+  isHeld = false,
 ): ForwardingResult {
   const directory = new FleetDirectory();
   for (const daemonId of daemonIds) {
@@ -82,8 +87,9 @@
       send: (daemonId: string, _call: ForwardedCall, _body: Buffer, deliver) => {
         const outcome = outcomes[sentTo.length] ?? SERVED;
         sentTo.push(daemonId);
-        deliver({ outcome, load: undefined } satisfies CallReply);
-        return { cancel: () => undefined };
+        const reply = () => deliver({ outcome, load: undefined } satisfies CallReply);
+        if (!isHeld) reply();
+        return { cancel: isHeld ? reply : () => undefined };
       },
     },
     headerNames: {} as SidecarEntryParts['headerNames'],
@@ -91,7 +97,7 @@
     internalIdPrefix: 'm/1/',
     log: { decision: () => undefined } as unknown as EventLog,
     metrics: new SidecarMetrics(),
-    clock: () => 0,
+    clock: () => (isHeld ? ROUTE.timeoutMs : 0),
   };
   const input = {
     requestId: 'request',
@@ -107,10 +113,14 @@
     callerDeadlineMs: 1_000,
     routeDeadlineMs: 1_000,
   };
-  new CallerRequest(input, parts, (response) => {
+  let responseCount = 0;
+  const request = new CallerRequest(input, parts, (response) => {
+    responseCount += 1;
     status = response.status;
-  }).start(0);
-  return { sentTo, status };
+  });
+  request.start(0);
+  if (isHeld) request.checkDeadline(ROUTE.timeoutMs);
+  return { sentTo, status, responseCount };
 }
 
 const FAILED: ForwardedCallOutcome = { ...SERVED, status: 500 };
@@ -128,6 +138,14 @@
 }
 
 describe('a request that its targets do not serve', () => {
+  it.each([UNKNOWN, SERVED, FULL])(
+    'has one response if its deadline cancels a call that then ends as $kind',
+    (outcome) => {
+      const result = forwardRequest(ROUTE, ['a'], [outcome], true);
+      expect(result).toMatchObject({ status: 504, responseCount: 1 });
+    },
+  );
+
   it.each([
     { action: 'shed it', outcome: SHED_BY_TARGET, isIdempotent: true, sends: 2, status: 503 },
     { action: 'shed it', outcome: SHED_BY_TARGET, isIdempotent: false, sends: 2, status: 503 },
