--- a/packages/sidecar/tests/caller-request.test.ts
+++ b/packages/sidecar/tests/caller-request.test.ts
@@ -140,6 +140,8 @@
   it.each([
     { action: 'refuses it', outcome: { ...FULL, reason: CallRefusalReason.cancelled } },
     { action: 'loses it', outcome: UNKNOWN },
+    { action: 'is full', outcome: FULL },
+    { action: 'serves it', outcome: SERVED },
   ])('is answered once though its home $action when it is cancelled', ({ outcome }) => {
     const statuses: number[] = [];
     // The home of the same daemon settles a cancelled call before `cancel` returns.
