Remember fewer ids for each connection to a target

Ids of callers may be long, and each keeps the head that it was read from in memory; 16 a connection, in place of 64, bound this.

--- a/packages/sidecar/src/response-attribution.ts
+++ b/packages/sidecar/src/response-attribution.ts
@@ -13,7 +13,7 @@
   | { readonly kind: 'unattributable'; readonly reason: DiscardReasonName };
 
 /** Number of the last requests whose second responses may still arrive. */
-const MAX_RECENT_IDS = 64;
+const MAX_RECENT_IDS = 16;
 /** Maximum number of responses to other requests on one connection. */
 const MAX_FOREIGN_RESPONSES = 8;
 const OWN: Attribution = { kind: 'own' };
