Send no body in parts to a build that accepts none

A call with a large body that waited for the link while its home was replaced by a build without bodies in parts would be run there with an empty body.

Cause: whether a body is sent in parts is decided by the hello before, and was not checked against the one of the connection that the call is sent over.

Evidence: peer-link.test, sent before; 'refused' as not sent after, so that the entry tries another home.

--- a/packages/peering/src/peer-link.ts
+++ b/packages/peering/src/peer-link.ts
@@ -281,7 +281,10 @@
   private resume(outstanding: OutstandingCall, hello: Hello): void {
     const { sentTo } = outstanding;
     if (sentTo === undefined) {
-      this.send(outstanding, hello);
+      // A build that accepts no parts would run the call with an empty body.
+      if (outstanding.largeBody !== undefined && !hello.acceptsBodyParts)
+        this.settle(outstanding, notSentReply());
+      else this.send(outstanding, hello);
     } else if (!isSameProcess(sentTo, hello)) {
       this.settle(outstanding, unknownReply('the home daemon restarted'));
     } else {
--- a/packages/peering/tests/peer-link.test.ts
+++ b/packages/peering/tests/peer-link.test.ts
@@ -69,6 +69,8 @@
 
   processKey: string | undefined;
 
+  acceptsBodyParts = true;
+
   executionRecords = new ExecutionRecordRegistry();
 
   runs: string[] = [];
@@ -102,7 +104,7 @@
         configurationVersion: 1,
         wantsView: false,
         isReading: false,
-        acceptsBodyParts: true,
+        acceptsBodyParts: this.acceptsBodyParts,
       }),
       onHello: () => undefined,
       onCall: (call, body, deliver) => {
@@ -481,6 +483,19 @@
       expect(home.bufferBudget.usedBytes).toBe(0);
     });
 
+    it('sends none in parts to a home that was replaced by a build without them', async () => {
+      await connect();
+      home.acceptsBodyParts = false;
+      proxy.breakConnections();
+      await vi.waitFor(() => expect(link.isUp).toBe(false));
+      let reply: CallReply | undefined;
+      link.call(CALL, largeBody, (received) => {
+        reply = received;
+      });
+      await vi.waitFor(() => expect(reply?.outcome).toMatchObject({ kind: 'refused' }));
+      expect(home.runs).toEqual([]);
+    });
+
     it('drops the parts of a cancelled call', async () => {
       await connect();
       link.call(CALL, largeBody, () => undefined).cancel();
