Take no reply for whole whose body has an unreadable length

What callers could see: a success with an empty body in the place of the target's. The length of a reply's body that was no length (-1, 1.5, text) counted as 0, so that the reply was delivered at once, without the parts that follow it. Only a home of another build or a damaged head can send one.

Such a reply is now unreadable: the outcome is unknown, as for other heads that cannot be read. Calls are already checked in this way.

--- a/packages/peering/src/call-codec.ts
+++ b/packages/peering/src/call-codec.ts
@@ -107,10 +107,6 @@
   };
 }
 
-function bodyBytesOf(value: unknown): number {
-  return Number.isSafeInteger(value) ? Math.max(0, value as number) : 0;
-}
-
 export interface DecodedCall {
   readonly call: ForwardedCall;
   /** Length of the body that follows in parts; 0 if it is in the frame itself. */
@@ -230,8 +226,12 @@
   const items: readonly unknown[] = Array.isArray(value) ? value : [];
   const load = decodeLoad(items[1]);
   const unreadable = { kind: 'unknown', detail: 'unreadable reply of the home daemon' } as const;
+  const bodyBytes = items[0] === 'answered' ? (items[REPLY_BODY_BYTES_INDEX] ?? 0) : 0;
+  if (!isLength(bodyBytes)) {
+    return { bodyBytes: 0, withBody: () => ({ outcome: unreadable, load }) };
+  }
   return {
-    bodyBytes: items[0] === 'answered' ? bodyBytesOf(items[REPLY_BODY_BYTES_INDEX]) : 0,
+    bodyBytes,
     withBody: (body) => ({ outcome: decodeOutcome(items, body) ?? unreadable, load }),
   };
 }
--- a/packages/peering/tests/frame.test.ts
+++ b/packages/peering/tests/frame.test.ts
@@ -89,4 +89,14 @@
     const body = reply.outcome.kind === 'answered' ? reply.outcome.body : Buffer.alloc(0);
     expect(decodeCallReply(encodeCallReply(reply)).withBody(body)).toEqual(reply);
   });
+
+  it.each([-1, 1.5, '5', true, 1e300])(
+    'does not take a reply for whole whose body has the length %j',
+    (bodyBytes) => {
+      const items = ['answered', null, 200, 'OK', [], false, bodyBytes];
+      const decoded = decodeCallReply(JSON.stringify(items));
+      expect(decoded.bodyBytes).toBe(0);
+      expect(decoded.withBody(Buffer.alloc(0)).outcome.kind).toBe('unknown');
+    },
+  );
 });
