Query no outcome before the hello of the daemon that is asked

What callers could see: 503, which promises that a request has not run, for one that was running, and with it a second run at another target.

Cause: the record in a hello may move the link to another address while the hello is handled: the connection is replaced within onHello, and the link went on as if it were up. It queried the outcomes of its orphaned calls on the new connection, before that daemon's hello and thus without comparing its incarnation. A daemon that does not know an attempt bars it and replies 'not run'. The link also counted as connected, and the query ended the time after which an orphaned call is given up.

peer-link.test: 'refused' before, 'unknown' after.

--- a/packages/peering/src/peer-link.ts
+++ b/packages/peering/src/peer-link.ts
@@ -257,6 +257,8 @@
     this.probedAtMs = undefined;
     this.setState('up', this.clock());
     this.events.onHello(hello);
+    // The record in the hello may have moved the link to another address.
+    if (this.state !== 'up') return;
     this.events.onUp();
     for (const outstanding of [...this.calls.values()]) this.resume(outstanding);
   }
--- a/packages/peering/tests/peer-link.test.ts
+++ b/packages/peering/tests/peer-link.test.ts
@@ -131,10 +131,14 @@
   let link: PeerLink;
   let timer: NodeJS.Timeout;
   let downs: { readonly reason: string; readonly wasUnresponsive: boolean }[];
+  let ups: number;
+  let onHello: () => void;
   let entryBudget: BufferBudget;
 
   beforeEach(async () => {
     downs = [];
+    ups = 0;
+    onHello = () => undefined;
     home = new HomeStub();
     address = { host: '127.0.0.1', port: await freePort() };
     await home.server.listen({ ip: address.host, port: address.port });
@@ -150,9 +154,11 @@
           isReading: false,
           acceptsBodyParts: true,
         }),
-        onHello: () => undefined,
+        onHello: () => onHello(),
         onControl: () => undefined,
-        onUp: () => undefined,
+        onUp: () => {
+          ups += 1;
+        },
         onDown: (reason, wasUnresponsive) => downs.push({ reason, wasUnresponsive }),
       },
       () => performance.now(),
@@ -205,6 +211,26 @@
     await vi.waitFor(() => expect(replies[0]?.outcome.kind).toBe('unknown'), 10_000);
   });
 
+  it('does not query the outcome at another daemon when a hello moves it there', async () => {
+    const replies: CallReply[] = [];
+    link.call(CALL, BODY, (reply) => replies.push(reply));
+    await vi.waitFor(() => expect(home.runs).toEqual(['r-1']), 5_000);
+    const other = new HomeStub();
+    other.incarnation = 2;
+    const otherAddress = { ip: address.host, port: await freePort() };
+    await other.server.listen(otherAddress);
+    onHello = () => {
+      link.setAddress(otherAddress);
+      link.connect();
+    };
+    proxy.breakConnections();
+    await vi.waitFor(() => expect(replies).toHaveLength(1), 5_000);
+    other.server.close();
+    expect(replies[0]?.outcome.kind).toBe('unknown');
+    expect(other.executionRecords.size).toBe(0);
+    expect(ups).toBe(2);
+  });
+
   it('immediately reports an unknown outcome of an idempotent call on a broken link', async () => {
     const replies: CallReply[] = [];
     link.call({ ...CALL, isIdempotent: true }, BODY, (reply) => replies.push(reply));
