Give the calls of a closed link their outcome

What callers could see: no answer until their deadline (504), or a connection that a stopping daemon closes without an answer, in the place of an immediate 502 or 503.

Cause: a link that was down when it was closed kept the calls whose outcome it was to query, and nothing checked them any more; a call made after the close, such as the retry of one that ended with another link of a stopping daemon, waited for a connection that is never opened.

--- a/packages/peering/src/peer-link.ts
+++ b/packages/peering/src/peer-link.ts
@@ -127,6 +127,10 @@
   }
 
   call(call: ForwardedCall, body: Buffer, deliver: (reply: CallReply) => void): CancellableCall {
+    if (this.isClosed) {
+      deliver(notSentReply());
+      return { cancel: () => undefined };
+    }
     this.lastCallAtMs = this.clock();
     // Stream numbers are unsigned 32-bit integers in a frame, so that they start over before 2^32.
     const stream = this.nextStream;
@@ -174,9 +178,13 @@
     this.expireOrphans(nowMs);
   }
 
+  /** Closes the link for good; the calls that wait get their outcome now. */
   close(): void {
     this.isClosed = true;
     this.breakConnection('closed', false);
+    // A link that was down may have calls whose outcome was to be queried.
+    const nowMs = this.clock();
+    for (const outstanding of [...this.calls.values()]) this.orphan(outstanding, nowMs);
   }
 
   private reconnectIfDue(nowMs: number): void {
--- a/packages/peering/tests/peer-link.test.ts
+++ b/packages/peering/tests/peer-link.test.ts
@@ -211,6 +211,24 @@
     await vi.waitFor(() => expect(replies[0]?.outcome.kind).toBe('unknown'), 10_000);
   });
 
+  it('reports an unknown outcome when it is closed before it has queried it', async () => {
+    const replies: CallReply[] = [];
+    link.call(CALL, BODY, (reply) => replies.push(reply));
+    await vi.waitFor(() => expect(home.runs).toEqual(['r-1']), 5_000);
+    proxy.refusesConnections = true;
+    proxy.breakConnections();
+    await vi.waitFor(() => expect(downs.length).toBeGreaterThan(0), 5_000);
+    link.close();
+    expect(replies.map(({ outcome }) => outcome.kind)).toEqual(['unknown']);
+  });
+
+  it('refuses a call that is made after it was closed, as not run', () => {
+    link.close();
+    const replies: CallReply[] = [];
+    link.call(CALL, BODY, (reply) => replies.push(reply));
+    expect(replies.map(({ outcome }) => outcome.kind)).toEqual(['refused']);
+  });
+
   it('does not query the outcome at another daemon when a hello moves it there', async () => {
     const replies: CallReply[] = [];
     link.call(CALL, BODY, (reply) => replies.push(reply));
