Let a stop wait until large replies to peers are sent

What callers could see: 502 in the place of a response that their target had given, or a second run of an idempotent request, when the daemon of that target stopped while a large body was on its way to their own daemon.

Cause: a call at a home counts as finished once its reply is handed over, but a body from 64 KiB on is sent in parts, as its receiver takes them. A stop looked only at the calls, and then destroyed the connections of its peers.

--- a/packages/peering/src/frame-writer.ts
+++ b/packages/peering/src/frame-writer.ts
@@ -31,6 +31,13 @@
     socket.on('drain', () => this.sendBodyParts());
   }
 
+  /** True while frames or parts of large bodies are not sent. */
+  get hasUnsentBytes(): boolean {
+    const { socket, frames, bodies } = this;
+    const isWaiting = frames.length > 0 || !bodies.isEmpty || socket.writableLength > 0;
+    return isWaiting && !socket.destroyed;
+  }
+
   write(frame: Buffer): void {
     this.frames.push(frame);
     if (this.isFlushScheduled) return;
--- a/packages/peering/src/inbound-peer.ts
+++ b/packages/peering/src/inbound-peer.ts
@@ -78,6 +78,11 @@
     socket.on('close', () => this.handleClose());
   }
 
+  /** True while replies or other frames to the peer are not sent whole. */
+  get hasUnsentBytes(): boolean {
+    return this.writer.hasUnsentBytes;
+  }
+
   sendControl(kind: FrameKindNumber, head: string, body?: Buffer): void {
     this.writer.write(encodeFrame(kind, 0, head, body));
   }
--- a/packages/peering/src/peer-server.ts
+++ b/packages/peering/src/peer-server.ts
@@ -23,6 +23,12 @@
     });
   }
 
+  /** True while replies or other frames to a peer are not sent whole. */
+  get hasUnsentBytes(): boolean {
+    for (const peer of this.peers) if (peer.hasUnsentBytes) return true;
+    return false;
+  }
+
   listen(address: PeerAddress): Promise<void> {
     return new Promise((resolve, reject) => {
       this.server.once('error', reject);
--- a/packages/peering/tests/peer-link.test.ts
+++ b/packages/peering/tests/peer-link.test.ts
@@ -356,6 +356,22 @@
       expect([home.bufferBudget.usedBytes, entryBudget.usedBytes]).toEqual([0, 0]);
     });
 
+    it('tells until when a reply is not sent whole', async () => {
+      await connect();
+      home.reply = largeReply();
+      let reply: CallReply | undefined;
+      link.call(CALL, BODY, (received) => {
+        reply = received;
+      });
+      await vi.waitFor(() => expect(home.runs).toEqual(['r-1']));
+      expect(home.server.hasUnsentBytes).toBe(false);
+      home.finish();
+      expect(home.server.hasUnsentBytes).toBe(true);
+      await vi.waitFor(() => expect(home.server.hasUnsentBytes).toBe(false));
+      home.server.close();
+      await vi.waitFor(() => expect(reply).toEqual(home.reply));
+    });
+
     it('sends a small call between the parts of a large body', async () => {
       await connect();
       link.call({ ...CALL, requestId: 'large' }, largeBody, () => undefined);
--- a/packages/sidecar/src/peer-connections.ts
+++ b/packages/sidecar/src/peer-connections.ts
@@ -120,6 +120,11 @@
     return [...this.links.values()].filter((link) => link.isUp).length;
   }
 
+  /** True while replies to the calls of peers are not sent whole. */
+  get hasUnsentReplies(): boolean {
+    return this.server.hasUnsentBytes;
+  }
+
   send(
     daemonId: string,
     call: ForwardedCall,
--- a/packages/sidecar/src/sidecar-lifecycle.ts
+++ b/packages/sidecar/src/sidecar-lifecycle.ts
@@ -99,7 +99,11 @@
     // A request accepted from now on might not be finished in the remaining time.
     callers.stopListening();
     callers.closeIdle();
-    const hasWork = () => entry.activeCount > 0 || home.activeCount > 0 || callers.hasUnsentBytes;
+    const hasWork = () =>
+      entry.activeCount > 0 ||
+      home.activeCount > 0 ||
+      callers.hasUnsentBytes ||
+      peerConnections.hasUnsentReplies;
     while (this.parts.clock() < stopDeadlineMs && hasWork()) {
       await delay(STOP_CHECK_INTERVAL_MS);
       callers.closeIdle();
--- a/packages/sidecar/tests/sidecar-lifecycle.test.ts
+++ b/packages/sidecar/tests/sidecar-lifecycle.test.ts
@@ -15,6 +15,8 @@
 
   hasUnsentBytes = false;
 
+  hasUnsentReplies = false;
+
   private readonly startMs = performance.now();
 
   recordStep(step: string): void {
@@ -30,6 +32,7 @@
     const record = (step: string) => () => this.recordStep(step);
     const activeHomeCalls = () => this.activeHomeCalls;
     const hasUnsentBytes = () => this.hasUnsentBytes;
+    const hasUnsentReplies = () => this.hasUnsentReplies;
     return {
       bounds: new CurrentBounds({ graceMs: GRACE_MS, retryRatio: 0.2, retrySlack: 48 }),
       readyState: { isStopping: false, beginStop: record('unready') },
@@ -52,7 +55,12 @@
         close: record('home closed'),
       },
       log: { stateChange: () => undefined, flushSync: () => undefined },
-      peerConnections: { stop: record('peers closed') },
+      peerConnections: {
+        stop: record('peers closed'),
+        get hasUnsentReplies() {
+          return hasUnsentReplies();
+        },
+      },
       storeSync: { stop: () => undefined },
       registration: { stop: () => Promise.resolve() },
       announcements: { close: () => undefined },
@@ -94,13 +102,16 @@
     ).toBeGreaterThanOrEqual(200);
   });
 
-  it('waits until its last responses are sent', async () => {
+  it.each([
+    { receiver: 'callers', part: 'hasUnsentBytes' as const },
+    { receiver: 'peers', part: 'hasUnsentReplies' as const },
+  ])('waits until its last responses to $receiver are sent', async ({ part }) => {
     const recorder = new StopRecorder();
-    recorder.hasUnsentBytes = true;
+    recorder[part] = true;
     const stopped = new SidecarLifecycle(recorder.parts()).stop();
     await vi.advanceTimersByTimeAsync(4_000);
     expect(recorder.atMs('home closed')).toBeNaN();
-    recorder.hasUnsentBytes = false;
+    recorder[part] = false;
     await vi.advanceTimersByTimeAsync(100);
     await stopped;
     expect(recorder.atMs('home closed')).toBeLessThan(4_100);
