--- a/packages/peering/tests/peer-link.test.ts
+++ b/packages/peering/tests/peer-link.test.ts
@@ -138,10 +138,14 @@
   let link: PeerLink;
   let timer: NodeJS.Timeout;
   let downs: { readonly reason: string; readonly wasUnresponsive: boolean }[];
+  let ups: number;
+  let onHello: () => void;
   let entryBudget: BufferBudget;
 
   beforeEach(async () => {
     downs = [];
+    ups = 0;
+    onHello = () => undefined;
     home = new HomeStub();
     address = { host: '127.0.0.1', port: await freePort() };
     await home.server.listen({ ip: address.host, port: address.port });
@@ -159,9 +163,11 @@
           isReading: false,
           acceptsBodyParts: true,
         }),
-        onHello: () => undefined,
+        onHello: () => onHello(),
         onControl: () => undefined,
-        onUp: () => undefined,
+        onUp: () => {
+          ups += 1;
+        },
         onDown: (reason, wasUnresponsive) => downs.push({ reason, wasUnresponsive }),
       },
       () => performance.now(),
@@ -325,6 +331,44 @@
     await vi.waitFor(() => expect(replies[0]?.outcome.kind).toBe('unknown'), 10_000);
   });
 
+  it('reports an unknown outcome when it is closed before it has queried it', async () => {
+    const replies: CallReply[] = [];
+    link.call(CALL, BODY, (reply) => replies.push(reply));
+    await vi.waitFor(() => expect(home.runs).toEqual(['r-1']), 5_000);
+    proxy.refusesConnections = true;
+    proxy.breakConnections();
+    await vi.waitFor(() => expect(downs.length).toBeGreaterThan(0), 5_000);
+    link.close();
+    expect(replies.map(({ outcome }) => outcome.kind)).toEqual(['unknown']);
+  });
+
+  it('refuses a call that is made after it was closed, as not run', () => {
+    link.close();
+    const replies: CallReply[] = [];
+    link.call(CALL, BODY, (reply) => replies.push(reply));
+    expect(replies.map(({ outcome }) => outcome.kind)).toEqual(['refused']);
+  });
+
+  it('does not query the outcome at another daemon when a hello moves it there', async () => {
+    const replies: CallReply[] = [];
+    link.call(CALL, BODY, (reply) => replies.push(reply));
+    await vi.waitFor(() => expect(home.runs).toEqual(['r-1']), 5_000);
+    const other = new HomeStub();
+    other.incarnation = 2;
+    const otherAddress = { ip: address.host, port: await freePort() };
+    await other.server.listen(otherAddress);
+    onHello = () => {
+      link.setAddress(otherAddress);
+      link.connect();
+    };
+    proxy.breakConnections();
+    await vi.waitFor(() => expect(replies).toHaveLength(1), 5_000);
+    other.server.close();
+    expect(replies[0]?.outcome.kind).toBe('unknown');
+    expect(other.executionRecords.size).toBe(0);
+    expect(ups).toBe(2);
+  });
+
   it('immediately reports an unknown outcome of an idempotent call on a broken link', async () => {
     const replies: CallReply[] = [];
     link.call({ ...CALL, isIdempotent: true }, BODY, (reply) => replies.push(reply));
@@ -447,6 +491,22 @@
       expect([home.bufferBudget.usedBytes, entryBudget.usedBytes]).toEqual([0, 0]);
     });
 
+    it('tells until when a reply is not sent whole', async () => {
+      await connect();
+      home.reply = largeReply();
+      let reply: CallReply | undefined;
+      link.call(CALL, BODY, (received) => {
+        reply = received;
+      });
+      await vi.waitFor(() => expect(home.runs).toEqual(['r-1']));
+      expect(home.server.hasUnsentBytes).toBe(false);
+      home.finish();
+      expect(home.server.hasUnsentBytes).toBe(true);
+      await vi.waitFor(() => expect(home.server.hasUnsentBytes).toBe(false));
+      home.server.close();
+      await vi.waitFor(() => expect(reply).toEqual(home.reply));
+    });
+
     it('sends a small call between the parts of a large body', async () => {
       await connect();
       link.call({ ...CALL, requestId: 'large' }, largeBody, () => undefined);
