Send a request whose id was just used on another connection

What callers could see: the body of the second response to an earlier request, if that had the same id and was the last one on the connection: the id, which identifies a late response, names both requests. Callers give each attempt its own id, so that only one that uses an id again for an idempotent request is concerned; other requests with a used id are not run.

A late response to an older request of the connection is not told apart.

--- a/packages/sidecar/src/target-connection-pool.ts
+++ b/packages/sidecar/src/target-connection-pool.ts
@@ -36,7 +36,7 @@
     message: readonly Buffer[],
     onResult: (result: TargetExchangeResult) => void,
   ): AbortableExchange {
-    const idleConnection = requestId === '' ? undefined : this.takeIdle(this.clock());
+    const idleConnection = requestId === '' ? undefined : this.takeIdle(requestId, this.clock());
     const connection = idleConnection ?? this.connect();
     connection.send(requestId, isHeadRequest, message, onResult);
     return { abort: () => connection.abort() };
@@ -47,11 +47,11 @@
     for (const connection of this.idle.splice(0)) connection.destroy();
   }
 
-  private takeIdle(nowMs: number): TargetConnection | undefined {
+  private takeIdle(requestId: string, nowMs: number): TargetConnection | undefined {
     for (;;) {
       const connection = this.idle.pop();
       if (connection === undefined) return undefined;
-      if (connection.isUsable(nowMs)) return connection;
+      if (connection.isUsable(requestId, nowMs)) return connection;
       connection.destroy();
     }
   }
--- a/packages/sidecar/src/target-connection.ts
+++ b/packages/sidecar/src/target-connection.ts
@@ -96,8 +96,10 @@
   }
 
   /** True while the connection is idle and the target is not about to close it. */
-  isUsable(nowMs: number): boolean {
+  isUsable(requestId: string, nowMs: number): boolean {
     if (this.isRetired || this.socket.destroyed || this.idleSinceMs === undefined) return false;
+    // A second response to the last request could be taken for that to this one.
+    if (requestId === this.lastRequestId) return false;
     return nowMs - this.idleSinceMs < this.keepAliveMs - KEEP_ALIVE_MARGIN_MS;
   }
 
--- a/packages/sidecar/tests/target-connection.test.ts
+++ b/packages/sidecar/tests/target-connection.test.ts
@@ -173,6 +173,13 @@
     expect(target.connectionCount).toBe(3);
   });
 
+  it('sends a request whose id was just used on another connection', async () => {
+    await request('r1', FIRST);
+    const again = responseTo('again', { ids: ['r1'] });
+    expect(await request('r1', again)).toMatchObject({ response: { body: Buffer.from('again') } });
+    expect(target.connectionCount).toBe(2);
+  });
+
   it('gives a request that is sent as the last one ends its own response', async () => {
     target.answerNext(FIRST);
     target.answerNext(FIRST, SECOND);
