Query no outcome at another daemon that has taken the home's address

What callers could see: 503, which promises that a request has not run, for one that was running, and a second run at another target.

Cause: a link told by the incarnation alone whether the daemon that responds is the one that a call was sent to. Another daemon at the same address with the same incarnation (its start time in ms) bars the attempt and replies 'not run'.

The link now knows the id of its home and compares it too. Calls to another daemon were already refused by their target id.

--- a/packages/peering/src/peer-link.ts
+++ b/packages/peering/src/peer-link.ts
@@ -74,6 +74,7 @@
 
   private nextStream = 1;
 
+  /** Incarnation of the home; undefined unless the last hello was that of the home. */
   private incarnation: number | undefined;
 
   private peerAcceptsBodyParts = false;
@@ -95,6 +96,7 @@
   private isClosed = false;
 
   constructor(
+    private readonly daemonId: string,
     private address: PeerAddress,
     private readonly events: PeerLinkEvents,
     private readonly clock: () => number,
@@ -259,7 +261,9 @@
       this.breakConnection('unreadable hello', false);
       return;
     }
-    this.incarnation = hello.record.incarnation;
+    // Another daemon may have taken the address; it cannot tell the outcome of a call.
+    const isHome = hello.record.daemonId === this.daemonId;
+    this.incarnation = isHome ? hello.record.incarnation : undefined;
     this.peerAcceptsBodyParts = hello.acceptsBodyParts;
     this.backoffMs = MIN_BACKOFF_MS;
     this.probedAtMs = undefined;
@@ -275,7 +279,10 @@
   private resume(outstanding: OutstandingCall): void {
     if (!outstanding.isSent) {
       this.send(outstanding);
-    } else if (outstanding.sentToIncarnation !== this.incarnation) {
+    } else if (
+      this.incarnation === undefined ||
+      outstanding.sentToIncarnation !== this.incarnation
+    ) {
       this.settle(outstanding, unknownReply('the home daemon restarted'));
     } else {
       outstanding.clearOrphaned();
--- a/packages/peering/tests/peer-link.test.ts
+++ b/packages/peering/tests/peer-link.test.ts
@@ -63,9 +63,11 @@
 
 /** A home whose calls run until the test finishes them. */
 class HomeStub {
+  daemonId = 'home';
+
   incarnation = 1;
 
-  readonly executionRecords = new ExecutionRecordRegistry();
+  executionRecords = new ExecutionRecordRegistry();
 
   runs: string[] = [];
 
@@ -93,7 +95,7 @@
   readonly server = new PeerServer(
     {
       hello: (): Hello => ({
-        record: record('home', this.incarnation),
+        record: record(this.daemonId, this.incarnation),
         configurationVersion: 1,
         wantsView: false,
         isReading: false,
@@ -145,6 +147,7 @@
     entryBudget = new BufferBudget(2_000_000);
     proxy = new BreakableProxy({ ip: address.host, port: address.port });
     link = new PeerLink(
+      'home',
       await proxy.listen(),
       {
         hello: () => ({
@@ -229,6 +232,18 @@
     expect(replies.map(({ outcome }) => outcome.kind)).toEqual(['refused']);
   });
 
+  it('does not query the outcome at another daemon that has taken the address', async () => {
+    const replies: CallReply[] = [];
+    link.call(CALL, BODY, (reply) => replies.push(reply));
+    await vi.waitFor(() => expect(home.runs).toEqual(['r-1']), 5_000);
+    home.daemonId = 'other';
+    home.executionRecords = new ExecutionRecordRegistry();
+    proxy.breakConnections();
+    await vi.waitFor(() => expect(replies).toHaveLength(1), 10_000);
+    expect(replies[0]?.outcome.kind).toBe('unknown');
+    expect(home.executionRecords.size).toBe(0);
+  });
+
   it('does not query the outcome at another daemon when a hello moves it there', async () => {
     const replies: CallReply[] = [];
     link.call(CALL, BODY, (reply) => replies.push(reply));
--- a/packages/sidecar/src/peer-connections.ts
+++ b/packages/sidecar/src/peer-connections.ts
@@ -182,6 +182,7 @@
     if (record === undefined) return undefined;
     const { directory, log, clock, bufferBudget } = this.parts;
     const link: PeerLink = new PeerLink(
+      daemonId,
       parseAddress(record.address),
       {
         hello: () => this.hello(),
