Keep a peer's connection when another one of the same peer ends

A daemon that dials the address of one that is gone reaches its successor with a second connection, and closes it once the hello shows another daemon. The successor kept only the latest connection of each peer, so that the end of the second one made it forget the first: until the peer connected again, it got no records, configurations or readings over it.

Connections are now kept by daemon, the latest first in use.

--- a/packages/sidecar/src/peer-connections.ts
+++ b/packages/sidecar/src/peer-connections.ts
@@ -15,6 +15,7 @@
 import type { HomeTransport } from './entry';
 import type { EventLog } from './event-log';
 import type { Home } from './home';
+import { InboundConnections } from './inbound-connections';
 import type { OwnRecord } from './own-record';
 import type { ConnectedPeer, ControlFrameSender, PeerGroup } from './peer-group';
 import { RecordExchange } from './record-exchange';
@@ -65,7 +66,7 @@
   private readonly links = new Map<string, PeerLink>();
 
   /** The connection that each peer opened last. */
-  private readonly inboundPeers = new Map<string, InboundPeer>();
+  private readonly inboundPeers = new InboundConnections<InboundPeer>();
 
   /** Data centres of connected peers, by the connection. */
   private readonly zones = new WeakMap<ControlFrameSender, string>();
@@ -93,7 +94,7 @@
       {
         hello: () => this.hello(),
         onHello: (hello, peer) => {
-          this.inboundPeers.set(hello.record.daemonId, peer);
+          this.inboundPeers.add(hello.record.daemonId, peer);
           this.handleHello(hello, peer);
         },
         onClosed: (peer) => this.removeInbound(peer),
@@ -148,7 +149,7 @@
     for (const [daemonId, link] of this.links) {
       if (link.isUp) yield { daemonId, sender: link };
     }
-    for (const [daemonId, peer] of this.inboundPeers) {
+    for (const [daemonId, peer] of this.inboundPeers.latest()) {
       if (this.links.get(daemonId)?.isUp !== true) yield { daemonId, sender: peer };
     }
   }
@@ -209,12 +210,7 @@
   }
 
   private removeInbound(peer: InboundPeer): void {
-    for (const [daemonId, present] of this.inboundPeers) {
-      if (present === peer) {
-        this.inboundPeers.delete(daemonId);
-        this.forgetConnection(daemonId, peer);
-      }
-    }
+    for (const daemonId of this.inboundPeers.remove(peer)) this.forgetConnection(daemonId, peer);
   }
 
   private forgetConnection(daemonId: string, sender: ControlFrameSender): void {
