Log a response that is dropped, as its request was answered before

The entry answered a request twice without a trace; the next fault of this kind would have been hidden by the check of the caller's connection. Expected never.

--- a/packages/sidecar/src/caller-connection.ts
+++ b/packages/sidecar/src/caller-connection.ts
@@ -19,6 +19,8 @@
   /** Bounds the large request bodies that are held, and the large responses not yet read. */
   readonly bufferBudget: BufferBudget;
   readonly onProblem: (detail: string) => void;
+  /** Called when a response is dropped, as its request was answered before. */
+  readonly onSurplusResponse: (status: number) => void;
   readonly clock: () => number;
 }
 
@@ -176,7 +178,10 @@
   }
 
   private respond(response: ResponseParts, request: RequestMessage): void {
-    if (this.awaited !== request) return;
+    if (this.awaited !== request) {
+      this.listener.parts.onSurplusResponse(response.status);
+      return;
+    }
     const { head } = request;
     this.awaited = undefined;
     this.currentRequest = undefined;
--- a/packages/sidecar/src/wire-sidecar.ts
+++ b/packages/sidecar/src/wire-sidecar.ts
@@ -232,6 +232,8 @@
     limits: () => configuration.routes?.configuration.limits ?? DEFAULT_LIMITS,
     bufferBudget,
     onProblem: (detail) => log.decision('request rejected', { detail }),
+    onSurplusResponse: (status) =>
+      log.decision('second response to a request of a caller dropped', { status }),
     clock,
   });
   const announcementHandler = new AnnouncementHandler({
--- a/packages/sidecar/tests/caller-connection.test.ts
+++ b/packages/sidecar/tests/caller-connection.test.ts
@@ -18,6 +18,7 @@
     readonly respond: Respond;
   }[] = [];
   let connection: CallerConnection | undefined;
+  const surplusStatuses: number[] = [];
   let caller: Socket;
   let received: string;
   let receivedBytes: number;
@@ -37,6 +38,7 @@
       }),
       bufferBudget: new BufferBudget(64_000_000),
       onProblem: () => undefined,
+      onSurplusResponse: (status: number) => surplusStatuses.push(status),
       clock: () => 0,
     };
     connection = new CallerConnection(socket, {
@@ -58,6 +60,7 @@
 
   beforeEach(async () => {
     requests.length = 0;
+    surplusStatuses.length = 0;
     received = '';
     receivedBytes = 0;
     end = '';
@@ -133,5 +136,6 @@
     await vi.waitFor(() => expect(received).toContain('next'));
     await answer(0, { ...OK, body: Buffer.from('late') });
     expect(received.match(/done|late|next/g)).toEqual(['done', 'next']);
+    expect(surplusStatuses).toEqual([200, 200]);
   });
 });
