Keep the replies that a daemon makes itself in one place

No change of behaviour: the link and the accepted connection had copies of the reply for a call that was not passed on. Comments of the search for response heads and of an attempt's id say what they left out.

--- a/packages/http1/src/embedded-response.ts
+++ b/packages/http1/src/embedded-response.ts
@@ -11,7 +11,10 @@
 const MAX_STATUS_LINE_BYTES = 512;
 const LF = 10;
 
-/** Searches bytes for the heads of responses; examines each byte once. */
+/**
+ * Searches bytes for the heads of responses; examines each byte once. A head that is cut off counts
+ * only at the end of the bytes, where the rest of it may still be under way.
+ */
 class ResponseHeadSearch {
   private lineFeed = -1;
 
--- a/packages/mesh/src/forwarded-call.ts
+++ b/packages/mesh/src/forwarded-call.ts
@@ -1,6 +1,6 @@
 /** Identity of one attempt of a caller's request. */
 export interface Attempt {
-  /** Id that the caller assigned to its attempt; the key of the execution record. */
+  /** Id that the caller assigned, or the attempt key without one; the key of the execution record. */
   readonly requestId: string;
   /**
    * Assigned by the entry, unique among all entries: callers may use an id again. Undefined for an
--- a/packages/peering/src/inbound-peer.ts
+++ b/packages/peering/src/inbound-peer.ts
@@ -1,13 +1,9 @@
 import { HeldBody, type BodyReservation, type BufferBudget } from '@daisyferry/mesh/buffer-budget';
-import type {
-  Attempt,
-  CallRefusalReasonName,
-  CallReply,
-  ForwardedCall,
-} from '@daisyferry/mesh/forwarded-call';
+import type { Attempt, CallReply, ForwardedCall } from '@daisyferry/mesh/forwarded-call';
 import { CallRefusalReason } from '@daisyferry/mesh/forwarded-call';
 import type { Socket } from 'node:net';
 import { decodeCall, encodeCallReply } from './call-codec';
+import { refusedReply } from './call-replies';
 import { decodeHello, decodeResolve } from './control-codec';
 import type { Frame, FrameKindNumber } from './frame';
 import { encodeFrame, FrameKind, FrameReader } from './frame';
@@ -40,11 +36,6 @@
 /** Retry-after of a call for whose body there is no memory. */
 const NO_MEMORY_RETRY_AFTER_MS = 500;
 
-/** Reply to a call that was not passed on to the home. */
-function refusedReply(reason: CallRefusalReasonName, roomInMs: number): CallReply {
-  return { outcome: { kind: 'refused', reason, reachedTarget: false, roomInMs }, load: undefined };
-}
-
 /** One connection that another daemon opened to this one by its `PeerLink`, to send its calls. */
 export class InboundPeer {
   private readonly writer: FrameWriter;
--- a/packages/peering/src/peer-link.ts
+++ b/packages/peering/src/peer-link.ts
@@ -1,8 +1,8 @@
 import type { CallReply, ForwardedCall } from '@daisyferry/mesh/forwarded-call';
-import { CallRefusalReason } from '@daisyferry/mesh/forwarded-call';
 import { HeldBody, type BufferBudget } from '@daisyferry/mesh/buffer-budget';
 import { createConnection, type Socket } from 'node:net';
 import { decodeCallReply, encodeCall } from './call-codec';
+import { notSentReply, unknownReply } from './call-replies';
 import { decodeHello, encodeResolve } from './control-codec';
 import type { Frame, FrameKindNumber } from './frame';
 import { encodeFrame, FrameKind, FrameReader } from './frame';
@@ -46,18 +46,6 @@
 
 type LinkState = 'down' | 'connecting' | 'handshaking' | 'up';
 
-function unknownReply(detail: string): CallReply {
-  return { outcome: { kind: 'unknown', detail }, load: undefined };
-}
-
-function notSentReply(): CallReply {
-  const reason = CallRefusalReason.unreachable;
-  return {
-    outcome: { kind: 'refused', reason, reachedTarget: false, roomInMs: 0 },
-    load: undefined,
-  };
-}
-
 /**
  * The link to one other daemon, over which this one sends its calls. It lasts while the daemon is
  * known: it uses one connection at a time and opens a new one when that breaks. The other daemon
--- a/packages/sidecar/src/peer-connections.ts
+++ b/packages/sidecar/src/peer-connections.ts
@@ -65,7 +65,6 @@
 
   private readonly links = new Map<string, PeerLink>();
 
-  /** The connection that each peer opened last. */
   private readonly inboundPeers = new InboundConnections<InboundPeer>();
 
   /** Data centres of connected peers, by the connection. */
