Shorten the key of a process, which calls and hellos carry

Calls that are not idempotent carry an attempt key between data centres: 70 bytes of daemon id, start time and UUID, which nothing reads. Twelve random bytes tell processes apart as well.

--- a/packages/sidecar/src/wire-sidecar.ts
+++ b/packages/sidecar/src/wire-sidecar.ts
@@ -1,4 +1,4 @@
-import { randomUUID } from 'node:crypto';
+import { randomBytes } from 'node:crypto';
 import { BufferBudget } from '@daisyferry/mesh/buffer-budget';
 import { CallRefusalReason } from '@daisyferry/mesh/forwarded-call';
 import { TargetSlotQueue } from '@daisyferry/mesh/target-slot-queue';
@@ -85,6 +85,8 @@
 const LOG_FLUSH_INTERVAL_MS = 1_000;
 /** Bounds the round-robin offset by which daemons start at different destinations; a prime. */
 const MAX_ROUND_ROBIN_OFFSET = 9_973;
+/** Random bytes of the key of this process. */
+const PROCESS_KEY_BYTES = 12;
 const STATUS_OK = 200;
 const STATUS_NOT_READY = 503;
 
@@ -123,7 +125,8 @@
   const storeResetThrottle = new EventThrottle(STORE_RESET_INTERVAL_MS);
   const downstreamLevels = new DownstreamShedLevels();
   const configuration = new ConfigurationHolder(platform.decodeConfiguration, log);
-  const processKey = `${environment.daemonId}/${startUnixMs}/${randomUUID()}`;
+  // Short, as calls between data centres carry it.
+  const processKey = randomBytes(PROCESS_KEY_BYTES).toString('base64url');
   const ownRecord = new OwnRecord(environment, target, startUnixMs, clock);
   const home = new Home({
     target,
