Log and count what a target states about itself in its answers

A target can name a limit of requests a second, or say that it leaves, in the header of its answers. Nothing showed either: whether a daemon had read a statement could not be told from one that it had not kept to.

The daemon beside the target reads both and logs each change; two gauges give the stated limit and the number of requests sent to the target. No decision uses them yet.

--- a/packages/sidecar/src/header-names.ts
+++ b/packages/sidecar/src/header-names.ts
@@ -9,4 +9,8 @@
   /** On each response of the target itself. */
   readonly signature: string;
   readonly targetId: string;
+  /** On responses of a target that limits the requests a second that it takes. */
+  readonly rateLimit: string;
+  /** On responses of a target that is about to leave. */
+  readonly leaving: string;
 }
--- a/packages/sidecar/src/home.ts
+++ b/packages/sidecar/src/home.ts
@@ -135,6 +135,11 @@
   forgetTarget(): void {
     this.parts.pool.destroyIdle();
     this.parts.serviceTimes.clear();
+    this.parts.notices.reset();
+  }
+
+  applyNotice(fields: readonly string[], targetId: string): void {
+    this.parts.notices.record(fields, targetId);
   }
 
   /** Stops sending calls to the target, as it refuses connections or does not respond. */
--- a/packages/sidecar/src/target-call.ts
+++ b/packages/sidecar/src/target-call.ts
@@ -21,6 +21,7 @@
 import { classifyTargetResponse, type ResponseFieldNames } from './classify-target-response';
 import type { EventLog } from './event-log';
 import type { HeaderNames } from './header-names';
+import type { LocalTargetNotices } from './local-target-notices';
 import type { TargetExchangeResult } from './target-connection';
 import type { AbortableExchange, TargetConnectionPool } from './target-connection-pool';
 
@@ -41,6 +42,7 @@
   readonly executionRecords: ExecutionRecordRegistry;
   readonly headerNames: HeaderNames;
   readonly responseFieldNames: ResponseFieldNames;
+  readonly notices: LocalTargetNotices;
   readonly log: EventLog;
   readonly clock: () => number;
   /** Called when the target stopped or resumed accepting connections. */
@@ -51,6 +53,8 @@
 export interface TargetCallHost {
   readonly parts: SidecarHomeParts;
   buildReply(outcome: ForwardedCallOutcome, route: string): CallReply;
+  /** Applies what a response of the target states about the target. */
+  applyNotice(fields: readonly string[], targetId: string): void;
   removeCall(call: TargetCall): void;
   markTargetUnreachable(detail: string): void;
   markTargetReachable(): void;
@@ -79,6 +83,14 @@
   }
 }
 
+/** False for a response of another target at the address, or one that may not be a target's. */
+function isFromTarget(outcome: ForwardedCallOutcome): boolean {
+  return (
+    outcome.kind === 'answered' ||
+    (outcome.kind === 'refused' && outcome.reason === CallRefusalReason.shedByTarget)
+  );
+}
+
 /** One call at its home: waiting for a slot, running at the target, or settled. */
 export class TargetCall implements SlotRequest, InboundCall {
   readonly priority: number;
@@ -191,6 +203,9 @@
           responseFieldNames,
           queue.load().serviceMs,
         );
+        if (isFromTarget(outcome)) {
+          this.home.applyNotice(result.response.fields, this.call.targetId);
+        }
         const isFailure = outcome.kind !== 'answered' || outcome.status >= 500;
         queue.recordFinished(serviceMs, isFailure, nowMs);
         if (!isFailure) serviceTimes.record(this.call.route, serviceMs);
--- a/packages/sidecar/src/target-connection-pool.ts
+++ b/packages/sidecar/src/target-connection-pool.ts
@@ -16,6 +16,8 @@
 
   private opened = 0;
 
+  private sent = 0;
+
   constructor(
     private readonly address: SocketAddress,
     private readonly fieldNames: ResponseFieldNames,
@@ -29,6 +31,11 @@
     return this.opened;
   }
 
+  /** Requests sent since the start of the daemon, whatever came of them. */
+  get sentCount(): number {
+    return this.sent;
+  }
+
   /** A request without an id (`requestId` is empty) is sent on a connection of its own. */
   send(
     requestId: string,
@@ -36,6 +43,7 @@
     message: readonly Buffer[],
     onResult: (result: TargetExchangeResult) => void,
   ): AbortableExchange {
+    this.sent += 1;
     const idleConnection = requestId === '' ? undefined : this.takeIdle(requestId, this.clock());
     const connection = idleConnection ?? this.connect();
     connection.send(requestId, isHeadRequest, message, onResult);
--- a/packages/sidecar/src/wire-sidecar.ts
+++ b/packages/sidecar/src/wire-sidecar.ts
@@ -32,6 +32,7 @@
 import { EventLog } from './event-log';
 import { PeerConnections } from './peer-connections';
 import type { HeaderNames } from './header-names';
+import { LocalTargetNotices } from './local-target-notices';
 import { Home } from './home';
 import { OwnRecord } from './own-record';
 import { ReadyState } from './ready-state';
@@ -117,6 +118,13 @@
     new DiscardedResponseReport(log, metrics),
   );
   const queue = new TargetSlotQueue(INITIAL_SLOTS);
+  const notices = new LocalTargetNotices(
+    {
+      rateLimit: headerNames.rateLimit.toLowerCase(),
+      leaving: headerNames.leaving.toLowerCase(),
+    },
+    log,
+  );
   const directory = new FleetDirectory();
   const storeState = new StoreState();
   const shedLevel = new ShedLevel();
@@ -141,6 +149,7 @@
     executionRecords: new ExecutionRecordRegistry(),
     headerNames,
     responseFieldNames,
+    notices,
     log,
     clock,
     onTargetChange: () => ownRecord.publish(),
@@ -271,6 +280,11 @@
   metrics.addGauge('daisyferry_target_running', () => queue.running);
   metrics.addGauge('daisyferry_shed_level', () => home.effectiveShedLevel(clock()));
   metrics.addGauge('daisyferry_target_waiting', () => queue.waitingCount);
+  metrics.addGauge('daisyferry_target_requests_sent', () => pool.sentCount);
+  metrics.addGauge(
+    'daisyferry_target_rate_limit',
+    () => notices.notice?.ratePerS ?? Number.POSITIVE_INFINITY,
+  );
   metrics.addGauge('daisyferry_target_connections_opened', () => pool.openedCount);
   metrics.addGauge('daisyferry_buffered_bytes', () => bufferBudget.usedBytes);
   metrics.addGauge('daisyferry_peers_connected', () => peerConnections.connectedCount);
