Keep to the limit of requests a second that a target states in its answers

Cause: no daemon read the statement. Arrivals at a limited target stayed as they were (95, 62, 81, 85 a second before and after the limit of 31.7), so a limit kept by each entry on its own can be excluded. Its class: a fact that an answer tells, and that the process which saw it does not pass on.

The daemon beside the target keeps to the limit, as every request passes there: a token bucket in the queue for the target's slots. Its load report carries the limit, so that entries choose, shed by class and tell Retry-After accordingly. Entries remember the statement by target and send it with their calls, so that a restarted daemon is bound by the first of them.

--- a/packages/mesh/src/daemon-record.ts
+++ b/packages/mesh/src/daemon-record.ts
@@ -36,6 +36,8 @@
 export interface ServingTarget {
   readonly targetId: string;
   readonly service: string;
+  /** Unix time of the target's start; undefined if it is not known. */
+  readonly bornUnixMs?: number | undefined;
   readonly slots: number;
   readonly isServing: boolean;
   /** Time from the writing of the record until the target is warm. */
--- a/packages/mesh/src/forwarded-call.ts
+++ b/packages/mesh/src/forwarded-call.ts
@@ -1,3 +1,5 @@
+import type { TargetNotice } from './target-notice';
+
 /** Identity of one attempt of a caller's request. */
 export interface Attempt {
   /** Id that the caller assigned, or the attempt key without one; the key of the execution record. */
@@ -27,13 +29,21 @@
   readonly method: string;
   readonly path: string;
   readonly fields: readonly string[];
+  /**
+   * Rate limit that the target has stated to the entry, in requests a second; undefined without one.
+   * A home that was restarted learns it from here.
+   */
+  readonly targetRatePerS?: number | undefined;
 }
 
 /** Load of a target as observed by its home. */
 export interface TargetLoad {
   readonly running: number;
   readonly waiting: number;
-  /** Maximum number of requests that the home sends to the target at the same time. */
+  /**
+   * Maximum number of requests that are at the target at the same time, on average where the target
+   * limits their rate.
+   */
   readonly limit: number;
   /** Mean service time of the target, over all routes. */
   readonly serviceMs: number;
@@ -45,6 +55,8 @@
   readonly isInternal: boolean | undefined;
   /** Mean service time of the target on the route of this call, if known. */
   readonly routeMs: number | undefined;
+  /** What the target states; undefined until it has answered this process of the home. */
+  readonly notice?: TargetNotice | undefined;
 }
 
 export const CallRefusalReason = {
--- a/packages/mesh/src/target-chooser.ts
+++ b/packages/mesh/src/target-chooser.ts
@@ -105,7 +105,7 @@
     return this.usedServices.has(service);
   }
 
-  /** Load of the service that is to be shed: the mean of its known homes' levels. */
+  /** Load of the service that is to be shed: the mean of its known homes' levels, by capacity. */
   shedLevelOf(service: string, nowMs: number): number {
     return this.serviceLoadOf(service, nowMs).level;
   }
@@ -118,20 +118,22 @@
   private serviceLoadOf(service: string, nowMs: number): ServiceLoad {
     const present = this.serviceLoads.get(service);
     if (present !== undefined && nowMs - present.atMs < SERVICE_LOAD_VALIDITY_MS) return present;
-    let levelSum = 0;
-    let homeCount = 0;
+    let shedCapacity = 0;
+    let capacity = 0;
     let internalShare: number | undefined;
-    for (const { daemonId } of this.directory.servingRecords(service)) {
+    for (const { daemonId, target } of this.directory.servingRecords(service)) {
       const view = this.views.get(daemonId);
       // A connected home that has reported nothing has nothing to shed; of others nothing is known.
       if (view?.hasReportedLevel === true || this.directory.isConnected(daemonId)) {
-        levelSum += view?.level(nowMs) ?? 0;
-        homeCount += 1;
+        const slots = target?.slots ?? 1;
+        const limit = view?.reportedLimit(slots) ?? slots;
+        shedCapacity += limit * (view?.level(nowMs) ?? 0);
+        capacity += limit;
       }
       const share = view?.internalShare;
       if (share !== undefined) internalShare = Math.min(internalShare ?? 1, share);
     }
-    const level = levelSum / Math.max(1, homeCount);
+    const level = capacity === 0 ? 0 : shedCapacity / capacity;
     const load = { level, internalShare: internalShare ?? 0, atMs: nowMs };
     this.serviceLoads.set(service, load);
     return load;
@@ -250,7 +252,7 @@
   ): number {
     const isLocal = record.zone === this.options.ownZone;
     const serviceMs = view.expectedRouteMs(query.route, meanRouteMs, nowMs);
-    const limit = view.limit(record.target?.slots ?? 1);
+    const limit = view.limit(record.target?.slots ?? 1, nowMs);
     const occupiedSlots = view.occupiedSlots(nowMs);
     const queueMs =
       (Math.max(0, occupiedSlots + 1 - limit) * view.meanServiceMs(meanRouteMs)) / limit;
--- a/packages/mesh/src/target-notice.ts
+++ b/packages/mesh/src/target-notice.ts
@@ -2,7 +2,7 @@
 export interface TargetIncarnation {
   readonly targetId: string;
   /** Undefined if the target did not state it; the id alone decides then. */
-  readonly bornUnixMs: number | undefined;
+  readonly bornUnixMs?: number | undefined;
 }
 
 /** What a target states about itself in the header of an answer. */
--- a/packages/mesh/src/target-slot-queue.ts
+++ b/packages/mesh/src/target-slot-queue.ts
@@ -1,3 +1,4 @@
+import { ArrivalRateLimit } from './arrival-rate-limit';
 import type { CallRefusalReasonName, TargetLoad } from './forwarded-call';
 import { CallRefusalReason } from './forwarded-call';
 
@@ -24,11 +25,12 @@
 const INITIAL_SERVICE_MS = 20;
 /** Waits below this are treated as none, as they are scheduling noise of the process. */
 const MIN_TOLERATED_WAIT_MS = 5;
+const MS_PER_SECOND = 1_000;
 
 /**
- * Admits calls to the slots of one target and queues those that must wait, by priority and then in
- * order of arrival. A call is refused as soon as its expected wait leaves no time to serve it while
- * its response has its full value.
+ * Admits calls to the slots of one target, at most at the rate that the target states, and queues
+ * those that must wait, by priority and then in order of arrival. A call is refused as soon as its
+ * expected wait leaves no time to serve it while its response has its full value.
  */
 export class TargetSlotQueue {
   private readonly waiting: WaitingRequest[] = [];
@@ -39,7 +41,10 @@
 
   private meanServiceMs = INITIAL_SERVICE_MS;
 
-  constructor(private maxRunning: number) {}
+  constructor(
+    private maxRunning: number,
+    private readonly arrivalLimit = new ArrivalRateLimit(),
+  ) {}
 
   get running(): number {
     return this.runningCount;
@@ -53,30 +58,50 @@
     return {
       running: this.runningCount,
       waiting: this.waiting.length,
-      limit: this.maxRunning,
+      limit: this.concurrencyLimit(),
       serviceMs: this.meanServiceMs,
     };
   }
 
+  /** Requests that are at the target at the same time, on average, when all its capacity is used. */
+  private concurrencyLimit(): number {
+    const { ratePerS } = this.arrivalLimit;
+    if (ratePerS === undefined) return this.maxRunning;
+    return Math.min(this.maxRunning, (ratePerS * this.meanServiceMs) / MS_PER_SECOND);
+  }
+
   /** Sets how many requests the target may process at the same time. */
   setLimit(limit: number, nowMs: number): void {
     this.maxRunning = Math.max(1, limit);
     this.startWaiting(nowMs);
   }
 
-  /** Expected wait for a slot of a call that arrives now. */
-  get expectedWaitMs(): number {
-    return this.waiting.length === 0 ? 0 : this.expectedWaitBehindMs(this.waiting.length);
+  /** Expected wait of a call that arrives now. */
+  expectedWaitMs(nowMs: number): number {
+    return this.waiting.length === 0 ? 0 : this.expectedWaitBehindMs(this.waiting.length, nowMs);
+  }
+
+  /** Mean time between two starts at the rate limit of the target; 0 without one. */
+  get meanIntervalMs(): number {
+    const { ratePerS } = this.arrivalLimit;
+    return ratePerS === undefined ? 0 : MS_PER_SECOND / ratePerS;
+  }
+
+  /** Time until the next waiting call may start unless a slot is freed; undefined if none waits. */
+  nextStartInMs(nowMs: number): number | undefined {
+    const isWaitingForRate = this.waiting.length > 0 && this.runningCount < this.maxRunning;
+    return isWaitingForRate ? this.arrivalLimit.waitMs(1, nowMs) : undefined;
   }
 
   /** Starts, queues or refuses the request, by calling it back. */
   submit(request: SlotRequest, nowMs: number): void {
-    if (this.runningCount < this.maxRunning && this.waiting.length === 0) {
+    const hasFreeSlot = this.runningCount < this.maxRunning && this.waiting.length === 0;
+    if (hasFreeSlot && this.arrivalLimit.tryTake(nowMs)) {
       this.startRequest(request, nowMs);
       return;
     }
     const ahead = this.countAhead(request.priority);
-    const waitMs = this.expectedWaitBehindMs(ahead);
+    const waitMs = this.expectedWaitBehindMs(ahead, nowMs);
     if (waitMs > this.maxWaitMs(request, nowMs)) {
       request.refuse(CallRefusalReason.full, waitMs);
       return;
@@ -105,7 +130,7 @@
   refuseUnservable(nowMs: number): void {
     for (let index = this.waiting.length - 1; index >= 0; index -= 1) {
       const { request } = this.waiting[index] as WaitingRequest;
-      const waitMs = this.expectedWaitBehindMs(index);
+      const waitMs = this.expectedWaitBehindMs(index, nowMs);
       if (waitMs > this.maxWaitMs(request, nowMs)) {
         this.waiting.splice(index, 1);
         const isExpired = request.deadlineMs <= nowMs;
@@ -120,8 +145,9 @@
   }
 
   /** Expected time until a request with `requestsAhead` others before it can start. */
-  private expectedWaitBehindMs(requestsAhead: number): number {
-    return ((requestsAhead + 1) * this.meanServiceMs) / this.maxRunning;
+  private expectedWaitBehindMs(requestsAhead: number, nowMs: number): number {
+    const slotWaitMs = ((requestsAhead + 1) * this.meanServiceMs) / this.maxRunning;
+    return Math.max(slotWaitMs, this.arrivalLimit.waitMs(requestsAhead + 1, nowMs));
   }
 
   /** Maximum wait after which the request can still be served in time. */
@@ -147,12 +173,19 @@
     request.start(nowMs);
   }
 
-  private startWaiting(nowMs: number): void {
+  /** Starts the waiting requests that have a slot and that the rate allows. */
+  startWaiting(nowMs: number): void {
     while (this.runningCount < this.maxRunning) {
-      const next = this.waiting.shift();
+      const next = this.waiting[0];
       if (next === undefined) return;
-      if (next.request.deadlineMs <= nowMs) next.request.refuse(CallRefusalReason.expired, 0);
-      else this.startRequest(next.request, nowMs);
+      if (next.request.deadlineMs <= nowMs) {
+        this.waiting.shift();
+        next.request.refuse(CallRefusalReason.expired, 0);
+      } else {
+        if (!this.arrivalLimit.tryTake(nowMs)) return;
+        this.waiting.shift();
+        this.startRequest(next.request, nowMs);
+      }
     }
   }
 }
--- a/packages/mesh/src/target-view.ts
+++ b/packages/mesh/src/target-view.ts
@@ -4,6 +4,8 @@
 const FAILURE_SAMPLE_WEIGHT = 0.1;
 /** Time constant of the exponential decay of estimates that are not confirmed. */
 const DECAY_TIME_CONSTANT_MS = 2_000;
+/** Smallest concurrency limit: a target may limit the rate of its requests to a few a minute. */
+const MIN_LIMIT = 0.01;
 
 interface RouteEstimate {
   readonly serviceMs: number;
@@ -106,8 +108,19 @@
     return this.shedLevel * Math.exp(-(nowMs - this.shedLevelAtMs) / DECAY_TIME_CONSTANT_MS);
   }
 
-  limit(slots: number): number {
-    return Math.max(1, this.load?.limit ?? slots);
+  /**
+   * Concurrency limit that the home reported. It approaches the slots until the next report, so that
+   * a target that limits the rate of its requests is asked again: only its answers tell when it no
+   * longer does.
+   */
+  limit(slots: number, nowMs: number): number {
+    const reported = this.reportedLimit(slots);
+    const weight = Math.exp(-(nowMs - this.loadAtMs) / DECAY_TIME_CONSTANT_MS);
+    return reported < slots ? slots + (reported - slots) * weight : reported;
+  }
+
+  reportedLimit(slots: number): number {
+    return Math.max(MIN_LIMIT, this.load?.limit ?? slots);
   }
 
   /** Mean service time of the target, over all routes. */
--- a/packages/mesh/tests/overload-simulation.test.ts
+++ b/packages/mesh/tests/overload-simulation.test.ts
@@ -80,7 +80,7 @@
   let treeNumber = 0;
   for (let nowMs = 0; nowMs < lengthMs; nowMs += STEP_MS) {
     if (nowMs % SWEEP_MS === 0) {
-      level.update(queue.expectedWaitMs, CLASSES, nowMs);
+      level.update(queue.expectedWaitMs(nowMs), CLASSES, nowMs);
       queue.refuseUnservable(nowMs);
     }
     entryLevels.push(level.value);
--- a/packages/mesh/tests/target-chooser.test.ts
+++ b/packages/mesh/tests/target-chooser.test.ts
@@ -158,6 +158,21 @@
     expect(chooser.shedLevelOf('s', 10_000)).toBeLessThan(0.01);
   });
 
+  it('weights the levels by the capacity of the homes, as one may limit its rate', () => {
+    const chooser = chooserOf({ a: 'near', b: 'near' });
+    reportLoad(chooser, 'a', { limit: 0.2, level: 1 });
+    reportLoad(chooser, 'b', { limit: 9.8, level: 0 });
+    expect(chooser.shedLevelOf('s', 0)).toBeCloseTo(0.02);
+  });
+
+  it('spares a target that limits its rate, and asks it again after some seconds', () => {
+    const chooser = chooserOf({ a: 'near', b: 'near' });
+    reportLoad(chooser, 'a', { limit: 0.2 });
+    reportLoad(chooser, 'b', {});
+    expect(choiceCounts(chooser, 0)['a'] ?? 0).toBeLessThan(10);
+    expect(choiceCounts(chooser, 10_000)['a']).toBeGreaterThan(300);
+  });
+
   it('does not count homes of which nothing is known as homes with room', () => {
     const chooser = chooserOf({ a: 'near', b: 'near', c: 'far' }, 12, ['c']);
     chooser.recordShedLevel('a', 1, 0);
--- a/packages/peering/src/call-codec.ts
+++ b/packages/peering/src/call-codec.ts
@@ -4,6 +4,7 @@
   CallRefusalReasonName,
   TargetLoad,
 } from '@daisyferry/mesh/forwarded-call';
+import type { TargetNotice } from '@daisyferry/mesh/target-notice';
 import { parseJson } from './control-codec';
 
 // Calls and replies are encoded as JSON arrays: as objects, field names would be a third of their
@@ -24,6 +25,7 @@
   fields: string[],
   bodyBytes?: number,
   attemptKey?: string,
+  targetRatePerS?: number,
 ];
 
 type EncodedLoad = number[] | null;
@@ -39,6 +41,9 @@
  */
 const IS_INTERNAL_VALUES = [undefined, false, true];
 
+/** Stands for a missing attempt key before further items. */
+const NO_ATTEMPT_KEY = '';
+
 /** `bodyBytes` is the length of a body that follows in parts; 0 if it is in the frame itself. */
 export function encodeCall(call: ForwardedCall, bodyBytes = 0): string {
   const encoded: EncodedCall = [
@@ -57,6 +62,8 @@
     bodyBytes,
   ];
   if (call.attemptKey !== undefined) encoded.push(call.attemptKey);
+  else if (call.targetRatePerS !== undefined) encoded.push(NO_ATTEMPT_KEY);
+  if (call.targetRatePerS !== undefined) encoded.push(call.targetRatePerS);
   return JSON.stringify(encoded);
 }
 
@@ -77,6 +84,7 @@
 /** Positions of the items that earlier builds leave out. */
 const BODY_BYTES_INDEX = 12;
 const ATTEMPT_KEY_INDEX = 13;
+const TARGET_RATE_INDEX = 14;
 
 function isEncodedCall(value: unknown): value is EncodedCall {
   if (!Array.isArray(value)) return false;
@@ -85,14 +93,16 @@
     CALL_ITEM_TYPES.every((type, index) => typeof items[index] === type) &&
     isStringList(items[CALL_ITEM_TYPES.length]) &&
     (items[BODY_BYTES_INDEX] === undefined || isLength(items[BODY_BYTES_INDEX])) &&
-    ['undefined', 'string'].includes(typeof items[ATTEMPT_KEY_INDEX])
+    ['undefined', 'string'].includes(typeof items[ATTEMPT_KEY_INDEX]) &&
+    ['undefined', 'number'].includes(typeof items[TARGET_RATE_INDEX])
   );
 }
 
 function toCall(encoded: EncodedCall): ForwardedCall {
   return {
     requestId: encoded[0],
-    attemptKey: encoded[ATTEMPT_KEY_INDEX],
+    attemptKey:
+      encoded[ATTEMPT_KEY_INDEX] === NO_ATTEMPT_KEY ? undefined : encoded[ATTEMPT_KEY_INDEX],
     service: encoded[1],
     targetId: encoded[2],
     callerService: encoded[3],
@@ -104,6 +114,7 @@
     method: encoded[9],
     path: encoded[10],
     fields: encoded[11],
+    targetRatePerS: encoded[TARGET_RATE_INDEX],
   };
 }
 
@@ -128,28 +139,45 @@
   return Math.round(value * 100) / 100;
 }
 
+/** Stands for a target without a rate limit. */
+const NO_RATE = -1;
+
 function encodeLoad(load: TargetLoad | undefined): EncodedLoad {
   if (load === undefined) return null;
   const encoded = [
     load.running,
     load.waiting,
-    load.limit,
+    roundToHundredths(load.limit),
     roundToTenths(load.serviceMs),
     roundToHundredths(load.level),
     roundToHundredths(load.internalShare),
     IS_INTERNAL_VALUES.indexOf(load.isInternal),
   ];
-  if (load.routeMs !== undefined) encoded.push(roundToTenths(load.routeMs));
+  const { routeMs, notice } = load;
+  if (routeMs !== undefined) encoded.push(roundToTenths(routeMs));
+  if (notice === undefined) return encoded;
+  // A home that knows no time of the route repeats the mean of all routes, to keep the positions.
+  if (routeMs === undefined) encoded.push(roundToTenths(load.serviceMs));
+  encoded.push(notice.ratePerS ?? NO_RATE, notice.isLeaving ? 1 : 0);
   return encoded;
 }
 
+/** Both items are undefined if the home does not know what its target states. */
+function decodeNotice(
+  ratePerS: number | undefined,
+  isLeaving: number | undefined,
+): TargetNotice | undefined {
+  if (ratePerS === undefined) return undefined;
+  return { ratePerS: ratePerS < 0 ? undefined : ratePerS, isLeaving: isLeaving === 1 };
+}
+
 function decodeLoad(encoded: unknown): TargetLoad | undefined {
   if (!Array.isArray(encoded) || !encoded.every((item) => typeof item === 'number')) {
     return undefined;
   }
   const [running = 0, waiting = 0, limit = 1, serviceMs = 0, level = 0, internalShare = 0] =
     encoded;
-  const [, , , , , , isInternalIndex, routeMs] = encoded;
+  const [, , , , , , isInternalIndex, routeMs, ratePerS, isLeaving] = encoded;
   return {
     running,
     waiting,
@@ -159,6 +187,7 @@
     internalShare,
     isInternal: IS_INTERNAL_VALUES[isInternalIndex ?? 0],
     routeMs,
+    notice: decodeNotice(ratePerS, isLeaving),
   };
 }
 
--- a/packages/peering/src/control-codec.ts
+++ b/packages/peering/src/control-codec.ts
@@ -27,8 +27,10 @@
 }
 
 function isServingTarget(value: unknown): value is ServingTarget {
-  const { targetId, service, slots, isServing, coldMs } = fieldsOf<ServingTarget>(value);
+  const { targetId, service, bornUnixMs, slots, isServing, coldMs } =
+    fieldsOf<ServingTarget>(value);
   const hasTexts = typeof targetId === 'string' && typeof service === 'string';
+  if (bornUnixMs !== undefined && !isNumber(bornUnixMs)) return false;
   return hasTexts && isNumber(slots) && typeof isServing === 'boolean' && isNumber(coldMs);
 }
 
--- a/packages/peering/tests/frame.test.ts
+++ b/packages/peering/tests/frame.test.ts
@@ -60,6 +60,14 @@
     expect(decodeCall(encodeCall(CALL))?.call).toEqual(CALL);
   });
 
+  it.each(['e/1', undefined])(
+    'round-trips the rate limit that the entry knows, with the attempt key %s',
+    (attemptKey) => {
+      const call = { ...CALL, attemptKey, targetRatePerS: 12.5 };
+      expect(decodeCall(encodeCall(call))?.call).toEqual(call);
+    },
+  );
+
   it('reads a call of a build that sends no attempt key and no length', () => {
     const items = JSON.parse(encodeCall(CALL)) as unknown[];
     const call = { ...CALL, attemptKey: undefined };
@@ -82,6 +90,19 @@
       outcome: { kind: 'refused', reason: 'full', reachedTarget: false, roomInMs: 10 },
       load: { ...LOAD, isInternal: undefined, routeMs: undefined },
     },
+    {
+      outcome: { kind: 'unknown', detail: 'lost' },
+      load: { ...LOAD, isInternal: true, routeMs: 4.5, notice: { ratePerS: 0, isLeaving: true } },
+    },
+    {
+      outcome: { kind: 'unknown', detail: 'lost' },
+      load: {
+        ...LOAD,
+        isInternal: false,
+        routeMs: 4.5,
+        notice: { ratePerS: undefined, isLeaving: false },
+      },
+    },
     { outcome: { kind: 'unknown', detail: 'lost' }, load: undefined },
   ];
 
--- a/packages/sidecar/src/caller-request.ts
+++ b/packages/sidecar/src/caller-request.ts
@@ -210,12 +210,16 @@
         method: input.method,
         path: input.path,
         fields: input.fields,
+        targetRatePerS: target && parts.targetNotices.ratePerS(target),
       },
       input.body,
       (reply) => {
         // The home of this daemon replies also to a call that is being cancelled.
         if (this.sentCall !== sentCall) return;
         this.sentCall = undefined;
+        const notice = reply.load?.notice;
+        if (target !== undefined && notice !== undefined)
+          parts.targetNotices.record(target, notice);
         this.handleReply(daemonId, reply, parts.clock());
       },
     );
--- a/packages/sidecar/src/entry.ts
+++ b/packages/sidecar/src/entry.ts
@@ -7,6 +7,7 @@
 import type { RouteFailureGate } from '@daisyferry/mesh/route-failure-gate';
 import type { RouteTable } from '@daisyferry/mesh/route-table';
 import type { DestinationSelector } from '@daisyferry/mesh/destination-selector';
+import type { TargetNoticeTable } from '@daisyferry/mesh/target-notice-table';
 import type { TargetChooser } from '@daisyferry/mesh/target-chooser';
 import type { RandomSource } from '@daisyferry/model/scheduler';
 import type { CancellableCall } from '@daisyferry/peering/peer-link';
@@ -31,6 +32,7 @@
   readonly routes: () => RouteTable | undefined;
   readonly destinations: DestinationSelector;
   readonly chooser: TargetChooser;
+  readonly targetNotices: TargetNoticeTable;
   readonly downstreamLevels: DownstreamShedLevels;
   readonly random: RandomSource;
   readonly failureGate: RouteFailureGate;
--- a/packages/sidecar/src/home.ts
+++ b/packages/sidecar/src/home.ts
@@ -8,6 +8,7 @@
 } from '@daisyferry/mesh/forwarded-call';
 import { CallRefusalReason } from '@daisyferry/mesh/forwarded-call';
 import type { ExecutionRecord } from '@daisyferry/mesh/execution-record';
+import type { TargetNotice } from '@daisyferry/mesh/target-notice';
 import type { InboundCall } from '@daisyferry/peering/inbound-peer';
 import {
   TargetCall,
@@ -58,6 +59,8 @@
 
   private sweepTimer: NodeJS.Timeout | undefined;
 
+  private startTimer: NodeJS.Timeout | undefined;
+
   private isClosing = false;
 
   constructor(readonly parts: SidecarHomeParts) {}
@@ -83,10 +86,14 @@
       targetCall.refuse(refusalReason, 0);
       return targetCall;
     }
+    if (call.targetRatePerS !== undefined) {
+      this.parts.arrivalLimit.applyReport(call.targetRatePerS, nowMs);
+    }
     this.activeCalls.add(targetCall);
     if (record !== undefined) this.recordedCalls.set(call.requestId, targetCall);
     this.parts.queue.submit(targetCall, nowMs);
     if (this.activeCalls.size > 0) this.scheduleSweep();
+    this.scheduleStart(nowMs);
     return targetCall;
   }
 
@@ -108,18 +115,30 @@
     return isOwn ? this.recordedCalls.get(requestId) : undefined;
   }
 
-  buildReply(outcome: ForwardedCallOutcome, route: string): CallReply {
+  buildReply(outcome: ForwardedCallOutcome, call: ForwardedCall): CallReply {
     const { queue, serviceTimes, routeCallers, clock } = this.parts;
+    const { route } = call;
     const load: TargetLoad = {
       ...queue.load(),
       level: this.effectiveShedLevel(clock()),
       internalShare: routeCallers.internalShare,
       isInternal: routeCallers.isInternal(route),
       routeMs: serviceTimes.meanMs(route),
+      notice: this.noticeFor(call),
     };
     return { outcome, load };
   }
 
+  /** What the target states, where it states something or the entry has an earlier statement. */
+  private noticeFor({ targetId, targetRatePerS }: ForwardedCall): TargetNotice | undefined {
+    const { notices, target } = this.parts;
+    const { notice } = notices;
+    if (notice === undefined || target.announcement?.targetId !== targetId) return undefined;
+    const isNews =
+      notice.isLeaving || notice.ratePerS !== undefined || targetRatePerS !== undefined;
+    return isNews ? notice : undefined;
+  }
+
   /** Shed level that the entries apply: the maximum of the local and the downstream levels. */
   effectiveShedLevel(nowMs: number): number {
     const { shedLevel, downstreamLevels } = this.parts;
@@ -136,10 +155,14 @@
     this.parts.pool.destroyIdle();
     this.parts.serviceTimes.clear();
     this.parts.notices.reset();
+    this.parts.arrivalLimit.reset();
   }
 
   applyNotice(fields: readonly string[], targetId: string): void {
-    this.parts.notices.record(fields, targetId);
+    const { notices, arrivalLimit, queue, clock } = this.parts;
+    const nowMs = clock();
+    arrivalLimit.applyStatement(notices.record(fields, targetId).ratePerS, nowMs);
+    queue.startWaiting(nowMs);
   }
 
   /** Stops sending calls to the target, as it refuses connections or does not respond. */
@@ -186,6 +209,22 @@
     return { kind: 'replied' };
   }
 
+  /** Starts the next waiting call as soon as the rate limit of the target allows it. */
+  private scheduleStart(nowMs: number): void {
+    if (this.startTimer !== undefined) return;
+    const { queue, clock } = this.parts;
+    const delayMs = queue.nextStartInMs(nowMs);
+    if (delayMs === undefined) return;
+    this.startTimer = setTimeout(
+      () => {
+        this.startTimer = undefined;
+        queue.startWaiting(clock());
+        this.scheduleStart(clock());
+      },
+      Math.max(1, Math.ceil(delayMs)),
+    );
+  }
+
   private scheduleSweep(): void {
     this.sweepTimer ??= setTimeout(() => {
       this.sweepTimer = undefined;
@@ -198,10 +237,11 @@
   private sweep(nowMs: number): void {
     const { queue, shedLevel, classCount, levelThrottle, onShedLevel, unresponsiveDetector } =
       this.parts;
-    shedLevel.update(queue.expectedWaitMs, classCount(), nowMs);
+    shedLevel.update(queue.expectedWaitMs(nowMs), classCount(), nowMs, queue.meanIntervalMs);
     const level = this.effectiveShedLevel(nowMs);
     if (levelThrottle.isDue(level, nowMs)) onShedLevel(level);
     queue.refuseUnservable(nowMs);
+    this.scheduleStart(nowMs);
     for (const call of this.activeCalls) call.checkDeadline(nowMs);
     if (unresponsiveDetector.isUnresponsive(queue.running, queue.load().serviceMs, nowMs)) {
       this.markTargetUnreachable('no response to any request');
--- a/packages/sidecar/src/own-record.ts
+++ b/packages/sidecar/src/own-record.ts
@@ -41,6 +41,7 @@
       target: announcement && {
         targetId: announcement.targetId,
         service: announcement.service,
+        bornUnixMs: announcement.bornUnixMs,
         slots: announcement.slots,
         isServing: this.target.isServing,
         coldMs: Math.round(this.target.coldMs(this.clock())),
--- a/packages/sidecar/src/target-call.ts
+++ b/packages/sidecar/src/target-call.ts
@@ -1,5 +1,6 @@
 import { fieldValue } from '@daisyferry/http1/message';
 import { encodeRequest } from '@daisyferry/http1/message-writer';
+import type { ArrivalRateLimit } from '@daisyferry/mesh/arrival-rate-limit';
 import type { TargetSlotQueue, SlotRequest } from '@daisyferry/mesh/target-slot-queue';
 import type {
   ForwardedCallOutcome,
@@ -29,6 +30,8 @@
   readonly target: AnnouncedTarget;
   readonly pool: TargetConnectionPool;
   readonly queue: TargetSlotQueue;
+  /** Limit that the queue keeps to. */
+  readonly arrivalLimit: ArrivalRateLimit;
   readonly serviceTimes: RouteServiceTimes;
   readonly routeCallers: RouteCallerCounter;
   readonly unresponsiveDetector: UnresponsiveTargetDetector;
@@ -52,7 +55,7 @@
 /** The part of the home that its calls use. */
 export interface TargetCallHost {
   readonly parts: SidecarHomeParts;
-  buildReply(outcome: ForwardedCallOutcome, route: string): CallReply;
+  buildReply(outcome: ForwardedCallOutcome, call: ForwardedCall): CallReply;
   /** Applies what a response of the target states about the target. */
   applyNotice(fields: readonly string[], targetId: string): void;
   removeCall(call: TargetCall): void;
@@ -243,7 +246,7 @@
       const callFields = { requestId, route, targetId, waitedMs, running, waiting, limit };
       log.decision('call not served by the home', { ...callFields, ...outcome });
     }
-    const reply = this.home.buildReply(outcome, this.call.route);
+    const reply = this.home.buildReply(outcome, this.call);
     if (this.record === undefined) this.deliver(reply);
     else executionRecords.settle(this.record, event, reply, clock());
   }
--- a/packages/sidecar/src/wire-sidecar.ts
+++ b/packages/sidecar/src/wire-sidecar.ts
@@ -1,4 +1,5 @@
 import { randomBytes } from 'node:crypto';
+import { ArrivalRateLimit } from '@daisyferry/mesh/arrival-rate-limit';
 import { BufferBudget } from '@daisyferry/mesh/buffer-budget';
 import { CallRefusalReason } from '@daisyferry/mesh/forwarded-call';
 import { TargetSlotQueue } from '@daisyferry/mesh/target-slot-queue';
@@ -14,6 +15,7 @@
 import { RouteFailureGate } from '@daisyferry/mesh/route-failure-gate';
 import type { RoutingConfiguration } from '@daisyferry/mesh/routing-configuration';
 import { ShedLevel } from '@daisyferry/mesh/shed-level';
+import { TargetNoticeTable } from '@daisyferry/mesh/target-notice-table';
 import { StoreReaderChoice } from '@daisyferry/mesh/store-reader-choice';
 import { UnresponsiveTargetDetector } from '@daisyferry/mesh/unresponsive-target-detector';
 import { RouteServiceTimes } from '@daisyferry/mesh/route-service-times';
@@ -117,7 +119,9 @@
     bufferBudget,
     new DiscardedResponseReport(log, metrics),
   );
-  const queue = new TargetSlotQueue(INITIAL_SLOTS);
+  const arrivalLimit = new ArrivalRateLimit();
+  const queue = new TargetSlotQueue(INITIAL_SLOTS, arrivalLimit);
+  const targetNotices = new TargetNoticeTable();
   const notices = new LocalTargetNotices(
     {
       rateLimit: headerNames.rateLimit.toLowerCase(),
@@ -140,6 +144,7 @@
     target,
     pool,
     queue,
+    arrivalLimit,
     serviceTimes: new RouteServiceTimes(),
     routeCallers: new RouteCallerCounter(),
     unresponsiveDetector: new UnresponsiveTargetDetector(),
@@ -224,6 +229,7 @@
     routes: () => configuration.routes,
     destinations: new DestinationSelector(startUnixMs % MAX_ROUND_ROBIN_OFFSET),
     chooser,
+    targetNotices,
     downstreamLevels,
     random: Math.random,
     failureGate: new RouteFailureGate(Math.random),
--- a/packages/sidecar/tests/caller-request.test.ts
+++ b/packages/sidecar/tests/caller-request.test.ts
@@ -8,6 +8,7 @@
 } from '@daisyferry/mesh/forwarded-call';
 import type { Route } from '@daisyferry/mesh/routing-configuration';
 import { TargetChooser } from '@daisyferry/mesh/target-chooser';
+import { TargetNoticeTable } from '@daisyferry/mesh/target-notice-table';
 import { CallerRequest, type CallerRequestInput } from '@daisyferry/sidecar/caller-request';
 import type { SidecarEntryParts } from '@daisyferry/sidecar/entry';
 import type { EventLog } from '@daisyferry/sidecar/event-log';
@@ -67,6 +68,7 @@
     routes: () => undefined,
     destinations: new DestinationSelector(0),
     chooser: new TargetChooser(directory, { ownZone: 'z', maxCandidates: 12 }, random),
+    targetNotices: new TargetNoticeTable(),
     downstreamLevels: new DownstreamShedLevels(),
     random,
     failureGate: new RouteFailureGate(random),
