Send nothing to a target that states in its answers that it leaves

The daemon learned of a departure from the target's announcement alone; what an answer says about it was not read, and a daemon that saw it would have lost it with its process.

The home treats it as an acknowledged announcement: it refuses what waits and publishes the departure. Entries that got the answer, or the record, remember the incarnation of the target and do not choose it again, also when its daemon was restarted and announces a serving target.

--- a/packages/mesh/src/announced-target.ts
+++ b/packages/mesh/src/announced-target.ts
@@ -1,4 +1,5 @@
 import type { TargetAnnouncement } from './daemon-record';
+import type { TargetIncarnation } from './target-notice';
 
 export type AnnouncementResult =
   | {
@@ -26,19 +27,14 @@
   readonly count: number;
 }
 
-interface EndedIncarnation {
-  readonly targetId: string;
-  readonly bornUnixMs: number | undefined;
-}
-
 /** Compares start times only if both are known; otherwise the target id alone decides. */
-function isSameIncarnation(left: EndedIncarnation, right: EndedIncarnation): boolean {
+function isSameIncarnation(left: TargetIncarnation, right: TargetIncarnation): boolean {
   if (left.targetId !== right.targetId) return false;
   if (left.bornUnixMs === undefined || right.bornUnixMs === undefined) return true;
   return left.bornUnixMs === right.bornUnixMs;
 }
 
-function startedBefore(left: EndedIncarnation, right: EndedIncarnation): boolean {
+function startedBefore(left: TargetIncarnation, right: TargetIncarnation): boolean {
   if (left.bornUnixMs === undefined || right.bornUnixMs === undefined) return false;
   return left.bornUnixMs < right.bornUnixMs;
 }
@@ -56,12 +52,14 @@
 
   private isDeregistered = false;
 
+  private hasStatedLeaving = false;
+
   /** True while the target is unreachable, until its next announcement or response. */
   private isUnreachable = false;
 
   private earlierClaim: EarlierClaim | undefined;
 
-  private readonly endedIncarnations: EndedIncarnation[] = [];
+  private readonly endedIncarnations: TargetIncarnation[] = [];
 
   get announcement(): TargetAnnouncement | undefined {
     return this.present;
@@ -73,10 +71,16 @@
       this.present !== undefined &&
       !this.present.isDraining &&
       !this.isDeregistered &&
+      !this.hasStatedLeaving &&
       !this.isUnreachable
     );
   }
 
+  /** True once the present incarnation has stated in an answer that it leaves. */
+  get isLeaving(): boolean {
+    return this.hasStatedLeaving;
+  }
+
   /** Remaining warm-up time of the target. */
   coldMs(nowMs: number): number {
     if (this.present === undefined) return 0;
@@ -96,6 +100,7 @@
     if (isNewIncarnation) {
       if (present !== undefined) this.recordEndedIncarnation(present);
       this.isDeregistered = false;
+      this.hasStatedLeaving = false;
     }
     this.isUnreachable = false;
     this.earlierClaim = undefined;
@@ -127,6 +132,18 @@
     return wasServing;
   }
 
+  /** True if the incarnation is the present one. */
+  isPresent(incarnation: TargetIncarnation): boolean {
+    return this.present !== undefined && isSameIncarnation(this.present, incarnation);
+  }
+
+  /** Ends the serving of the present incarnation, as it leaves. Returns true if it was serving. */
+  markLeaving(): boolean {
+    const wasServing = this.isServing;
+    this.hasStatedLeaving = true;
+    return wasServing;
+  }
+
   /** Marks the target as unreachable. Returns true if it was serving. */
   markUnreachable(): boolean {
     const wasServing = this.isServing;
@@ -173,7 +190,7 @@
     return count >= MIN_CLAIM_ANNOUNCEMENTS && nowMs - claim.sinceMs >= MIN_CLAIM_MS;
   }
 
-  private recordEndedIncarnation(ended: EndedIncarnation): void {
+  private recordEndedIncarnation(ended: TargetIncarnation): void {
     this.endedIncarnations.push({ targetId: ended.targetId, bornUnixMs: ended.bornUnixMs });
     if (this.endedIncarnations.length > MAX_ENDED_INCARNATIONS) this.endedIncarnations.shift();
   }
--- a/packages/mesh/src/daemon-record.ts
+++ b/packages/mesh/src/daemon-record.ts
@@ -40,6 +40,8 @@
   readonly bornUnixMs?: number | undefined;
   readonly slots: number;
   readonly isServing: boolean;
+  /** True once the target has stated in an answer that it leaves. */
+  readonly isLeaving?: boolean | undefined;
   /** Time from the writing of the record until the target is warm. */
   readonly coldMs: number;
 }
--- a/packages/mesh/src/target-chooser.ts
+++ b/packages/mesh/src/target-chooser.ts
@@ -3,6 +3,7 @@
 import type { FleetDirectory } from './fleet-directory';
 import { latenessProbability } from './lateness-probability';
 import type { DaemonRecord } from './daemon-record';
+import type { TargetNoticeTable } from './target-notice-table';
 import { TargetView } from './target-view';
 
 export type TargetChoice =
@@ -21,6 +22,8 @@
   readonly ownZone: string;
   /** Maximum number of targets that are compared; a larger set is sampled. */
   readonly maxCandidates: number;
+  /** Targets that have stated that they leave are not chosen, whatever their daemons say. */
+  readonly notices: TargetNoticeTable;
 }
 
 /** What the homes of a service report, as added up at `atMs`. */
@@ -202,9 +205,14 @@
 
   private candidatesFor({ service, excluded }: TargetQuery): readonly DaemonRecord[] {
     const serving = this.directory.servingRecords(service);
+    const { maxCandidates, ownZone, notices } = this.options;
     const all =
-      excluded.size === 0 ? serving : serving.filter(({ daemonId }) => !excluded.has(daemonId));
-    const { maxCandidates, ownZone } = this.options;
+      excluded.size === 0 && notices.isEmpty
+        ? serving
+        : serving.filter(
+            ({ daemonId, target }) =>
+              !excluded.has(daemonId) && target !== undefined && !notices.isLeaving(target),
+          );
     if (all.length <= maxCandidates) return all;
     const sample = new Set<DaemonRecord>();
     const local = all.filter(({ zone }) => zone === ownZone);
--- a/packages/mesh/src/target-notice-table.ts
+++ b/packages/mesh/src/target-notice-table.ts
@@ -23,6 +23,11 @@
 export class TargetNoticeTable {
   private readonly notices = new Map<string, RecordedNotice>();
 
+  /** True if no target has stated anything that is still in force. */
+  get isEmpty(): boolean {
+    return this.notices.size === 0;
+  }
+
   /** Records what the target's last answer stated. A departure is final for the incarnation. */
   record(target: TargetIncarnation, notice: TargetNotice): void {
     const { targetId, bornUnixMs } = target;
@@ -35,6 +40,11 @@
     if (oldest !== undefined) this.notices.delete(oldest);
   }
 
+  /** Records a departure of which the target's daemon has informed this one. */
+  markLeaving(target: TargetIncarnation): void {
+    this.record(target, { ratePerS: this.ratePerS(target), isLeaving: true });
+  }
+
   isLeaving(target: TargetIncarnation): boolean {
     return this.find(target)?.isLeaving === true;
   }
--- a/packages/mesh/tests/announced-target.test.ts
+++ b/packages/mesh/tests/announced-target.test.ts
@@ -33,6 +33,19 @@
     expect(target.isServing).toBe(false);
   });
 
+  it('does not serve after it stated that it leaves, until its next incarnation', () => {
+    const target = new AnnouncedTarget();
+    target.applyAnnouncement(announcement(), 0);
+    expect(target.markLeaving()).toBe(true);
+    target.applyAnnouncement(announcement({ sequence: 6 }), 1);
+    target.markUnreachable();
+    expect([target.markReachable(), target.isServing]).toEqual([false, false]);
+    expect(target.isPresent({ targetId: 'i-1', bornUnixMs: 1_000 })).toBe(true);
+    target.applyAnnouncement(announcement({ sequence: 1, bornUnixMs: 2_000 }), 2);
+    expect(target.isServing).toBe(true);
+    expect(target.isPresent({ targetId: 'i-1', bornUnixMs: 1_000 })).toBe(false);
+  });
+
   it.each([
     ['an older sequence', announcement({ sequence: 4 })],
     ['the same sequence', announcement({ sequence: 5 })],
--- a/packages/mesh/tests/target-chooser.test.ts
+++ b/packages/mesh/tests/target-chooser.test.ts
@@ -1,6 +1,7 @@
 import { FleetDirectory } from '@daisyferry/mesh/fleet-directory';
 import type { TargetLoad } from '@daisyferry/mesh/forwarded-call';
 import { TargetChooser, type TargetQuery } from '@daisyferry/mesh/target-chooser';
+import { TargetNoticeTable } from '@daisyferry/mesh/target-notice-table';
 import { describe, expect, it } from 'vitest';
 
 const IDLE: TargetLoad = {
@@ -28,6 +29,7 @@
   zones: Readonly<Record<string, string>>,
   maxCandidates = 12,
   unconnected: readonly string[] = [],
+  notices = new TargetNoticeTable(),
 ): TargetChooser {
   const directory = new FleetDirectory();
   for (const [daemonId, zone] of Object.entries(zones)) {
@@ -43,7 +45,7 @@
     directory.applyRecord({ ...record, target }, 'stored', 0);
     directory.setConnected(daemonId, !unconnected.includes(daemonId), 0);
   }
-  return new TargetChooser(directory, { ownZone: 'near', maxCandidates }, seededRandom(7));
+  return new TargetChooser(directory, { ownZone: 'near', maxCandidates, notices }, seededRandom(7));
 }
 
 const QUERY: TargetQuery = { service: 's', route: 'r', usefulMs: 100, excluded: new Set() };
@@ -173,6 +175,17 @@
     expect(choiceCounts(chooser, 10_000)['a']).toBeGreaterThan(300);
   });
 
+  it('chooses no target that said that it leaves, but its next incarnation', () => {
+    const notices = new TargetNoticeTable();
+    const chooser = chooserOf({ a: 'near', b: 'near' }, 12, [], notices);
+    const leaving = { ratePerS: undefined, isLeaving: true };
+    notices.record({ targetId: 'a', bornUnixMs: undefined }, leaving);
+    notices.record({ targetId: 'a' }, { ratePerS: undefined, isLeaving: false });
+    expect(choiceCounts(chooser, 0)['a']).toBeUndefined();
+    notices.record({ targetId: 'b', bornUnixMs: 1 }, leaving);
+    expect(notices.isLeaving({ targetId: 'b', bornUnixMs: 2 })).toBe(false);
+  });
+
   it('does not count homes of which nothing is known as homes with room', () => {
     const chooser = chooserOf({ a: 'near', b: 'near', c: 'far' }, 12, ['c']);
     chooser.recordShedLevel('a', 1, 0);
--- a/packages/peering/src/control-codec.ts
+++ b/packages/peering/src/control-codec.ts
@@ -27,10 +27,11 @@
 }
 
 function isServingTarget(value: unknown): value is ServingTarget {
-  const { targetId, service, bornUnixMs, slots, isServing, coldMs } =
+  const { targetId, service, bornUnixMs, slots, isServing, isLeaving, coldMs } =
     fieldsOf<ServingTarget>(value);
   const hasTexts = typeof targetId === 'string' && typeof service === 'string';
   if (bornUnixMs !== undefined && !isNumber(bornUnixMs)) return false;
+  if (isLeaving !== undefined && typeof isLeaving !== 'boolean') return false;
   return hasTexts && isNumber(slots) && typeof isServing === 'boolean' && isNumber(coldMs);
 }
 
--- a/packages/sidecar/src/home.ts
+++ b/packages/sidecar/src/home.ts
@@ -8,7 +8,7 @@
 } from '@daisyferry/mesh/forwarded-call';
 import { CallRefusalReason } from '@daisyferry/mesh/forwarded-call';
 import type { ExecutionRecord } from '@daisyferry/mesh/execution-record';
-import type { TargetNotice } from '@daisyferry/mesh/target-notice';
+import type { TargetIncarnation, TargetNotice } from '@daisyferry/mesh/target-notice';
 import type { InboundCall } from '@daisyferry/peering/inbound-peer';
 import {
   TargetCall,
@@ -158,10 +158,17 @@
     this.parts.arrivalLimit.reset();
   }
 
-  applyNotice(fields: readonly string[], targetId: string): void {
-    const { notices, arrivalLimit, queue, clock } = this.parts;
+  applyNotice(fields: readonly string[], incarnation: TargetIncarnation): void {
+    const { target, notices, arrivalLimit, queue, clock, onTargetChange } = this.parts;
+    // An answer may come from a target that another one has replaced since.
+    if (!target.isPresent(incarnation)) return;
     const nowMs = clock();
-    arrivalLimit.applyStatement(notices.record(fields, targetId).ratePerS, nowMs);
+    const { ratePerS, isLeaving } = notices.record(fields, incarnation.targetId);
+    if (isLeaving && target.markLeaving()) {
+      queue.refuseAll(CallRefusalReason.leaving);
+      onTargetChange();
+    }
+    arrivalLimit.applyStatement(ratePerS, nowMs);
     queue.startWaiting(nowMs);
   }
 
--- a/packages/sidecar/src/own-record.ts
+++ b/packages/sidecar/src/own-record.ts
@@ -44,6 +44,7 @@
         bornUnixMs: announcement.bornUnixMs,
         slots: announcement.slots,
         isServing: this.target.isServing,
+        isLeaving: this.target.isLeaving || undefined,
         coldMs: Math.round(this.target.coldMs(this.clock())),
       },
     };
--- a/packages/sidecar/src/peer-connections.ts
+++ b/packages/sidecar/src/peer-connections.ts
@@ -2,6 +2,7 @@
 import type { CallReply, ForwardedCall } from '@daisyferry/mesh/forwarded-call';
 import type { FleetDirectory } from '@daisyferry/mesh/fleet-directory';
 import type { LinkPlan } from '@daisyferry/mesh/link-plan';
+import type { TargetNoticeTable } from '@daisyferry/mesh/target-notice-table';
 import type { DaemonRecord } from '@daisyferry/mesh/daemon-record';
 import type { Frame } from '@daisyferry/peering/frame';
 import { FrameKind } from '@daisyferry/peering/frame';
@@ -22,6 +23,7 @@
 
 export interface PeerConnectionsParts {
   readonly directory: FleetDirectory;
+  readonly targetNotices: TargetNoticeTable;
   readonly linkPlan: LinkPlan;
   readonly ownRecord: OwnRecord;
   /** Unique for this process. */
@@ -81,6 +83,7 @@
     this.configurations = new ConfigurationExchange(parts.configuration, this, clock);
     this.records = new RecordExchange({
       directory,
+      targetNotices: parts.targetNotices,
       ownRecord,
       peers: this,
       log,
--- a/packages/sidecar/src/record-exchange.ts
+++ b/packages/sidecar/src/record-exchange.ts
@@ -1,4 +1,5 @@
 import type { FleetDirectory } from '@daisyferry/mesh/fleet-directory';
+import type { TargetNoticeTable } from '@daisyferry/mesh/target-notice-table';
 import type { DaemonRecord } from '@daisyferry/mesh/daemon-record';
 import {
   decodeReading,
@@ -15,6 +16,7 @@
 
 export interface RecordExchangeParts {
   readonly directory: FleetDirectory;
+  readonly targetNotices: TargetNoticeTable;
   readonly ownRecord: OwnRecord;
   readonly peers: PeerGroup;
   readonly log: EventLog;
@@ -70,6 +72,7 @@
       return;
     }
     if (!directory.applyRecord(record, source, clock())) return;
+    if (record.target?.isLeaving === true) this.parts.targetNotices.markLeaving(record.target);
     log.stateChange('daemon record applied', {
       daemonId: record.daemonId,
       source,
--- a/packages/sidecar/src/target-call.ts
+++ b/packages/sidecar/src/target-call.ts
@@ -18,6 +18,7 @@
 import type { ShedLevel } from '@daisyferry/mesh/shed-level';
 import type { UnresponsiveTargetDetector } from '@daisyferry/mesh/unresponsive-target-detector';
 import type { RouteServiceTimes } from '@daisyferry/mesh/route-service-times';
+import type { TargetIncarnation } from '@daisyferry/mesh/target-notice';
 import type { InboundCall } from '@daisyferry/peering/inbound-peer';
 import { classifyTargetResponse, type ResponseFieldNames } from './classify-target-response';
 import type { EventLog } from './event-log';
@@ -56,8 +57,8 @@
 export interface TargetCallHost {
   readonly parts: SidecarHomeParts;
   buildReply(outcome: ForwardedCallOutcome, call: ForwardedCall): CallReply;
-  /** Applies what a response of the target states about the target. */
-  applyNotice(fields: readonly string[], targetId: string): void;
+  /** Applies what a response of the target states about this incarnation of it. */
+  applyNotice(fields: readonly string[], incarnation: TargetIncarnation): void;
   removeCall(call: TargetCall): void;
   markTargetUnreachable(detail: string): void;
   markTargetReachable(): void;
@@ -108,6 +109,9 @@
 
   private startedAtMs = 0;
 
+  /** The incarnation of the target that the request was sent to. */
+  private sentTo: TargetIncarnation | undefined;
+
   private isDone = false;
 
   constructor(
@@ -137,6 +141,7 @@
       return;
     }
     this.startedAtMs = nowMs;
+    this.sentTo = target.announcement;
     // The queue already counts this request as running.
     unresponsiveDetector.recordStart(queue.running - 1, nowMs);
     const { call } = this;
@@ -206,8 +211,8 @@
           responseFieldNames,
           queue.load().serviceMs,
         );
-        if (isFromTarget(outcome)) {
-          this.home.applyNotice(result.response.fields, this.call.targetId);
+        if (isFromTarget(outcome) && this.sentTo !== undefined) {
+          this.home.applyNotice(result.response.fields, this.sentTo);
         }
         const isFailure = outcome.kind !== 'answered' || outcome.status >= 500;
         queue.recordFinished(serviceMs, isFailure, nowMs);
--- a/packages/sidecar/src/wire-sidecar.ts
+++ b/packages/sidecar/src/wire-sidecar.ts
@@ -163,11 +163,12 @@
   });
   const chooser = new TargetChooser(
     directory,
-    { ownZone: environment.zone, maxCandidates: MAX_CANDIDATES },
+    { ownZone: environment.zone, maxCandidates: MAX_CANDIDATES, notices: targetNotices },
     Math.random,
   );
   const peerConnections = new PeerConnections({
     directory,
+    targetNotices,
     ownRecord,
     processKey,
     home,
--- a/packages/sidecar/tests/caller-request.test.ts
+++ b/packages/sidecar/tests/caller-request.test.ts
@@ -64,11 +64,16 @@
     directory.applyRecord({ ...record, isLeaving: false }, 'stored', 0);
   }
   const random = () => 0.5;
+  const targetNotices = new TargetNoticeTable();
   return {
     routes: () => undefined,
     destinations: new DestinationSelector(0),
-    chooser: new TargetChooser(directory, { ownZone: 'z', maxCandidates: 12 }, random),
-    targetNotices: new TargetNoticeTable(),
+    chooser: new TargetChooser(
+      directory,
+      { ownZone: 'z', maxCandidates: 12, notices: targetNotices },
+      random,
+    ),
+    targetNotices,
     downstreamLevels: new DownstreamShedLevels(),
     random,
     failureGate: new RouteFailureGate(random),
--- a/packages/sidecar/tests/record-exchange.test.ts
+++ b/packages/sidecar/tests/record-exchange.test.ts
@@ -1,5 +1,6 @@
 import type { DaemonRecord } from '@daisyferry/mesh/daemon-record';
 import { FleetDirectory } from '@daisyferry/mesh/fleet-directory';
+import { TargetNoticeTable } from '@daisyferry/mesh/target-notice-table';
 import { FrameKind, type FrameKindNumber } from '@daisyferry/peering/frame';
 import type { EventLog } from '@daisyferry/sidecar/event-log';
 import type { OwnRecord } from '@daisyferry/sidecar/own-record';
@@ -29,6 +30,7 @@
 
   readonly records = new RecordExchange({
     directory: this.directory,
+    targetNotices: new TargetNoticeTable(),
     ownRecord: {
       daemonId: 'own',
       record: () => record('own'),
