Tell a crash of the target from the end of one connection

The logs had one line for each request that was lost, 'connection closed by the target', and nothing that told an answer that was cut from the end of the whole target; who reads them cannot see that targets crash, or with which requests.

After a connection has ended without a response the home opens another one. If the target refuses it, has not announced its end, and the connections of all requests that it was running have ended, it has crashed: one log line and a counter. Otherwise the new connection is used for the next request. Lost calls are settled once this is known, within milliseconds.

No decision uses it yet, but that a crashed target counts as unreachable at once, and not with the next request that is sent to it.

--- a/packages/mesh/src/announced-target.ts
+++ b/packages/mesh/src/announced-target.ts
@@ -81,6 +81,11 @@
     return this.hasStatedLeaving;
   }
 
+  /** True once the present incarnation has announced that it drains or leaves. */
+  get isEndExpected(): boolean {
+    return this.present?.isDraining === true || this.isDeregistered || this.hasStatedLeaving;
+  }
+
   /** Remaining warm-up time of the target. */
   coldMs(nowMs: number): number {
     if (this.present === undefined) return 0;
--- a/packages/sidecar/src/home.ts
+++ b/packages/sidecar/src/home.ts
@@ -10,6 +10,7 @@
 import type { ExecutionRecord } from '@daisyferry/mesh/execution-record';
 import type { TargetIncarnation, TargetNotice } from '@daisyferry/mesh/target-notice';
 import type { InboundCall } from '@daisyferry/peering/inbound-peer';
+import { TargetCrashDetection, type LostCall } from './target-crash-detection';
 import {
   TargetCall,
   refusedOutcome,
@@ -63,12 +64,28 @@
 
   private isClosing = false;
 
-  constructor(readonly parts: SidecarHomeParts) {}
+  private crashes = 0;
+
+  private readonly crashDetection: TargetCrashDetection;
+
+  constructor(readonly parts: SidecarHomeParts) {
+    this.crashDetection = new TargetCrashDetection({
+      probe: (onResult) => parts.pool.probe(onResult),
+      isEndExpected: () => parts.target.isEndExpected,
+      runningCalls: () => new Set([...this.activeCalls].filter(({ isRunning }) => isRunning)),
+      onCrash: (lostCalls) => this.handleCrash(lostCalls),
+    });
+  }
 
   get activeCount(): number {
     return this.activeCalls.size;
   }
 
+  /** Crashes of the local target since the start of the daemon. */
+  get crashCount(): number {
+    return this.crashes;
+  }
+
   /** Refuses new calls from now on; calls in progress are finished. */
   close(): void {
     this.isClosing = true;
@@ -150,6 +167,10 @@
     if (this.recordedCalls.get(call.requestId) === call) this.recordedCalls.delete(call.requestId);
   }
 
+  handleLostCall(call: LostCall): void {
+    this.crashDetection.handleLost(call);
+  }
+
   /** Drops what was learnt of the previous target, as another one has taken its place. */
   forgetTarget(): void {
     this.parts.pool.destroyIdle();
@@ -187,6 +208,16 @@
     this.parts.onTargetChange();
   }
 
+  private handleCrash(lostCalls: readonly LostCall[]): void {
+    const { log, target } = this.parts;
+    this.crashes += 1;
+    log.stateChange('target crashed', {
+      targetId: target.announcement?.targetId,
+      count: lostCalls.length,
+    });
+    this.markTargetUnreachable('target crashed');
+  }
+
   private refusalReasonFor(call: ForwardedCall): CallRefusalReasonName | undefined {
     const { target } = this.parts;
     if (this.isClosing) return CallRefusalReason.leaving;
--- a/packages/sidecar/src/target-call.ts
+++ b/packages/sidecar/src/target-call.ts
@@ -22,6 +22,7 @@
 import type { InboundCall } from '@daisyferry/peering/inbound-peer';
 import { classifyTargetResponse, type ResponseFieldNames } from './classify-target-response';
 import type { EventLog } from './event-log';
+import type { LostCall } from './target-crash-detection';
 import type { HeaderNames } from './header-names';
 import type { LocalTargetNotices } from './local-target-notices';
 import type { TargetExchangeResult } from './target-connection';
@@ -60,6 +61,8 @@
   /** Applies what a response of the target states about this incarnation of it. */
   applyNotice(fields: readonly string[], incarnation: TargetIncarnation): void;
   removeCall(call: TargetCall): void;
+  /** Settles the call once it is known whether the target has crashed. */
+  handleLostCall(call: LostCall): void;
   markTargetUnreachable(detail: string): void;
   markTargetReachable(): void;
 }
@@ -96,7 +99,7 @@
 }
 
 /** One call at its home: waiting for a slot, running at the target, or settled. */
-export class TargetCall implements SlotRequest, InboundCall {
+export class TargetCall implements SlotRequest, InboundCall, LostCall {
   readonly priority: number;
 
   readonly usefulUntilMs: number;
@@ -114,6 +117,9 @@
 
   private isDone = false;
 
+  /** Why the request was lost; set while it is not known whether the target has crashed. */
+  private lostDetail: string | undefined;
+
   constructor(
     private readonly call: ForwardedCall,
     private readonly body: Buffer,
@@ -167,7 +173,7 @@
   }
 
   cancel(): void {
-    if (this.isDone) return;
+    if (this.isDone || this.lostDetail !== undefined) return;
     if (this.runningExchange === undefined) {
       this.home.parts.queue.remove(this);
       this.refuse(CallRefusalReason.cancelled, 0);
@@ -181,7 +187,7 @@
   }
 
   checkDeadline(nowMs: number): void {
-    if (this.isDone || nowMs < this.deadlineMs) return;
+    if (this.isDone || this.lostDetail !== undefined || nowMs < this.deadlineMs) return;
     if (this.runningExchange === undefined) {
       this.home.parts.queue.remove(this);
       this.refuse(CallRefusalReason.expired, 0);
@@ -190,6 +196,16 @@
     }
   }
 
+  settleLost(hasCrashed: boolean): void {
+    const detail = hasCrashed ? 'target crashed' : (this.lostDetail ?? '');
+    this.settle('LOSE', { kind: 'unknown', detail });
+  }
+
+  /** True while the request is at the target. */
+  get isRunning(): boolean {
+    return this.runningExchange !== undefined;
+  }
+
   private abortRunning(detail: string): void {
     const { queue, clock } = this.home.parts;
     this.runningExchange?.abort();
@@ -231,8 +247,11 @@
         this.home.markTargetUnreachable(result.detail);
         return;
       case 'lost':
+        this.lostDetail = result.detail;
+        this.runningExchange = undefined;
+        if (result.hasConnectionEnded) this.home.handleLostCall(this);
+        else this.settleLost(false);
         queue.recordFinished(serviceMs, true, nowMs);
-        this.settle('LOSE', { kind: 'unknown', detail: result.detail });
         return;
       default:
         result satisfies never;
--- a/packages/sidecar/src/target-connection-pool.ts
+++ b/packages/sidecar/src/target-connection-pool.ts
@@ -2,6 +2,7 @@
 import type { ResponseFieldNames } from './classify-target-response';
 import type { SocketAddress } from './daemon-environment';
 import type { DiscardedResponseListener } from './discarded-response';
+import type { ProbeResult } from './target-crash-detection';
 import type { TargetExchangeResult } from './target-connection';
 import { TargetConnection } from './target-connection';
 
@@ -50,6 +51,14 @@
     return { abort: () => connection.abort() };
   }
 
+  /** Opens a connection, which is then idle, to learn whether the target accepts it. */
+  probe(onResult: (result: ProbeResult) => void): void {
+    this.connect({
+      onIdle: () => onResult('accepted'),
+      onClosed: (wasRefused) => onResult(wasRefused ? 'refused' : 'unclear'),
+    });
+  }
+
   /** Closes the idle connections; meant for the replacement of the target. */
   destroyIdle(): void {
     for (const connection of this.idle.splice(0)) connection.destroy();
@@ -64,14 +73,26 @@
     }
   }
 
-  private connect(): TargetConnection {
+  private connect(firstEvent?: {
+    onIdle(): void;
+    onClosed(wasRefused: boolean): void;
+  }): TargetConnection {
+    let listener = firstEvent;
     this.opened += 1;
     const connection: TargetConnection = new TargetConnection(
       this.address,
       this.fieldNames,
       {
-        onIdle: () => this.idle.push(connection),
-        onClosed: () => this.removeIdle(connection),
+        onIdle: () => {
+          this.idle.push(connection);
+          listener?.onIdle();
+          listener = undefined;
+        },
+        onClosed: (wasRefused) => {
+          this.removeIdle(connection);
+          listener?.onClosed(wasRefused);
+          listener = undefined;
+        },
         onDiscarded: (response) => this.discardedResponses.discarded(response),
       },
       this.clock,
--- a/packages/sidecar/src/target-connection.ts
+++ b/packages/sidecar/src/target-connection.ts
@@ -18,8 +18,13 @@
   | { readonly kind: 'response'; readonly response: ResponseMessage }
   /** The connection was not established, so that no byte of the request reached the target. */
   | { readonly kind: 'notSent'; readonly detail: string }
-  /** The connection broke; the target may have executed the request. */
-  | { readonly kind: 'lost'; readonly detail: string };
+  /** The target may have executed the request. */
+  | {
+      readonly kind: 'lost';
+      readonly detail: string;
+      /** True if the connection ended; false if it was closed because of what arrived on it. */
+      readonly hasConnectionEnded: boolean;
+    };
 
 interface RunningExchange {
   readonly requestId: string;
@@ -39,6 +44,8 @@
 const MIN_COUNTED_BODY_BYTES = 65_536;
 /** Keep-alive timeout where the target states none. */
 const DEFAULT_KEEP_ALIVE_MS = 4_000;
+/** Code of the error when nothing listens at the address. */
+const CONNECTION_REFUSED = 'ECONNREFUSED';
 
 /** One connection to the local target, for one request at a time. */
 export class TargetConnection {
@@ -64,6 +71,8 @@
 
   private connectTimer: NodeJS.Timeout | undefined;
 
+  private wasRefused = false;
+
   /** True once the connection must not be reused. */
   private isRetired = false;
 
@@ -72,7 +81,8 @@
     private readonly fieldNames: ResponseFieldNames,
     private readonly events: {
       onIdle(): void;
-      onClosed(): void;
+      /** Called once; `wasRefused` tells that the target refused the connection. */
+      onClosed(wasRefused: boolean): void;
       onDiscarded(response: DiscardedResponse): void;
     },
     private readonly clock: () => number,
@@ -88,10 +98,13 @@
     this.socket.on('connect', () => this.handleConnect());
     this.socket.on('data', (chunk: Buffer) => this.receive(chunk));
     this.socket.on('end', () => this.handleEnd());
-    this.socket.on('error', (error) => this.failExchange(error.message));
+    this.socket.on('error', (error: NodeJS.ErrnoException) => {
+      this.wasRefused = error.code === CONNECTION_REFUSED;
+      this.failExchange(error.message);
+    });
     this.socket.on('close', () => {
       this.failExchange('connection closed');
-      this.events.onClosed();
+      this.events.onClosed(this.wasRefused);
     });
   }
 
@@ -136,7 +149,12 @@
   private handleConnect(): void {
     this.isConnected = true;
     clearTimeout(this.connectTimer);
-    if (this.exchange !== undefined) writeBuffers(this.socket, this.exchange.message);
+    if (this.exchange !== undefined) {
+      writeBuffers(this.socket, this.exchange.message);
+    } else {
+      this.idleSinceMs = this.clock();
+      this.events.onIdle();
+    }
   }
 
   private receive(chunk: Buffer): void {
@@ -158,7 +176,7 @@
           return;
         case 'invalid':
           this.reportDiscarded(DiscardReason.unreadable, this.reader.bufferedBytes);
-          this.failExchange(`unreadable answer: ${read.detail}`);
+          this.failExchange(`unreadable answer: ${read.detail}`, false);
           return;
         case 'response':
           this.handleResponse(this.exchange, read.response);
@@ -185,7 +203,7 @@
         return;
       case 'unattributable':
         this.reportDiscarded(attribution.reason, response.body.length, response);
-        this.failExchange(`answer not believed: ${attribution.reason}`);
+        this.failExchange(`answer not believed: ${attribution.reason}`, false);
         return;
       default:
         attribution satisfies never;
@@ -249,12 +267,12 @@
     this.failExchange('connection closed by the target');
   }
 
-  private failExchange(detail: string): void {
+  private failExchange(detail: string, hasConnectionEnded = true): void {
     const { exchange } = this;
     this.exchange = undefined;
     this.destroy();
     if (exchange === undefined) return;
-    if (this.isConnected) exchange.onResult({ kind: 'lost', detail });
+    if (this.isConnected) exchange.onResult({ kind: 'lost', detail, hasConnectionEnded });
     else exchange.onResult({ kind: 'notSent', detail });
   }
 }
--- a/packages/sidecar/src/wire-sidecar.ts
+++ b/packages/sidecar/src/wire-sidecar.ts
@@ -287,6 +287,7 @@
   metrics.addGauge('daisyferry_target_running', () => queue.running);
   metrics.addGauge('daisyferry_shed_level', () => home.effectiveShedLevel(clock()));
   metrics.addGauge('daisyferry_target_waiting', () => queue.waitingCount);
+  metrics.addGauge('daisyferry_target_crashes', () => home.crashCount);
   metrics.addGauge('daisyferry_target_requests_sent', () => pool.sentCount);
   metrics.addGauge(
     'daisyferry_target_rate_limit',
