Block a request that crashes the targets which run it

Cause: nothing remembered which requests a target was running when it went away. The loss was settled for each attempt, retried at a second target, and the next copy began from nothing at another entry.

The home of a crashed target suspects all that it was running, and tells the fleet. A response clears a request everywhere; crashes count only in sequence, so that targets which end together raise the count once. A suspect of two crashes runs apart from others and is not repeated; after three, or after two as the only suspect, it is refused at entry and home, as not run. It is tried again at one home of the fleet, after 5 s, then after ever longer times. Calls and replies carry the evidence of their own request; new peers are told everything.

--- a/packages/mesh/src/forwarded-call.ts
+++ b/packages/mesh/src/forwarded-call.ts
@@ -1,3 +1,4 @@
+import type { CrashEvidence } from './crash-suspects';
 import type { TargetNotice } from './target-notice';
 
 /** Identity of one attempt of a caller's request. */
@@ -34,6 +35,8 @@
    * A home that was restarted learns it from here.
    */
   readonly targetRatePerS?: number | undefined;
+  /** Crashes that the request is suspected of, as far as the entry knows; undefined without any. */
+  readonly evidence?: CrashEvidence | undefined;
 }
 
 /** Load of a target as observed by its home. */
@@ -69,6 +72,8 @@
   shedByTarget: 'shedByTarget',
   barred: 'barred',
   unreadable: 'unreadable',
+  /** The request has crashed the targets that ran it. */
+  crashesTargets: 'crashesTargets',
 } as const;
 
 export type CallRefusalReasonName = (typeof CallRefusalReason)[keyof typeof CallRefusalReason];
@@ -95,7 +100,12 @@
       readonly roomInMs: number;
     }
   /** The target may have executed the request. */
-  | { readonly kind: 'unknown'; readonly detail: string };
+  | {
+      readonly kind: 'unknown';
+      readonly detail: string;
+      /** Crashes that the request is suspected of, if the target crashed while it ran. */
+      readonly evidence?: CrashEvidence | undefined;
+    };
 
 /** What a home replies to an entry: the outcome of a call, and the load of its target. */
 export interface CallReply {
--- a/packages/mesh/src/target-chooser.ts
+++ b/packages/mesh/src/target-chooser.ts
@@ -4,6 +4,7 @@
 import { latenessProbability } from './lateness-probability';
 import type { DaemonRecord } from './daemon-record';
 import type { TargetNoticeTable } from './target-notice-table';
+import { trialHome } from './trial-home';
 import { TargetView } from './target-view';
 
 export type TargetChoice =
@@ -16,6 +17,8 @@
   /** Time in which the response has its full value. */
   readonly usefulMs: number;
   readonly excluded: ReadonlySet<string>;
+  /** The only daemon that may be chosen; undefined if any may. */
+  readonly onlyDaemonId?: string | undefined;
 }
 
 export interface TargetChooserOptions {
@@ -103,6 +106,11 @@
     return { kind: 'chosen', record: this.drawByCost(available) };
   }
 
+  /** Id of the home at which a request that was blocked is tried again. */
+  trialHomeOf(service: string, fingerprint: string): string | undefined {
+    return trialHome(this.directory.servingRecords(service), fingerprint)?.daemonId;
+  }
+
   /** True if calls to the service have been made from here. */
   isServiceUsed(service: string): boolean {
     return this.usedServices.has(service);
@@ -203,9 +211,14 @@
     return view;
   }
 
-  private candidatesFor({ service, excluded }: TargetQuery): readonly DaemonRecord[] {
+  private candidatesFor({ service, excluded, onlyDaemonId }: TargetQuery): readonly DaemonRecord[] {
     const serving = this.directory.servingRecords(service);
     const { maxCandidates, ownZone, notices } = this.options;
+    if (onlyDaemonId !== undefined) {
+      return serving.filter(
+        ({ daemonId }) => daemonId === onlyDaemonId && !excluded.has(onlyDaemonId),
+      );
+    }
     const all =
       excluded.size === 0 && notices.isEmpty
         ? serving
--- a/packages/peering/src/call-codec.ts
+++ b/packages/peering/src/call-codec.ts
@@ -4,6 +4,7 @@
   CallRefusalReasonName,
   TargetLoad,
 } from '@daisyferry/mesh/forwarded-call';
+import type { CrashEvidence } from '@daisyferry/mesh/crash-suspects';
 import type { TargetNotice } from '@daisyferry/mesh/target-notice';
 import { parseJson } from './control-codec';
 
@@ -26,6 +27,8 @@
   bodyBytes?: number,
   attemptKey?: string,
   targetRatePerS?: number,
+  clearances?: number,
+  crashes?: number,
 ];
 
 type EncodedLoad = number[] | null;
@@ -33,7 +36,7 @@
 type EncodedReply =
   | ['answered', EncodedLoad, number, string, string[], boolean, number?]
   | ['refused', EncodedLoad, CallRefusalReasonName, boolean, number]
-  | ['unknown', EncodedLoad, string];
+  | ['unknown', EncodedLoad, string, number?, number?];
 
 /**
  * The values of `isInternal`. An encoded load contains the index into this list, so that the order
@@ -41,6 +44,9 @@
  */
 const IS_INTERNAL_VALUES = [undefined, false, true];
 
+/** Stands for a target without a rate limit. */
+const NO_RATE = -1;
+
 /** Stands for a missing attempt key before further items. */
 const NO_ATTEMPT_KEY = '';
 
@@ -61,9 +67,12 @@
     call.fields as string[],
     bodyBytes,
   ];
-  if (call.attemptKey !== undefined) encoded.push(call.attemptKey);
-  else if (call.targetRatePerS !== undefined) encoded.push(NO_ATTEMPT_KEY);
-  if (call.targetRatePerS !== undefined) encoded.push(call.targetRatePerS);
+  const { attemptKey, targetRatePerS, evidence } = call;
+  if (attemptKey !== undefined) encoded.push(attemptKey);
+  if (targetRatePerS === undefined && evidence === undefined) return JSON.stringify(encoded);
+  if (attemptKey === undefined) encoded.push(NO_ATTEMPT_KEY);
+  encoded.push(targetRatePerS ?? NO_RATE);
+  if (evidence !== undefined) encoded.push(evidence.clearances, evidence.crashes);
   return JSON.stringify(encoded);
 }
 
@@ -85,6 +94,8 @@
 const BODY_BYTES_INDEX = 12;
 const ATTEMPT_KEY_INDEX = 13;
 const TARGET_RATE_INDEX = 14;
+const CLEARANCES_INDEX = 15;
+const CRASHES_INDEX = 16;
 
 function isEncodedCall(value: unknown): value is EncodedCall {
   if (!Array.isArray(value)) return false;
@@ -94,10 +105,19 @@
     isStringList(items[CALL_ITEM_TYPES.length]) &&
     (items[BODY_BYTES_INDEX] === undefined || isLength(items[BODY_BYTES_INDEX])) &&
     ['undefined', 'string'].includes(typeof items[ATTEMPT_KEY_INDEX]) &&
-    ['undefined', 'number'].includes(typeof items[TARGET_RATE_INDEX])
+    items.slice(TARGET_RATE_INDEX).every((item) => typeof item === 'number')
   );
 }
 
+function toRate(encoded: number | undefined): number | undefined {
+  return encoded === undefined || encoded < 0 ? undefined : encoded;
+}
+
+function toEvidence(clearances: unknown, crashes: unknown): CrashEvidence | undefined {
+  if (!isLength(clearances) || !isLength(crashes)) return undefined;
+  return { clearances, crashes };
+}
+
 function toCall(encoded: EncodedCall): ForwardedCall {
   return {
     requestId: encoded[0],
@@ -114,7 +134,8 @@
     method: encoded[9],
     path: encoded[10],
     fields: encoded[11],
-    targetRatePerS: encoded[TARGET_RATE_INDEX],
+    targetRatePerS: toRate(encoded[TARGET_RATE_INDEX]),
+    evidence: toEvidence(encoded[CLEARANCES_INDEX], encoded[CRASHES_INDEX]),
   };
 }
 
@@ -139,9 +160,6 @@
   return Math.round(value * 100) / 100;
 }
 
-/** Stands for a target without a rate limit. */
-const NO_RATE = -1;
-
 function encodeLoad(load: TargetLoad | undefined): EncodedLoad {
   if (load === undefined) return null;
   const encoded = [
@@ -168,7 +186,7 @@
   isLeaving: number | undefined,
 ): TargetNotice | undefined {
   if (ratePerS === undefined) return undefined;
-  return { ratePerS: ratePerS < 0 ? undefined : ratePerS, isLeaving: isLeaving === 1 };
+  return { ratePerS: toRate(ratePerS), isLeaving: isLeaving === 1 };
 }
 
 function decodeLoad(encoded: unknown): TargetLoad | undefined {
@@ -204,8 +222,11 @@
       ];
     case 'refused':
       return ['refused', load, outcome.reason, outcome.reachedTarget, outcome.roomInMs];
-    case 'unknown':
-      return ['unknown', load, outcome.detail];
+    case 'unknown': {
+      const { detail, evidence } = outcome;
+      if (evidence === undefined) return ['unknown', load, detail];
+      return ['unknown', load, detail, evidence.clearances, evidence.crashes];
+    }
     default:
       return outcome satisfies never;
   }
@@ -232,7 +253,9 @@
     const reason = first as CallRefusalReasonName;
     return { kind, reason, reachedTarget: second, roomInMs };
   }
-  if (kind === 'unknown') return { kind, detail: String(first) };
+  if (kind === 'unknown') {
+    return { kind, detail: String(first), evidence: toEvidence(second, third) };
+  }
   return undefined;
 }
 
--- a/packages/peering/src/control-codec.ts
+++ b/packages/peering/src/control-codec.ts
@@ -1,3 +1,4 @@
+import type { CrashReport } from '@daisyferry/mesh/crash-suspects';
 import type { DaemonRecord, ServingTarget } from '@daisyferry/mesh/daemon-record';
 import type { Attempt } from '@daisyferry/mesh/forwarded-call';
 import type { Hello } from './hello';
@@ -124,6 +125,36 @@
     : undefined;
 }
 
+/** Encodes reports on requests that were running when targets crashed. */
+export function encodeCrashReports(reports: readonly CrashReport[]): string {
+  return JSON.stringify(
+    reports.map(({ fingerprint, clearances, crashes, ageMs }) => [
+      fingerprint,
+      clearances,
+      crashes,
+      Math.round(ageMs),
+    ]),
+  );
+}
+
+function isCount(value: unknown): value is number {
+  return Number.isSafeInteger(value) && (value as number) >= 0;
+}
+
+/** Decodes reports on requests; leaves out those that cannot be read. */
+export function decodeCrashReports(text: string): CrashReport[] {
+  const value = parseJson(text);
+  if (!Array.isArray(value)) return [];
+  return value.flatMap((item: unknown) => {
+    const [fingerprint, clearances, crashes, ageMs]: readonly unknown[] = Array.isArray(item)
+      ? item
+      : [];
+    const isReadable =
+      typeof fingerprint === 'string' && isCount(clearances) && isCount(crashes) && isCount(ageMs);
+    return isReadable ? { fingerprint, clearances, crashes, ageMs } : [];
+  });
+}
+
 /** Encodes the attempt whose outcome an entry queries. */
 export function encodeResolve({ requestId, attemptKey }: Attempt): string {
   return JSON.stringify([requestId, attemptKey]);
--- a/packages/peering/src/frame.ts
+++ b/packages/peering/src/frame.ts
@@ -26,6 +26,8 @@
   recordMissing: 18,
   /** Whether the sender follows the store. */
   reading: 19,
+  /** Requests that were running when targets crashed, or that have been cleared of it. */
+  crashes: 20,
 } as const;
 
 export type FrameKindNumber = (typeof FrameKind)[keyof typeof FrameKind];
--- a/packages/peering/tests/control-codec.test.ts
+++ b/packages/peering/tests/control-codec.test.ts
@@ -1,11 +1,13 @@
 import { decodeCall, decodeCallReply, encodeCall } from '@daisyferry/peering/call-codec';
 import {
   decodeConfigurationVersion,
+  decodeCrashReports,
   decodeHello,
   decodeLevel,
   decodeRecord,
   decodeRecords,
   decodeResolve,
+  encodeCrashReports,
 } from '@daisyferry/peering/control-codec';
 import fc from 'fast-check';
 import { describe, expect, it } from 'vitest';
@@ -68,6 +70,14 @@
       expect(decodeCallReply(text).withBody(Buffer.alloc(0)).outcome.kind).toBe('unknown');
   });
 
+  it('reads reports on crashes and leaves out those that it cannot read', () => {
+    const reports = [{ fingerprint: 'f', clearances: 0, crashes: 3, ageMs: 12 }];
+    expect(decodeCrashReports(encodeCrashReports(reports))).toEqual(reports);
+    for (const bad of ['null', '{}', '[1]', '[["f",0,-1,0]]', '[["f",0,1.5,0]]', '[[1,0,1,0]]']) {
+      expect(decodeCrashReports(bad)).toEqual([]);
+    }
+  });
+
   it('rejects a call with an item of another type', () => {
     const call = {
       requestId: 'r',
--- a/packages/peering/tests/frame.test.ts
+++ b/packages/peering/tests/frame.test.ts
@@ -61,10 +61,17 @@
   });
 
   it.each(['e/1', undefined])(
-    'round-trips the rate limit that the entry knows, with the attempt key %s',
+    'round-trips what the entry knows of target and request, with the attempt key %s',
     (attemptKey) => {
-      const call = { ...CALL, attemptKey, targetRatePerS: 12.5 };
-      expect(decodeCall(encodeCall(call))?.call).toEqual(call);
+      const evidence = { clearances: 1, crashes: 2 };
+      for (const known of [
+        { targetRatePerS: 12.5 },
+        { evidence },
+        { targetRatePerS: 0, evidence },
+      ]) {
+        const call = { ...CALL, attemptKey, ...known };
+        expect(decodeCall(encodeCall(call))?.call).toEqual(call);
+      }
     },
   );
 
@@ -104,6 +111,10 @@
       },
     },
     { outcome: { kind: 'unknown', detail: 'lost' }, load: undefined },
+    {
+      outcome: { kind: 'unknown', detail: 'crashed', evidence: { clearances: 0, crashes: 3 } },
+      load: undefined,
+    },
   ];
 
   it.each(replies)('round-trips a reply of kind $outcome.kind', (reply) => {
--- a/packages/sidecar/src/caller-request.ts
+++ b/packages/sidecar/src/caller-request.ts
@@ -1,5 +1,6 @@
 import type { ForwardedCallOutcome, CallReply } from '@daisyferry/mesh/forwarded-call';
 import { CallRefusalReason } from '@daisyferry/mesh/forwarded-call';
+import type { CrashEvidence, SuspectDecision } from '@daisyferry/mesh/crash-suspects';
 import { shedMargin } from '@daisyferry/mesh/shed-margin';
 import type { Route } from '@daisyferry/mesh/routing-configuration';
 import type { CancellableCall } from '@daisyferry/peering/peer-link';
@@ -9,6 +10,7 @@
   DaemonResponseReason,
   type DaemonResponseReasonName,
 } from './daemon-response';
+import { requestFingerprint } from './request-fingerprint';
 import type { RetryOrigin } from './retry-budget';
 
 export interface CallerRequestInput {
@@ -62,6 +64,11 @@
   }
 }
 
+function reasonOfRefusal(detail: string): DaemonResponseReasonName {
+  if (detail === CallRefusalReason.crashesTargets) return DaemonResponseReason.crashesTargets;
+  return detail === 'noTarget' ? DaemonResponseReason.noTarget : DaemonResponseReason.noRoom;
+}
+
 interface SentCall {
   readonly daemonId: string;
   /** Undefined while the call is being sent. */
@@ -79,6 +86,11 @@
 
   private refusalCount = 0;
 
+  private knownFingerprint: string | undefined;
+
+  /** The only home that the request is sent to, as it is tried again after it was blocked. */
+  private onlyDaemonId: string | undefined;
+
   private isDone = false;
 
   /** True once a target may have executed the request. */
@@ -98,6 +110,16 @@
     const { service, route, requestId, classesBelow } = this.input;
     const isInternal = chooser.isInternal(route.name);
     retryBudget.countRequest({ service, isInternal }, nowMs);
+    const decision = this.suspectDecision(nowMs);
+    if (decision.kind === 'blocked') {
+      const retryAfterMs = this.boundedRetryAfterMs(decision.blockedForMs, nowMs);
+      const detail = 'blocked, as it has crashed targets';
+      this.respondFromDaemon(DaemonResponseReason.crashesTargets, retryAfterMs, nowMs, detail);
+      return;
+    }
+    if (decision.kind === 'trial') {
+      this.onlyDaemonId = chooser.trialHomeOf(service, this.fingerprint);
+    }
     if (!isInternal) {
       const level = chooser.shedLevelOf(service, nowMs);
       const margin = shedMargin({ requestId, classesBelow, level });
@@ -141,6 +163,30 @@
     this.respondFromDaemon(DaemonResponseReason.timedOut, 0, nowMs, 'deadline passed');
   }
 
+  /** Digest of what makes the request the same as an earlier one. */
+  private get fingerprint(): string {
+    this.knownFingerprint ??= requestFingerprint(this.input);
+    return this.knownFingerprint;
+  }
+
+  private suspectDecision(nowMs: number): SuspectDecision {
+    const { suspects } = this.parts;
+    return suspects.isEmpty ? { kind: 'free' } : suspects.decide(this.fingerprint, nowMs);
+  }
+
+  /** Crashes that the request is suspected of; undefined without any. */
+  private evidence(): CrashEvidence | undefined {
+    const { suspects } = this.parts;
+    if (suspects.isEmpty) return undefined;
+    const evidence = suspects.evidenceOf(this.fingerprint);
+    return evidence.crashes > 0 ? evidence : undefined;
+  }
+
+  private isRetryBarred(): boolean {
+    const { suspects } = this.parts;
+    return !suspects.isEmpty && suspects.isRetryBarred(this.fingerprint);
+  }
+
   private retryOrigin(nowMs: number): RetryOrigin {
     const { service, route } = this.input;
     const { chooser } = this.parts;
@@ -182,6 +228,7 @@
         route: input.route.name,
         usefulMs,
         excluded: this.excluded,
+        onlyDaemonId: this.onlyDaemonId,
       },
       nowMs,
     );
@@ -211,6 +258,7 @@
         path: input.path,
         fields: input.fields,
         targetRatePerS: target && parts.targetNotices.ratePerS(target),
+        evidence: this.evidence(),
       },
       input.body,
       (reply) => {
@@ -241,6 +289,9 @@
         this.handleRefusal(daemonId, outcome, nowMs);
         return;
       case 'unknown':
+        if (outcome.evidence !== undefined) {
+          this.parts.suspects.learn(this.fingerprint, outcome.evidence, nowMs);
+        }
         this.mayHaveRun = true;
         this.targetsReached += 1;
         chooser.avoidUntil(daemonId, nowMs + BROKEN_HOME_AVOIDANCE_MS);
@@ -285,6 +336,11 @@
     const { chooser } = this.parts;
     this.refusalCount += 1;
     const { route } = this.input;
+    if (outcome.reason === CallRefusalReason.crashesTargets) {
+      const retryAfterMs = this.boundedRetryAfterMs(outcome.roomInMs, nowMs);
+      this.giveUp(retryAfterMs, nowMs, outcome.reason);
+      return;
+    }
     if (outcome.reason === CallRefusalReason.full && !chooser.isInternal(route.name)) {
       chooser.markFull(daemonId, route.name, nowMs + FULL_TARGET_PAUSE_MS);
     }
@@ -306,6 +362,7 @@
     if (
       isSafe &&
       hasTargetsLeft &&
+      !this.isRetryBarred() &&
       this.parts.retryBudget.tryRetry(this.retryOrigin(nowMs), nowMs)
     ) {
       this.tryNextTarget(nowMs, 0);
@@ -321,9 +378,7 @@
     } else if (this.mayHaveRun) {
       this.respondFromDaemon(DaemonResponseReason.outcomeUnknown, 0, nowMs, detail);
     } else {
-      const reason =
-        detail === 'noTarget' ? DaemonResponseReason.noTarget : DaemonResponseReason.noRoom;
-      this.respondFromDaemon(reason, retryAfterMs, nowMs, detail);
+      this.respondFromDaemon(reasonOfRefusal(detail), retryAfterMs, nowMs, detail);
     }
   }
 
--- a/packages/sidecar/src/daemon-response.ts
+++ b/packages/sidecar/src/daemon-response.ts
@@ -7,6 +7,7 @@
   unreadableRoute: 'unreadableRoute',
   noRoom: 'noRoom',
   noTarget: 'noTarget',
+  crashesTargets: 'crashesTargets',
   timedOut: 'timedOut',
   outcomeUnknown: 'outcomeUnknown',
 } as const;
@@ -27,6 +28,7 @@
   unreadableRoute: { status: 503, reason: 'Service Unavailable', guaranteesNotRun: true },
   noRoom: { status: 503, reason: 'Service Unavailable', guaranteesNotRun: true },
   noTarget: { status: 503, reason: 'Service Unavailable', guaranteesNotRun: true },
+  crashesTargets: { status: 503, reason: 'Service Unavailable', guaranteesNotRun: true },
   timedOut: { status: 504, reason: 'Gateway Timeout', guaranteesNotRun: false },
   outcomeUnknown: { status: 502, reason: 'Bad Gateway', guaranteesNotRun: false },
 };
--- a/packages/sidecar/src/entry.ts
+++ b/packages/sidecar/src/entry.ts
@@ -3,6 +3,7 @@
 import type { RequestMessage } from '@daisyferry/http1/message';
 import { fieldValue } from '@daisyferry/http1/message';
 import type { CallReply, ForwardedCall } from '@daisyferry/mesh/forwarded-call';
+import type { CrashSuspects } from '@daisyferry/mesh/crash-suspects';
 import type { DownstreamShedLevels } from '@daisyferry/mesh/downstream-shed-levels';
 import type { RouteFailureGate } from '@daisyferry/mesh/route-failure-gate';
 import type { RouteTable } from '@daisyferry/mesh/route-table';
@@ -33,6 +34,7 @@
   readonly destinations: DestinationSelector;
   readonly chooser: TargetChooser;
   readonly targetNotices: TargetNoticeTable;
+  readonly suspects: CrashSuspects;
   readonly downstreamLevels: DownstreamShedLevels;
   readonly random: RandomSource;
   readonly failureGate: RouteFailureGate;
--- a/packages/sidecar/src/home.ts
+++ b/packages/sidecar/src/home.ts
@@ -7,6 +7,7 @@
   TargetLoad,
 } from '@daisyferry/mesh/forwarded-call';
 import { CallRefusalReason } from '@daisyferry/mesh/forwarded-call';
+import type { GateDecision } from '@daisyferry/mesh/suspect-gate';
 import type { ExecutionRecord } from '@daisyferry/mesh/execution-record';
 import type { TargetIncarnation, TargetNotice } from '@daisyferry/mesh/target-notice';
 import type { InboundCall } from '@daisyferry/peering/inbound-peer';
@@ -18,6 +19,8 @@
   type SidecarHomeParts,
 } from './target-call';
 
+/** Maximum number of requests in the log line of a crash. */
+const MAX_LOGGED_SUSPECTS = 8;
 /** Time between two checks of the waiting and running calls. */
 const SWEEP_INTERVAL_MS = 25;
 /** Returned for a call that has its outcome; cancelling it has no effect. */
@@ -167,6 +170,16 @@
     if (this.recordedCalls.get(call.requestId) === call) this.recordedCalls.delete(call.requestId);
   }
 
+  admitSuspect({ service, fingerprint }: TargetCall, nowMs: number): GateDecision {
+    const isApartRunning = [...this.activeCalls].some(({ isApart }) => isApart);
+    return this.parts.suspectGate.admit({ service, fingerprint, isApartRunning }, nowMs);
+  }
+
+  recordAnswer(call: TargetCall, nowMs: number): void {
+    const { suspects, onCrashReports } = this.parts;
+    if (!suspects.isEmpty) onCrashReports(suspects.recordAnswer(call.fingerprint, nowMs));
+  }
+
   handleLostCall(call: LostCall): void {
     this.crashDetection.handleLost(call);
   }
@@ -209,12 +222,20 @@
   }
 
   private handleCrash(lostCalls: readonly LostCall[]): void {
-    const { log, target } = this.parts;
+    const { log, target, suspects, onCrashReports, clock } = this.parts;
+    const nowMs = clock();
     this.crashes += 1;
+    const reports = suspects.recordCrash(lostCalls, nowMs);
     log.stateChange('target crashed', {
       targetId: target.announcement?.targetId,
       count: lostCalls.length,
+      suspects: lostCalls.slice(0, MAX_LOGGED_SUSPECTS).map(({ requestId, fingerprint }) => ({
+        requestId,
+        fingerprint,
+        crashes: suspects.evidenceOf(fingerprint).crashes,
+      })),
     });
+    onCrashReports(reports);
     this.markTargetUnreachable('target crashed');
   }
 
--- a/packages/sidecar/src/peer-connections.ts
+++ b/packages/sidecar/src/peer-connections.ts
@@ -1,5 +1,6 @@
 import type { BufferBudget } from '@daisyferry/mesh/buffer-budget';
 import type { CallReply, ForwardedCall } from '@daisyferry/mesh/forwarded-call';
+import type { CrashSuspects } from '@daisyferry/mesh/crash-suspects';
 import type { FleetDirectory } from '@daisyferry/mesh/fleet-directory';
 import type { LinkPlan } from '@daisyferry/mesh/link-plan';
 import type { TargetNoticeTable } from '@daisyferry/mesh/target-notice-table';
@@ -11,8 +12,10 @@
 import type { InboundPeer } from '@daisyferry/peering/inbound-peer';
 import { PeerLink, type PeerAddress, type CancellableCall } from '@daisyferry/peering/peer-link';
 import { PeerServer } from '@daisyferry/peering/peer-server';
+import type { RandomSource } from '@daisyferry/model/scheduler';
 import { ConfigurationExchange } from './configuration-exchange';
 import type { ConfigurationHolder } from './configuration-holder';
+import { CrashExchange } from './crash-exchange';
 import type { HomeTransport } from './entry';
 import type { EventLog } from './event-log';
 import type { Home } from './home';
@@ -24,6 +27,8 @@
 export interface PeerConnectionsParts {
   readonly directory: FleetDirectory;
   readonly targetNotices: TargetNoticeTable;
+  readonly suspects: CrashSuspects;
+  readonly random: RandomSource;
   readonly linkPlan: LinkPlan;
   readonly ownRecord: OwnRecord;
   /** Unique for this process. */
@@ -65,6 +70,8 @@
 
   readonly configurations: ConfigurationExchange;
 
+  readonly crashes: CrashExchange;
+
   private readonly links = new Map<string, PeerLink>();
 
   private readonly inboundPeers = new InboundConnections<InboundPeer>();
@@ -81,6 +88,8 @@
   constructor(private readonly parts: PeerConnectionsParts) {
     const { directory, ownRecord, log, clock, isReading, onRecordMissing } = parts;
     this.configurations = new ConfigurationExchange(parts.configuration, this, clock);
+    const { suspects, random } = parts;
+    this.crashes = new CrashExchange({ suspects, peers: this, random, log, clock });
     this.records = new RecordExchange({
       directory,
       targetNotices: parts.targetNotices,
@@ -233,6 +242,7 @@
     this.configurations.requestIfDue(nowMs);
     if (nowMs - this.plannedAtMs < PLAN_INTERVAL_MS) return;
     this.plannedAtMs = nowMs;
+    this.parts.suspects.removeExpired(nowMs);
     this.applyPlan(nowMs);
   }
 
@@ -275,6 +285,7 @@
   private handleHello(hello: Hello, peer: ControlFrameSender): void {
     const { daemonId, zone } = hello.record;
     this.zones.set(peer, zone);
+    this.crashes.sendAll(peer);
     this.records.setReading({ daemonId, isReading: hello.isReading });
     this.records.applyRecord(hello.record, 'direct');
     this.configurations.handleVersion(hello.configurationVersion, this.isLocal(peer), peer);
@@ -291,6 +302,9 @@
       case FrameKind.configurationRequest:
         this.configurations.sendDocument(peer);
         return;
+      case FrameKind.crashes:
+        this.crashes.handleFrame(frame.head, peer);
+        return;
       case FrameKind.level: {
         const reported = decodeLevel(frame.head);
         if (reported === undefined) return;
--- a/packages/sidecar/src/target-call.ts
+++ b/packages/sidecar/src/target-call.ts
@@ -9,6 +9,9 @@
   CallRefusalReasonName,
 } from '@daisyferry/mesh/forwarded-call';
 import { CallRefusalReason } from '@daisyferry/mesh/forwarded-call';
+import type { CrashEvidence, CrashReport, CrashSuspects } from '@daisyferry/mesh/crash-suspects';
+import { NO_EVIDENCE } from '@daisyferry/mesh/crash-suspects';
+import type { GateDecision, SuspectGate } from '@daisyferry/mesh/suspect-gate';
 import type { ExecutionRecordRegistry } from '@daisyferry/mesh/execution-record-registry';
 import type { AttemptEvent, ExecutionRecord } from '@daisyferry/mesh/execution-record';
 import type { RouteCallerCounter } from '@daisyferry/mesh/route-caller-counter';
@@ -22,6 +25,7 @@
 import type { InboundCall } from '@daisyferry/peering/inbound-peer';
 import { classifyTargetResponse, type ResponseFieldNames } from './classify-target-response';
 import type { EventLog } from './event-log';
+import { requestFingerprint } from './request-fingerprint';
 import type { LostCall } from './target-crash-detection';
 import type { HeaderNames } from './header-names';
 import type { LocalTargetNotices } from './local-target-notices';
@@ -45,6 +49,10 @@
   /** Number of priority classes in use. */
   readonly classCount: () => number;
   readonly executionRecords: ExecutionRecordRegistry;
+  readonly suspects: CrashSuspects;
+  /** Called with news about requests that crash targets. */
+  readonly onCrashReports: (reports: readonly CrashReport[]) => void;
+  readonly suspectGate: SuspectGate;
   readonly headerNames: HeaderNames;
   readonly responseFieldNames: ResponseFieldNames;
   readonly notices: LocalTargetNotices;
@@ -61,6 +69,10 @@
   /** Applies what a response of the target states about this incarnation of it. */
   applyNotice(fields: readonly string[], incarnation: TargetIncarnation): void;
   removeCall(call: TargetCall): void;
+  /** Decides whether a request that may crash the target runs now. */
+  admitSuspect(call: TargetCall, nowMs: number): GateDecision;
+  /** Clears the request of a suspicion, as the target has answered it. */
+  recordAnswer(call: TargetCall, nowMs: number): void;
   /** Settles the call once it is known whether the target has crashed. */
   handleLostCall(call: LostCall): void;
   markTargetUnreachable(detail: string): void;
@@ -110,6 +122,12 @@
 
   private runningExchange: AbortableExchange | undefined;
 
+  private apart = false;
+
+  private startEvidence: CrashEvidence = NO_EVIDENCE;
+
+  private knownFingerprint: string | undefined;
+
   private startedAtMs = 0;
 
   /** The incarnation of the target that the request was sent to. */
@@ -142,6 +160,20 @@
       this.refuse(target.isServing ? CallRefusalReason.expired : CallRefusalReason.leaving, 0);
       return;
     }
+    const { suspects } = this.home.parts;
+    if (this.call.evidence !== undefined) {
+      suspects.learn(this.fingerprint, this.call.evidence, nowMs);
+    }
+    if (!suspects.isEmpty) {
+      const decision = this.home.admitSuspect(this, nowMs);
+      if (decision.kind === 'refused') {
+        queue.recordFinished(0, true, nowMs);
+        this.refuse(decision.reason, decision.roomInMs);
+        return;
+      }
+      this.apart = decision.isApart;
+      this.startEvidence = suspects.evidenceOf(this.fingerprint);
+    }
     if (this.record !== undefined && !this.record.transition('HAND_OVER')) {
       this.home.parts.queue.recordFinished(0, true, nowMs);
       return;
@@ -197,8 +229,33 @@
   }
 
   settleLost(hasCrashed: boolean): void {
-    const detail = hasCrashed ? 'target crashed' : (this.lostDetail ?? '');
-    this.settle('LOSE', { kind: 'unknown', detail });
+    const { lostDetail = '' } = this;
+    if (!hasCrashed) {
+      this.settle('LOSE', { kind: 'unknown', detail: lostDetail });
+      return;
+    }
+    const evidence = this.home.parts.suspects.evidenceOf(this.fingerprint);
+    this.settle('LOSE', { kind: 'unknown', detail: 'target crashed', evidence });
+  }
+
+  /** Digest of what makes the request the same as an earlier one. */
+  get fingerprint(): string {
+    const { call, body } = this;
+    this.knownFingerprint ??= requestFingerprint({ ...call, body });
+    return this.knownFingerprint;
+  }
+
+  get evidenceAtStart(): CrashEvidence {
+    return this.startEvidence;
+  }
+
+  /** True if the request runs apart from others that may crash the target. */
+  get isApart(): boolean {
+    return this.apart;
+  }
+
+  get service(): string {
+    return this.call.service;
   }
 
   /** True while the request is at the target. */
@@ -235,6 +292,7 @@
         if (!isFailure) serviceTimes.record(this.call.route, serviceMs);
         unresponsiveDetector.recordResponse(nowMs);
         this.home.markTargetReachable();
+        if (outcome.kind === 'answered') this.home.recordAnswer(this, nowMs);
         this.settle(eventOfOutcome(outcome), outcome);
         if (outcome.kind === 'refused' && outcome.reason === CallRefusalReason.notHere) {
           this.home.markTargetUnreachable('another target responds at the address');
--- a/packages/sidecar/src/target-crash-detection.ts
+++ b/packages/sidecar/src/target-crash-detection.ts
@@ -1,5 +1,8 @@
+import type { LostRun } from '@daisyferry/mesh/crash-suspects';
+
 /** A call whose connection to the target ended without a response. */
-export interface LostCall {
+export interface LostCall extends LostRun {
+  readonly requestId: string;
   /** Called with whether the target has crashed; the call is not settled before. */
   settleLost(hasCrashed: boolean): void;
 }
--- a/packages/sidecar/src/wire-sidecar.ts
+++ b/packages/sidecar/src/wire-sidecar.ts
@@ -4,6 +4,7 @@
 import { CallRefusalReason } from '@daisyferry/mesh/forwarded-call';
 import { TargetSlotQueue } from '@daisyferry/mesh/target-slot-queue';
 import { RouteCallerCounter } from '@daisyferry/mesh/route-caller-counter';
+import { CrashSuspects, type CrashReport } from '@daisyferry/mesh/crash-suspects';
 import { DownstreamShedLevels } from '@daisyferry/mesh/downstream-shed-levels';
 import { EventThrottle } from '@daisyferry/mesh/event-throttle';
 import { ExecutionRecordRegistry } from '@daisyferry/mesh/execution-record-registry';
@@ -20,6 +21,8 @@
 import { UnresponsiveTargetDetector } from '@daisyferry/mesh/unresponsive-target-detector';
 import { RouteServiceTimes } from '@daisyferry/mesh/route-service-times';
 import { DestinationSelector } from '@daisyferry/mesh/destination-selector';
+import { SuspectGate } from '@daisyferry/mesh/suspect-gate';
+import { trialHome } from '@daisyferry/mesh/trial-home';
 import { TargetChooser } from '@daisyferry/mesh/target-chooser';
 import type { KeyValueStore } from '@daisyferry/store/key-value-store';
 import { AnnouncementHandler, type AnnouncementDecoder } from './announcement-handler';
@@ -122,6 +125,8 @@
   const arrivalLimit = new ArrivalRateLimit();
   const queue = new TargetSlotQueue(INITIAL_SLOTS, arrivalLimit);
   const targetNotices = new TargetNoticeTable();
+  const suspects = new CrashSuspects();
+  const crashReports = new Emitter<readonly CrashReport[]>();
   const notices = new LocalTargetNotices(
     {
       rateLimit: headerNames.rateLimit.toLowerCase(),
@@ -155,6 +160,14 @@
     headerNames,
     responseFieldNames,
     notices,
+    suspects,
+    suspectGate: new SuspectGate({
+      suspects,
+      trialHomeOf: (service, fingerprint) =>
+        trialHome(directory.servingRecords(service), fingerprint)?.daemonId,
+      ownDaemonId: environment.daemonId,
+    }),
+    onCrashReports: (reports) => crashReports.emit(reports),
     log,
     clock,
     onTargetChange: () => ownRecord.publish(),
@@ -169,6 +182,8 @@
   const peerConnections = new PeerConnections({
     directory,
     targetNotices,
+    suspects,
+    random: Math.random,
     ownRecord,
     processKey,
     home,
@@ -231,6 +246,7 @@
     destinations: new DestinationSelector(startUnixMs % MAX_ROUND_ROBIN_OFFSET),
     chooser,
     targetNotices,
+    suspects,
     downstreamLevels,
     random: Math.random,
     failureGate: new RouteFailureGate(Math.random),
@@ -282,11 +298,13 @@
     peerConnections.records.broadcastOwnRecord();
     registration.scheduleWrite();
   });
+  crashReports.subscribe((reports) => peerConnections.crashes.spread(reports));
   levelChanges.subscribe((level) => peerConnections.broadcastShedLevel(level));
   configuration.subscribe((version) => peerConnections.configurations.reportVersion(version));
   metrics.addGauge('daisyferry_target_running', () => queue.running);
   metrics.addGauge('daisyferry_shed_level', () => home.effectiveShedLevel(clock()));
   metrics.addGauge('daisyferry_target_waiting', () => queue.waitingCount);
+  metrics.addGauge('daisyferry_requests_blocked', () => suspects.blockedCount);
   metrics.addGauge('daisyferry_target_crashes', () => home.crashCount);
   metrics.addGauge('daisyferry_target_requests_sent', () => pool.sentCount);
   metrics.addGauge(
--- a/packages/sidecar/tests/caller-request.test.ts
+++ b/packages/sidecar/tests/caller-request.test.ts
@@ -1,3 +1,4 @@
+import { CrashSuspects } from '@daisyferry/mesh/crash-suspects';
 import { DestinationSelector } from '@daisyferry/mesh/destination-selector';
 import { DownstreamShedLevels } from '@daisyferry/mesh/downstream-shed-levels';
 import { FleetDirectory } from '@daisyferry/mesh/fleet-directory';
@@ -74,6 +75,7 @@
       random,
     ),
     targetNotices,
+    suspects: new CrashSuspects(),
     downstreamLevels: new DownstreamShedLevels(),
     random,
     failureGate: new RouteFailureGate(random),
--- a/packages/sidecar/tests/target-crash-detection.test.ts
+++ b/packages/sidecar/tests/target-crash-detection.test.ts
@@ -31,7 +31,12 @@
 
   lose(count: number): void {
     for (let index = 0; index < count; index += 1) {
-      const call: LostCall = { settleLost: (hasCrashed) => this.settled.push(hasCrashed) };
+      const call: LostCall = {
+        requestId: 'r',
+        fingerprint: 'f',
+        evidenceAtStart: { clearances: 0, crashes: 0 },
+        settleLost: (hasCrashed) => this.settled.push(hasCrashed),
+      };
       this.detection.handleLost(call);
     }
   }
