--- a/packages/sidecar/src/home.ts
+++ b/packages/sidecar/src/home.ts
@@ -7,9 +7,11 @@
   TargetLoad,
 } from '@daisyferry/mesh/forwarded-call';
 import { CallRefusalReason } from '@daisyferry/mesh/forwarded-call';
+import type { GateDecision } from '@daisyferry/mesh/suspect-gate';
 import type { ExecutionRecord } from '@daisyferry/mesh/execution-record';
 import type { TargetIncarnation, TargetNotice } from '@daisyferry/mesh/target-notice';
 import type { InboundCall } from '@daisyferry/peering/inbound-peer';
+import { TargetCrashDetection, type LostCall } from './target-crash-detection';
 import {
   TargetCall,
   refusedOutcome,
@@ -17,6 +19,8 @@
   type SidecarHomeParts,
 } from './target-call';
 
+/** Maximum number of requests in the log line of a crash. */
+const MAX_LOGGED_SUSPECTS = 8;
 /** Time between two checks of the waiting and running calls. */
 const SWEEP_INTERVAL_MS = 25;
 /** Returned for a call that has its outcome; cancelling it has no effect. */
@@ -63,12 +67,28 @@
 
   private isClosing = false;
 
-  constructor(readonly parts: SidecarHomeParts) {}
+  private crashes = 0;
+
+  private readonly crashDetection: TargetCrashDetection;
+
+  constructor(readonly parts: SidecarHomeParts) {
+    this.crashDetection = new TargetCrashDetection({
+      probe: (onResult) => parts.pool.probe(onResult),
+      isEndExpected: () => parts.target.isEndExpected,
+      runningCalls: () => new Set([...this.activeCalls].filter(({ isRunning }) => isRunning)),
+      onCrash: (lostCalls) => this.handleCrash(lostCalls),
+    });
+  }
 
   get activeCount(): number {
     return this.activeCalls.size;
   }
 
+  /** Crashes of the local target since the start of the daemon. */
+  get crashCount(): number {
+    return this.crashes;
+  }
+
   /** Refuses new calls from now on; calls in progress are finished. */
   close(): void {
     this.isClosing = true;
@@ -150,6 +170,20 @@
     if (this.recordedCalls.get(call.requestId) === call) this.recordedCalls.delete(call.requestId);
   }
 
+  admitSuspect({ service, fingerprint }: TargetCall, nowMs: number): GateDecision {
+    const isApartRunning = [...this.activeCalls].some(({ isApart }) => isApart);
+    return this.parts.suspectGate.admit({ service, fingerprint, isApartRunning }, nowMs);
+  }
+
+  recordAnswer(call: TargetCall, nowMs: number): void {
+    const { suspects, onCrashReports } = this.parts;
+    if (!suspects.isEmpty) onCrashReports(suspects.recordAnswer(call.fingerprint, nowMs));
+  }
+
+  handleLostCall(call: LostCall): void {
+    this.crashDetection.handleLost(call);
+  }
+
   /** Drops what was learnt of the previous target, as another one has taken its place. */
   forgetTarget(): void {
     this.parts.pool.destroyIdle();
@@ -187,6 +221,24 @@
     this.parts.onTargetChange();
   }
 
+  private handleCrash(lostCalls: readonly LostCall[]): void {
+    const { log, target, suspects, onCrashReports, clock } = this.parts;
+    const nowMs = clock();
+    this.crashes += 1;
+    const reports = suspects.recordCrash(lostCalls, nowMs);
+    log.stateChange('target crashed', {
+      targetId: target.announcement?.targetId,
+      count: lostCalls.length,
+      suspects: lostCalls.slice(0, MAX_LOGGED_SUSPECTS).map(({ requestId, fingerprint }) => ({
+        requestId,
+        fingerprint,
+        crashes: suspects.evidenceOf(fingerprint).crashes,
+      })),
+    });
+    onCrashReports(reports);
+    this.markTargetUnreachable('target crashed');
+  }
+
   private refusalReasonFor(call: ForwardedCall): CallRefusalReasonName | undefined {
     const { target } = this.parts;
     if (this.isClosing) return CallRefusalReason.leaving;
