Do not take a target for full that runs a suspect apart from others

A suspect that is refused because another one runs at the target was reported as 'full': the entry then kept all calls of the route from that target for 20 ms, so that copies of a suspect held back innocent requests. It has a reason of its own now.

--- a/packages/mesh/src/forwarded-call.ts
+++ b/packages/mesh/src/forwarded-call.ts
@@ -74,6 +74,8 @@
   unreadable: 'unreadable',
   /** The request has crashed the targets that ran it. */
   crashesTargets: 'crashesTargets',
+  /** The request may crash the target, where another such request is running. */
+  suspectRunning: 'suspectRunning',
 } as const;
 
 export type CallRefusalReasonName = (typeof CallRefusalReason)[keyof typeof CallRefusalReason];
--- a/packages/mesh/src/suspect-gate.ts
+++ b/packages/mesh/src/suspect-gate.ts
@@ -12,8 +12,8 @@
 export interface GateQuery {
   readonly service: string;
   readonly fingerprint: string;
-  /** True while a request runs here that was admitted apart from other suspects. */
-  readonly isApartRunning: boolean;
+  /** Whether a request runs here that was admitted apart from other suspects. */
+  readonly isApartRunning: () => boolean;
 }
 
 export type GateDecision =
@@ -33,19 +33,19 @@
 
   admit({ service, fingerprint, isApartRunning }: GateQuery, nowMs: number): GateDecision {
     const { suspects, trialHomeOf, ownDaemonId } = this.parts;
-    const { full, crashesTargets } = CallRefusalReason;
+    const { suspectRunning, crashesTargets } = CallRefusalReason;
     const decision = suspects.decide(fingerprint, nowMs);
     switch (decision.kind) {
       case 'free':
         return { kind: 'admitted', isApart: false };
       case 'apart':
-        return isApartRunning
-          ? { kind: 'refused', reason: full, roomInMs: APART_RETRY_AFTER_MS }
+        return isApartRunning()
+          ? { kind: 'refused', reason: suspectRunning, roomInMs: APART_RETRY_AFTER_MS }
           : { kind: 'admitted', isApart: true };
       case 'blocked':
         return { kind: 'refused', reason: crashesTargets, roomInMs: decision.blockedForMs };
       case 'trial':
-        if (isApartRunning || trialHomeOf(service, fingerprint) !== ownDaemonId) {
+        if (isApartRunning() || trialHomeOf(service, fingerprint) !== ownDaemonId) {
           return { kind: 'refused', reason: crashesTargets, roomInMs: APART_RETRY_AFTER_MS };
         }
         suspects.beginTrial(fingerprint, nowMs);
--- a/packages/mesh/tests/crash-suspects.test.ts
+++ b/packages/mesh/tests/crash-suspects.test.ts
@@ -44,7 +44,7 @@
 
   /** Returns false if the request is refused. */
   start(fingerprint: string, nowMs: number): boolean {
-    const isApartRunning = [...this.runs].some(({ isApart }) => isApart);
+    const isApartRunning = () => [...this.runs].some(({ isApart }) => isApart);
     const decision = this.gate.admit({ service: 's', fingerprint, isApartRunning }, nowMs);
     if (decision.kind === 'refused') return false;
     const evidenceAtStart = this.suspects.evidenceOf(fingerprint);
--- a/packages/sidecar/src/home.ts
+++ b/packages/sidecar/src/home.ts
@@ -171,7 +171,7 @@
   }
 
   admitSuspect({ service, fingerprint }: TargetCall, nowMs: number): GateDecision {
-    const isApartRunning = [...this.activeCalls].some(({ isApart }) => isApart);
+    const isApartRunning = () => [...this.activeCalls].some(({ isApart }) => isApart);
     return this.parts.suspectGate.admit({ service, fingerprint, isApartRunning }, nowMs);
   }
 
--- a/packages/sidecar/src/wire-sidecar.ts
+++ b/packages/sidecar/src/wire-sidecar.ts
@@ -22,7 +22,6 @@
 import { RouteServiceTimes } from '@daisyferry/mesh/route-service-times';
 import { DestinationSelector } from '@daisyferry/mesh/destination-selector';
 import { SuspectGate } from '@daisyferry/mesh/suspect-gate';
-import { trialHome } from '@daisyferry/mesh/trial-home';
 import { TargetChooser } from '@daisyferry/mesh/target-chooser';
 import type { KeyValueStore } from '@daisyferry/store/key-value-store';
 import { AnnouncementHandler, type AnnouncementDecoder } from './announcement-handler';
@@ -145,6 +144,11 @@
   // Short, as calls between data centres carry it.
   const processKey = randomBytes(PROCESS_KEY_BYTES).toString('base64url');
   const ownRecord = new OwnRecord(environment, target, startUnixMs, clock);
+  const chooser = new TargetChooser(
+    directory,
+    { ownZone: environment.zone, maxCandidates: MAX_CANDIDATES, notices: targetNotices },
+    Math.random,
+  );
   const home = new Home({
     target,
     pool,
@@ -163,8 +167,7 @@
     suspects,
     suspectGate: new SuspectGate({
       suspects,
-      trialHomeOf: (service, fingerprint) =>
-        trialHome(directory.servingRecords(service), fingerprint)?.daemonId,
+      trialHomeOf: (service, fingerprint) => chooser.trialHomeOf(service, fingerprint),
       ownDaemonId: environment.daemonId,
     }),
     onCrashReports: (reports) => crashReports.emit(reports),
@@ -174,11 +177,6 @@
     levelThrottle: new LevelBroadcastThrottle(),
     onShedLevel: (level) => levelChanges.emit(level),
   });
-  const chooser = new TargetChooser(
-    directory,
-    { ownZone: environment.zone, maxCandidates: MAX_CANDIDATES, notices: targetNotices },
-    Math.random,
-  );
   const peerConnections = new PeerConnections({
     directory,
     targetNotices,
