Split what a request of a caller decides about suspicion and retry-after

No change of behavior: the request's part in the search for crashing requests, the calculation of Retry-After and the mapping of outcomes for the choice of targets stand apart from the state of the request.

--- a/packages/sidecar/src/caller-request.ts
+++ b/packages/sidecar/src/caller-request.ts
@@ -1,6 +1,7 @@
 import type { ForwardedCallOutcome, CallReply } from '@daisyferry/mesh/forwarded-call';
 import { CallRefusalReason } from '@daisyferry/mesh/forwarded-call';
-import type { CrashEvidence, SuspectDecision } from '@daisyferry/mesh/crash-suspects';
+import { boundedRetryAfterMs, shedForecastMs } from '@daisyferry/mesh/retry-after';
+import { outcomeForChooser } from '@daisyferry/mesh/outcome-for-chooser';
 import { shedMargin } from '@daisyferry/mesh/shed-margin';
 import type { Route } from '@daisyferry/mesh/routing-configuration';
 import type { CancellableCall } from '@daisyferry/peering/peer-link';
@@ -10,7 +11,7 @@
   DaemonResponseReason,
   type DaemonResponseReasonName,
 } from './daemon-response';
-import { requestFingerprint } from './request-fingerprint';
+import { RequestSuspicion } from './request-suspicion';
 import type { RetryOrigin } from './retry-budget';
 
 export interface CallerRequestInput {
@@ -38,11 +39,6 @@
 const FULL_TARGET_PAUSE_MS = 20;
 /** Time for which a home is avoided after its connection broke. */
 const BROKEN_HOME_AVOIDANCE_MS = 300;
-/** Minimum retry-after of a shed request, and time in which the shed level falls by one class. */
-const MIN_RETRY_AFTER_MS = 100;
-const RETRY_AFTER_MS_PER_CLASS = 2_000;
-/** Callers honor a retry-after only up to a third of their remaining time. */
-const MAX_RETRY_AFTER_SHARE = 0.3;
 /** Retry-after of a request of a route whose requests fail: time for its cause to change. */
 const FAILING_ROUTE_RETRY_AFTER_MS = 1_000;
 const STATUS_SERVER_ERROR = 500;
@@ -51,19 +47,6 @@
   return Math.round(value * 100) / 100;
 }
 
-function outcomeForChooser(outcome: ForwardedCallOutcome): 'served' | 'failed' | 'refused' {
-  switch (outcome.kind) {
-    case 'answered':
-      return outcome.status >= STATUS_SERVER_ERROR ? 'failed' : 'served';
-    case 'refused':
-      return outcome.reachedTarget ? 'failed' : 'refused';
-    case 'unknown':
-      return 'failed';
-    default:
-      return outcome satisfies never;
-  }
-}
-
 function reasonOfRefusal(detail: string): DaemonResponseReasonName {
   if (detail === CallRefusalReason.crashesTargets) return DaemonResponseReason.crashesTargets;
   return detail === 'noTarget' ? DaemonResponseReason.noTarget : DaemonResponseReason.noRoom;
@@ -86,7 +69,7 @@
 
   private refusalCount = 0;
 
-  private knownFingerprint: string | undefined;
+  private readonly suspicion: RequestSuspicion;
 
   /** The only home that the request is sent to, as it is tried again after it was blocked. */
   private onlyDaemonId: string | undefined;
@@ -103,22 +86,24 @@
     private readonly input: CallerRequestInput,
     private readonly parts: SidecarEntryParts,
     private readonly respond: Respond,
-  ) {}
+  ) {
+    this.suspicion = new RequestSuspicion(input, parts.suspects);
+  }
 
   start(nowMs: number): void {
     const { retryBudget, chooser } = this.parts;
     const { service, route, requestId, classesBelow } = this.input;
     const isInternal = chooser.isInternal(route.name);
     retryBudget.countRequest({ service, isInternal }, nowMs);
-    const decision = this.suspectDecision(nowMs);
+    const decision = this.suspicion.decide(nowMs);
     if (decision.kind === 'blocked') {
-      const retryAfterMs = this.boundedRetryAfterMs(decision.blockedForMs, nowMs);
+      const retryAfterMs = this.retryAfterMs(decision.blockedForMs, nowMs);
       const detail = 'blocked, as it has crashed targets';
       this.respondFromDaemon(DaemonResponseReason.crashesTargets, retryAfterMs, nowMs, detail);
       return;
     }
     if (decision.kind === 'trial') {
-      this.onlyDaemonId = chooser.trialHomeOf(service, this.fingerprint);
+      this.onlyDaemonId = chooser.trialHomeOf(service, this.suspicion.fingerprint);
     }
     if (!isInternal) {
       const level = chooser.shedLevelOf(service, nowMs);
@@ -127,7 +112,7 @@
         const detail = 'shed at the entry';
         this.respondFromDaemon(
           DaemonResponseReason.noRoom,
-          this.retryAfterMs(margin, nowMs),
+          this.retryAfterMs(shedForecastMs(margin), nowMs),
           nowMs,
           detail,
         );
@@ -135,7 +120,7 @@
       }
     }
     if (!isInternal && !this.parts.failureGate.isAdmitted(route.name, nowMs)) {
-      const retryAfterMs = this.boundedRetryAfterMs(FAILING_ROUTE_RETRY_AFTER_MS, nowMs);
+      const retryAfterMs = this.retryAfterMs(FAILING_ROUTE_RETRY_AFTER_MS, nowMs);
       const detail = 'most requests of the route fail';
       this.respondFromDaemon(DaemonResponseReason.noRoom, retryAfterMs, nowMs, detail);
       return;
@@ -163,30 +148,6 @@
     this.respondFromDaemon(DaemonResponseReason.timedOut, 0, nowMs, 'deadline passed');
   }
 
-  /** Digest of what makes the request the same as an earlier one. */
-  private get fingerprint(): string {
-    this.knownFingerprint ??= requestFingerprint(this.input);
-    return this.knownFingerprint;
-  }
-
-  private suspectDecision(nowMs: number): SuspectDecision {
-    const { suspects } = this.parts;
-    return suspects.isEmpty ? { kind: 'free' } : suspects.decide(this.fingerprint, nowMs);
-  }
-
-  /** Crashes that the request is suspected of; undefined without any. */
-  private evidence(): CrashEvidence | undefined {
-    const { suspects } = this.parts;
-    if (suspects.isEmpty) return undefined;
-    const evidence = suspects.evidenceOf(this.fingerprint);
-    return evidence.crashes > 0 ? evidence : undefined;
-  }
-
-  private isRetryBarred(): boolean {
-    const { suspects } = this.parts;
-    return !suspects.isEmpty && suspects.isRetryBarred(this.fingerprint);
-  }
-
   private retryOrigin(nowMs: number): RetryOrigin {
     const { service, route } = this.input;
     const { chooser } = this.parts;
@@ -201,14 +162,9 @@
     return nowMs >= this.input.routeDeadlineMs || nowMs >= this.input.callerDeadlineMs;
   }
 
-  /** Retry-after for a caller whose request was shed by this margin, with random jitter. */
-  private retryAfterMs(margin: number, nowMs: number): number {
-    return this.boundedRetryAfterMs(MIN_RETRY_AFTER_MS + margin * RETRY_AFTER_MS_PER_CLASS, nowMs);
-  }
-
-  private boundedRetryAfterMs(forecastMs: number, nowMs: number): number {
-    const jitteredMs = forecastMs * (0.5 + this.parts.random());
-    return Math.min(jitteredMs, (this.input.callerDeadlineMs - nowMs) * MAX_RETRY_AFTER_SHARE);
+  private retryAfterMs(forecastMs: number, nowMs: number): number {
+    const remainingMs = this.input.callerDeadlineMs - nowMs;
+    return boundedRetryAfterMs(forecastMs, remainingMs, this.parts.random());
   }
 
   private tryNextTarget(nowMs: number, retryAfterMs: number): void {
@@ -258,7 +214,7 @@
         path: input.path,
         fields: input.fields,
         targetRatePerS: target && parts.targetNotices.ratePerS(target),
-        evidence: this.evidence(),
+        evidence: this.suspicion.evidence,
       },
       input.body,
       (reply) => {
@@ -289,9 +245,7 @@
         this.handleRefusal(daemonId, outcome, nowMs);
         return;
       case 'unknown':
-        if (outcome.evidence !== undefined) {
-          this.parts.suspects.learn(this.fingerprint, outcome.evidence, nowMs);
-        }
+        if (outcome.evidence !== undefined) this.suspicion.learn(outcome.evidence, nowMs);
         this.mayHaveRun = true;
         this.targetsReached += 1;
         chooser.avoidUntil(daemonId, nowMs + BROKEN_HOME_AVOIDANCE_MS);
@@ -337,7 +291,7 @@
     this.refusalCount += 1;
     const { route } = this.input;
     if (outcome.reason === CallRefusalReason.crashesTargets) {
-      const retryAfterMs = this.boundedRetryAfterMs(outcome.roomInMs, nowMs);
+      const retryAfterMs = this.retryAfterMs(outcome.roomInMs, nowMs);
       this.giveUp(retryAfterMs, nowMs, outcome.reason);
       return;
     }
@@ -362,7 +316,7 @@
     if (
       isSafe &&
       hasTargetsLeft &&
-      !this.isRetryBarred() &&
+      !this.suspicion.isRetryBarred &&
       this.parts.retryBudget.tryRetry(this.retryOrigin(nowMs), nowMs)
     ) {
       this.tryNextTarget(nowMs, 0);
