Count a crash of a target that is back before its daemon looks

A home that was paused while its target crashed finds that the target accepts connections again, and took the loss for connections that had ended: the crash was not counted. The next incarnation of the target, which announces itself without an announced end of the one before, explains the loss now.

--- a/packages/sidecar/src/announcement-handler.ts
+++ b/packages/sidecar/src/announcement-handler.ts
@@ -15,7 +15,9 @@
   readonly decoder: AnnouncementDecoder;
   readonly isKnownService: (service: string) => boolean;
   /** Called when the target's state has changed in a way that other daemons must learn. */
-  readonly onChange: (isServing: boolean, isNewTarget: boolean) => void;
+  readonly onChange: (isServing: boolean) => void;
+  /** Called when another incarnation of the target has taken the place of the present one. */
+  readonly onReplaced: (wasEndExpected: boolean) => void;
   readonly log: EventLog;
   readonly clock: () => number;
 }
@@ -44,7 +46,7 @@
   }
 
   private announce(targetId: string, text: string): ControlResponse {
-    const { target, decoder, isKnownService, onChange, log, clock } = this.parts;
+    const { target, decoder, isKnownService, onChange, onReplaced, log, clock } = this.parts;
     const announcement = decoder.decodeAnnouncement(targetId, text);
     if (!isKnownService(announcement.service)) {
       log.decision('announcement rejected: unknown service', {
@@ -53,6 +55,7 @@
       });
       return errorResponse(400, 'service: not known');
     }
+    const wasEndExpected = target.isEndExpected;
     const result = target.applyAnnouncement(announcement, clock());
     if (result.kind === 'stale') {
       log.decision('stale announcement ignored', { targetId, reason: result.reason });
@@ -63,7 +66,8 @@
       const { isServing } = target;
       const fields = { targetId, service, sequence, bornUnixMs, slots, coldMs, isServing };
       log.stateChange('target announced', fields);
-      onChange(isServing, result.isNewIncarnation);
+      if (result.isNewIncarnation) onReplaced(wasEndExpected);
+      onChange(isServing);
     }
     return OK;
   }
@@ -72,7 +76,7 @@
     const { target, decoder, onChange, log } = this.parts;
     const isChange = target.deregister(targetId, decoder.decodeDeregistrationBornUnixMs(text));
     log.stateChange('target deregistered', { targetId, isChange });
-    if (isChange) onChange(false, false);
+    if (isChange) onChange(false);
     return OK;
   }
 }
--- a/packages/sidecar/src/home.ts
+++ b/packages/sidecar/src/home.ts
@@ -76,7 +76,12 @@
       probe: (onResult) => parts.pool.probe(onResult),
       isEndExpected: () => parts.target.isEndExpected,
       runningCalls: () => new Set([...this.activeCalls].filter(({ isRunning }) => isRunning)),
-      onCrash: (lostCalls) => this.handleCrash(lostCalls),
+      onCrash: (lostCalls) => {
+        this.recordCrash(lostCalls);
+        this.markTargetUnreachable('target crashed');
+      },
+      onEarlierCrash: (lostCalls) => this.recordCrash(lostCalls),
+      clock: parts.clock,
     });
   }
 
@@ -185,7 +190,8 @@
   }
 
   /** Drops what was learnt of the previous target, as another one has taken its place. */
-  forgetTarget(): void {
+  forgetTarget(wasEndExpected: boolean): void {
+    this.crashDetection.handleReplaced(wasEndExpected);
     this.parts.pool.destroyIdle();
     this.parts.serviceTimes.clear();
     this.parts.notices.reset();
@@ -221,7 +227,7 @@
     this.parts.onTargetChange();
   }
 
-  private handleCrash(lostCalls: readonly LostCall[]): void {
+  private recordCrash(lostCalls: readonly LostCall[]): void {
     const { log, target, suspects, onCrashReports, clock } = this.parts;
     const nowMs = clock();
     this.crashes += 1;
@@ -236,7 +242,6 @@
       })),
     });
     onCrashReports(reports);
-    this.markTargetUnreachable('target crashed');
   }
 
   private refusalReasonFor(call: ForwardedCall): CallRefusalReasonName | undefined {
--- a/packages/sidecar/src/target-crash-detection.ts
+++ b/packages/sidecar/src/target-crash-detection.ts
@@ -19,18 +19,32 @@
   readonly runningCalls: () => ReadonlySet<unknown>;
   /** Called with all calls that the target was running when it crashed. */
   readonly onCrash: (lostCalls: readonly LostCall[]) => void;
+  /** The same for a crash that is noticed only once another incarnation has announced itself. */
+  readonly onEarlierCrash: (lostCalls: readonly LostCall[]) => void;
+  readonly clock: () => number;
+}
+
+/** Calls whose connections have all ended, although the target accepts new ones. */
+interface UnexplainedLoss {
+  readonly calls: readonly LostCall[];
+  readonly atMs: number;
 }
 
 /** Time in which all connections of a target that has crashed end. */
 const CONNECTIONS_END_MS = 20;
+/** Time after a loss in which another incarnation of the target explains it by a crash. */
+const REPLACEMENT_MS = 5_000;
 
 /**
  * Tells a crash of the target from a connection that it ended: after a crash it refuses new
- * connections, and those of all calls that were running have ended.
+ * connections, and those of all calls that were running have ended. A target may be back before the
+ * daemon looks, as when the daemon was paused; its next announcement tells then.
  */
 export class TargetCrashDetection {
   private lostCalls: LostCall[] = [];
 
+  private unexplained: UnexplainedLoss | undefined;
+
   constructor(private readonly parts: TargetCrashDetectionParts) {}
 
   /** Holds the call until it is known whether the target has crashed. */
@@ -40,6 +54,7 @@
     const runningBefore = [...this.parts.runningCalls()];
     this.parts.probe((result) => {
       if (result !== 'refused' || this.parts.isEndExpected()) {
+        this.noteUnexplained(runningBefore);
         this.settle(false);
         return;
       }
@@ -48,6 +63,20 @@
     });
   }
 
+  /** Called when another incarnation of the target has announced itself. */
+  handleReplaced(wasEndExpected: boolean): void {
+    const { unexplained } = this;
+    this.unexplained = undefined;
+    if (unexplained === undefined || wasEndExpected) return;
+    const { onEarlierCrash, clock } = this.parts;
+    if (clock() - unexplained.atMs < REPLACEMENT_MS) onEarlierCrash(unexplained.calls);
+  }
+
+  private noteUnexplained(runningBefore: readonly unknown[]): void {
+    if (this.parts.isEndExpected() || !this.haveEnded(runningBefore)) return;
+    this.unexplained = { calls: this.lostCalls, atMs: this.parts.clock() };
+  }
+
   private haveEnded(calls: readonly unknown[]): boolean {
     const running = this.parts.runningCalls();
     return !calls.some((call) => running.has(call));
--- a/packages/sidecar/src/wire-sidecar.ts
+++ b/packages/sidecar/src/wire-sidecar.ts
@@ -275,8 +275,8 @@
     isKnownService: (service) =>
       service === environment.service ||
       configuration.routes?.configuration.services.some(({ name }) => name === service) === true,
-    onChange: (isServing, isNewTarget) => {
-      if (isNewTarget) home.forgetTarget();
+    onReplaced: (wasEndExpected) => home.forgetTarget(wasEndExpected),
+    onChange: (isServing) => {
       const slots = target.announcement?.slots;
       if (slots !== undefined) queue.setLimit(Math.floor(slots * MAX_SLOT_FILL_SHARE), clock());
       if (!isServing) queue.refuseAll(CallRefusalReason.leaving);
--- a/packages/sidecar/tests/target-crash-detection.test.ts
+++ b/packages/sidecar/tests/target-crash-detection.test.ts
@@ -14,8 +14,12 @@
 
   readonly crashes: number[] = [];
 
+  readonly earlierCrashes: number[] = [];
+
   readonly settled: boolean[] = [];
 
+  nowMs = 0;
+
   isEndExpected = false;
 
   private onProbed: (result: ProbeResult) => void = () => undefined;
@@ -27,6 +31,8 @@
     isEndExpected: () => this.isEndExpected,
     runningCalls: () => new Set(this.running),
     onCrash: (lostCalls) => this.crashes.push(lostCalls.length),
+    onEarlierCrash: (lostCalls) => this.earlierCrashes.push(lostCalls.length),
+    clock: () => this.nowMs,
   });
 
   lose(count: number): void {
@@ -71,6 +77,20 @@
     expect([scenario.crashes, scenario.settled]).toEqual([[], [false]]);
   });
 
+  it.each([
+    ['its next incarnation follows within seconds', 2_000, false, [2]],
+    ['its next incarnation follows much later', 9_000, false, []],
+    ['it had announced its end', 2_000, true, []],
+  ])('reports a crash of a target that was back at once, if %s', (_, atMs, expected, crashes) => {
+    const scenario = new Scenario();
+    scenario.lose(2);
+    scenario.probed('accepted');
+    scenario.nowMs = atMs;
+    scenario.detection.handleReplaced(expected);
+    scenario.detection.handleReplaced(false);
+    expect(scenario.earlierCrashes).toEqual(crashes);
+  });
+
   it('waits for the connections of the other calls, which may end a little later', async () => {
     const scenario = new Scenario();
     scenario.running.add('other');
