Do not wait or shed for a limited target while another one has room

Cause: the home of a limited target always has waiting calls, so that its shed level rises to the maximum. It counted in the mean of the service, by capacity, and 3 % of the least urgent class was shed; and calls that the choice sent to a limited target waited there for up to their useful time.

Homes of limited targets no longer count while another target has no limit, and a call then waits for the rate for 50 ms at most, after which it goes to another target. An entry does not send to a limited target that was full until there is room, 500 ms at most.

--- a/packages/mesh/src/target-chooser.ts
+++ b/packages/mesh/src/target-chooser.ts
@@ -8,7 +8,12 @@
 import { TargetView } from './target-view';
 
 export type TargetChoice =
-  | { readonly kind: 'chosen'; readonly record: DaemonRecord }
+  | {
+      readonly kind: 'chosen';
+      readonly record: DaemonRecord;
+      /** Time, with the service time, beyond which the call is better sent to another target. */
+      readonly maxUsefulMs: number;
+    }
   | { readonly kind: 'none'; readonly reason: 'noTarget' | 'full'; readonly roomInMs: number };
 
 export interface TargetQuery {
@@ -61,6 +66,8 @@
 const UNCONNECTED_COST = 0.25;
 /** Time for which the loads of a service's homes are not added up again. */
 const SERVICE_LOAD_VALIDITY_MS = 20;
+/** Time that a call waits for the rate limit of a target while another target has none. */
+const MAX_WAIT_FOR_RATE_MS = 50;
 /** Cost of a home whose connection broke; high enough to use it only if there is no other. */
 const AVOIDED_TARGET_COST = 10;
 
@@ -103,7 +110,27 @@
       }
     }
     if (available.length === 0) return { kind: 'none', reason: 'full', roomInMs: minRetryAfterMs };
-    return { kind: 'chosen', record: this.drawByCost(available) };
+    const record = this.drawByCost(available);
+    return {
+      kind: 'chosen',
+      record,
+      maxUsefulMs: this.maxUsefulMs(record, available, meanRouteMs),
+    };
+  }
+
+  /** A call waits for the rate limit of a target only if all other targets limit their rate too. */
+  private maxUsefulMs(
+    { daemonId }: DaemonRecord,
+    available: readonly ScoredTarget[],
+    meanRouteMs: number,
+  ): number {
+    const view = this.viewOf(daemonId);
+    if (!view.isRateLimited) return Number.POSITIVE_INFINITY;
+    const hasAlternative = available.some(
+      ({ record }) => !this.viewOf(record.daemonId).isRateLimited,
+    );
+    if (!hasAlternative) return Number.POSITIVE_INFINITY;
+    return MAX_WAIT_FOR_RATE_MS + view.meanServiceMs(meanRouteMs);
   }
 
   /** Id of the home at which a request that was blocked is tried again. */
@@ -132,10 +159,15 @@
     let shedCapacity = 0;
     let capacity = 0;
     let internalShare: number | undefined;
-    for (const { daemonId, target } of this.directory.servingRecords(service)) {
+    const records = this.directory.servingRecords(service);
+    const isLimited = (daemonId: string) => this.views.get(daemonId)?.isRateLimited === true;
+    const areAllLimited = records.every(({ daemonId }) => isLimited(daemonId));
+    for (const { daemonId, target } of records) {
       const view = this.views.get(daemonId);
+      // A target that limits its rate is short of room by itself; the others decide.
+      const counts = areAllLimited || !isLimited(daemonId);
       // A connected home that has reported nothing has nothing to shed; of others nothing is known.
-      if (view?.hasReportedLevel === true || this.directory.isConnected(daemonId)) {
+      if (counts && (view?.hasReportedLevel === true || this.directory.isConnected(daemonId))) {
         const slots = target?.slots ?? 1;
         const limit = view?.reportedLimit(slots) ?? slots;
         shedCapacity += limit * (view?.level(nowMs) ?? 0);
--- a/packages/mesh/src/target-view.ts
+++ b/packages/mesh/src/target-view.ts
@@ -119,6 +119,11 @@
     return reported < slots ? slots + (reported - slots) * weight : reported;
   }
 
+  /** True if the target limits the rate of its requests. */
+  get isRateLimited(): boolean {
+    return this.load?.notice?.ratePerS !== undefined;
+  }
+
   reportedLimit(slots: number): number {
     return Math.max(MIN_LIMIT, this.load?.limit ?? slots);
   }
--- a/packages/mesh/tests/target-chooser.test.ts
+++ b/packages/mesh/tests/target-chooser.test.ts
@@ -160,13 +160,38 @@
     expect(chooser.shedLevelOf('s', 10_000)).toBeLessThan(0.01);
   });
 
-  it('weights the levels by the capacity of the homes, as one may limit its rate', () => {
+  it('weights the levels by the capacity of the homes', () => {
     const chooser = chooserOf({ a: 'near', b: 'near' });
     reportLoad(chooser, 'a', { limit: 0.2, level: 1 });
     reportLoad(chooser, 'b', { limit: 9.8, level: 0 });
     expect(chooser.shedLevelOf('s', 0)).toBeCloseTo(0.02);
   });
 
+  it('sheds nothing for targets that limit their rate while another one has room', () => {
+    const notice = { ratePerS: 10, isLeaving: false };
+    const chooser = chooserOf({ a: 'near', b: 'near' });
+    reportLoad(chooser, 'a', { limit: 0.2, level: 3, notice });
+    reportLoad(chooser, 'b', {});
+    expect(chooser.shedLevelOf('s', 0)).toBe(0);
+    reportLoad(chooser, 'b', { limit: 0.2, level: 1, notice });
+    expect(chooser.shedLevelOf('s', 30)).toBeCloseTo(2, 1);
+  });
+
+  it('lets a call wait for a rate limit only where all targets have one', () => {
+    const notice = { ratePerS: 10, isLeaving: false };
+    const chooser = chooserOf({ a: 'near', b: 'near' });
+    const waitAt = (daemonId: string) => {
+      const choice = chooser.choose({ ...QUERY, excluded: new Set([daemonId]) }, 0);
+      return choice.kind === 'chosen' ? choice.maxUsefulMs : undefined;
+    };
+    reportLoad(chooser, 'a', { limit: 0.2, notice });
+    reportLoad(chooser, 'b', {});
+    expect(waitAt('a')).toBe(Infinity);
+    reportLoad(chooser, 'b', { limit: 0.2, notice });
+    const choice = chooser.choose(QUERY, 0);
+    expect(choice).toMatchObject({ kind: 'chosen', maxUsefulMs: Infinity });
+  });
+
   it('spares a target that limits its rate, and asks it again after some seconds', () => {
     const chooser = chooserOf({ a: 'near', b: 'near' });
     reportLoad(chooser, 'a', { limit: 0.2 });
--- a/packages/sidecar/src/caller-request.ts
+++ b/packages/sidecar/src/caller-request.ts
@@ -37,6 +37,8 @@
 const MIN_REMAINING_MS = 5;
 /** Time for which calls of a route are not sent to a target that refused one as full. */
 const FULL_TARGET_PAUSE_MS = 20;
+/** Maximum of this time for a target that limits the rate of its requests. */
+const MAX_FULL_TARGET_PAUSE_MS = 500;
 /** Time for which a home is avoided after its connection broke. */
 const BROKEN_HOME_AVOIDANCE_MS = 300;
 /** Retry-after of a request of a route whose requests fail: time for its cause to change. */
@@ -209,7 +211,7 @@
         isIdempotent: input.route.isIdempotent,
         priority: input.route.priority,
         remainingMs,
-        usefulMs,
+        usefulMs: Math.min(usefulMs, choice.maxUsefulMs),
         method: input.method,
         path: input.path,
         fields: input.fields,
@@ -242,7 +244,7 @@
         this.handleTargetResponse(outcome, nowMs);
         return;
       case 'refused':
-        this.handleRefusal(daemonId, outcome, nowMs);
+        this.handleRefusal(daemonId, outcome, load?.notice?.ratePerS !== undefined, nowMs);
         return;
       case 'unknown':
         if (outcome.evidence !== undefined) this.suspicion.learn(outcome.evidence, nowMs);
@@ -285,6 +287,7 @@
   private handleRefusal(
     daemonId: string,
     outcome: Extract<ForwardedCallOutcome, { kind: 'refused' }>,
+    isRateLimited: boolean,
     nowMs: number,
   ): void {
     const { chooser } = this.parts;
@@ -296,7 +299,9 @@
       return;
     }
     if (outcome.reason === CallRefusalReason.full && !chooser.isInternal(route.name)) {
-      chooser.markFull(daemonId, route.name, nowMs + FULL_TARGET_PAUSE_MS);
+      const pauseMs = Math.min(MAX_FULL_TARGET_PAUSE_MS, outcome.roomInMs);
+      const untilMs = nowMs + Math.max(FULL_TARGET_PAUSE_MS, isRateLimited ? pauseMs : 0);
+      chooser.markFull(daemonId, route.name, untilMs);
     }
     if (outcome.reason === CallRefusalReason.unreachable)
       chooser.avoidUntil(daemonId, nowMs + BROKEN_HOME_AVOIDANCE_MS);
