--- a/packages/mesh/src/target-chooser.ts
+++ b/packages/mesh/src/target-chooser.ts
@@ -165,9 +165,9 @@
     for (const { daemonId, target } of records) {
       const view = this.views.get(daemonId);
       // A target that limits its rate is short of room by itself; the others decide.
-      const counts = areAllLimited || !isLimited(daemonId);
+      const isCounted = areAllLimited || !isLimited(daemonId);
       // A connected home that has reported nothing has nothing to shed; of others nothing is known.
-      if (counts && (view?.hasReportedLevel === true || this.directory.isConnected(daemonId))) {
+      if (isCounted && (view?.hasReportedLevel === true || this.directory.isConnected(daemonId))) {
         const slots = target?.slots ?? 1;
         const limit = view?.reportedLimit(slots) ?? slots;
         shedCapacity += limit * (view?.level(nowMs) ?? 0);
