Test that a call to a limited target does not wait while another has room

The case asserted only the targets without a limit, and the one in which all have one: it would have passed without the bound that its name states. It now sees the bound of 50 ms and the service time as well.

--- a/packages/mesh/tests/target-chooser.test.ts
+++ b/packages/mesh/tests/target-chooser.test.ts
@@ -179,17 +179,13 @@
 
   it('lets a call wait for a rate limit only where all targets have one', () => {
     const notice = { ratePerS: 10, isLeaving: false };
-    const chooser = chooserOf({ a: 'near', b: 'near' });
-    const waitAt = (daemonId: string) => {
-      const choice = chooser.choose({ ...QUERY, excluded: new Set([daemonId]) }, 0);
-      return choice.kind === 'chosen' ? choice.maxUsefulMs : undefined;
-    };
-    reportLoad(chooser, 'a', { limit: 0.2, notice });
+    const chooser = chooserOf({ a: 'near', b: 'far' });
+    reportLoad(chooser, 'a', { notice });
     reportLoad(chooser, 'b', {});
-    expect(waitAt('a')).toBe(Infinity);
-    reportLoad(chooser, 'b', { limit: 0.2, notice });
-    const choice = chooser.choose(QUERY, 0);
-    expect(choice).toMatchObject({ kind: 'chosen', maxUsefulMs: Infinity });
+    const choose = () => chooser.choose(QUERY, 0);
+    expect(choose()).toMatchObject({ record: { daemonId: 'a' }, maxUsefulMs: 50 + IDLE.serviceMs });
+    reportLoad(chooser, 'b', { notice });
+    expect(choose()).toMatchObject({ record: { daemonId: 'a' }, maxUsefulMs: Infinity });
   });
 
   it('spares a target that limits its rate, and asks it again after some seconds', () => {
