--- a/packages/accounts/tests/configuration-freshness.test.ts
+++ b/packages/mesh/tests/configuration-freshness.test.ts
@@ -1,4 +1,4 @@
-import { ConfigurationFreshness } from '@daisyferry/accounts/configuration-freshness';
+import { ConfigurationFreshness } from '@daisyferry/mesh/configuration-freshness';
 import { describe, expect, it } from 'vitest';
 
 /** Bound of the deployments: a request sent later than this after a withdrawal runs nowhere. */
--- a/packages/accounts/tests/peers-to-ask.test.ts
+++ b/packages/mesh/tests/peers-to-ask.test.ts
@@ -1,5 +1,5 @@
 import { seededRandom } from '@daisyferry/bench/random';
-import { peersToAsk } from '@daisyferry/accounts/peers-to-ask';
+import { peersToAsk } from '@daisyferry/mesh/peers-to-ask';
 import { describe, expect, it } from 'vitest';
 
 /** Age up to which a request with a key is served, and the time between two rounds of questions. */
--- a/packages/sidecar/src/freshness-keeper.ts
+++ b/packages/sidecar/src/freshness-keeper.ts
@@ -1,13 +1,13 @@
-import type { ConfigurationFreshness } from '@daisyferry/accounts/configuration-freshness';
+import type { ConfigurationFreshness } from '@daisyferry/mesh/configuration-freshness';
 import {
   decodeFreshness,
   decodeQuestion,
   encodeFreshness,
   encodeQuestion,
-} from '@daisyferry/accounts/freshness-codec';
-import type { FreshnessSchedule } from '@daisyferry/accounts/freshness-schedule';
-import type { Moment } from '@daisyferry/accounts/moment';
-import { peersToAsk } from '@daisyferry/accounts/peers-to-ask';
+} from '@daisyferry/peering/freshness-codec';
+import type { FreshnessSchedule } from '@daisyferry/mesh/freshness-schedule';
+import type { Moment } from '@daisyferry/mesh/moment';
+import { peersToAsk } from '@daisyferry/mesh/peers-to-ask';
 import type { RandomSource } from '@daisyferry/model/scheduler';
 import { FrameKind } from '@daisyferry/peering/frame';
 import type { KeyValueStore } from '@daisyferry/store/key-value-store';
--- a/packages/sidecar/src/wire-sidecar.ts
+++ b/packages/sidecar/src/wire-sidecar.ts
@@ -1,6 +1,6 @@
 import { randomBytes } from 'node:crypto';
-import { ConfigurationFreshness } from '@daisyferry/accounts/configuration-freshness';
-import { FreshnessSchedule } from '@daisyferry/accounts/freshness-schedule';
+import { ConfigurationFreshness } from '@daisyferry/mesh/configuration-freshness';
+import { FreshnessSchedule } from '@daisyferry/mesh/freshness-schedule';
 import { DecayingAccountShares } from '@daisyferry/accounts/account-shares';
 import { ArrivalRateLimit } from '@daisyferry/mesh/arrival-rate-limit';
 import { BufferBudget } from '@daisyferry/mesh/buffer-budget';
--- a/packages/sidecar/tests/support/fake-freshness-daemon.ts
+++ b/packages/sidecar/tests/support/fake-freshness-daemon.ts
@@ -1,5 +1,5 @@
-import { ConfigurationFreshness } from '@daisyferry/accounts/configuration-freshness';
-import { FreshnessSchedule } from '@daisyferry/accounts/freshness-schedule';
+import { ConfigurationFreshness } from '@daisyferry/mesh/configuration-freshness';
+import { FreshnessSchedule } from '@daisyferry/mesh/freshness-schedule';
 import type { RoutingConfiguration } from '@daisyferry/mesh/routing-configuration';
 import type { KeyValueStore } from '@daisyferry/store/key-value-store';
 import { ConfigurationHolder } from '@daisyferry/sidecar/configuration-holder';
