Show the age of the knowledge of the configuration in each deployment

It was infinite where no client accounts are in force, so that a follower whose watch hears nothing looked like one that does. The reads of the daemons that follow the store now count as proofs.

--- a/packages/sidecar/src/freshness-keeper.ts
+++ b/packages/sidecar/src/freshness-keeper.ts
@@ -88,6 +88,11 @@
     return freshness.isProven(boundMs, now());
   }
 
+  /** Records a read of the configuration by another part; it may not be stale. */
+  recordRead(begunAt: Moment): void {
+    this.parts.freshness.recordAnswered(begunAt, this.parts.now());
+  }
+
   /** Reads the store and asks peers if that is due; called several times a second. */
   check(): void {
     const { withdrawalMs, configuration, schedule, isFollowing, fleetSize, now } = this.parts;
--- a/packages/sidecar/src/prefix-follower.ts
+++ b/packages/sidecar/src/prefix-follower.ts
@@ -6,6 +6,8 @@
 } from '@daisyferry/store/key-value-store';
 
 export interface PrefixListener {
+  /** Called when a read of all values begins. */
+  onReadBegun?(): void;
   /** Called with all values under the prefix, after the start and after each interruption. */
   onSnapshot(values: readonly StoredValue[]): void;
   onEvents(events: readonly WatchEvent[]): void;
@@ -66,6 +68,7 @@
   }
 
   private async readAndWatch(generation: number): Promise<void> {
+    this.listener.onReadBegun?.();
     const result = await this.store.range({ key: this.prefix, prefix: true }, CALL_TIMEOUT_MS);
     if (generation !== this.generation) return;
     if (!result.ok) {
--- a/packages/sidecar/src/store-sync.ts
+++ b/packages/sidecar/src/store-sync.ts
@@ -1,3 +1,4 @@
+import type { Moment } from '@daisyferry/mesh/moment';
 import type { FleetDirectory } from '@daisyferry/mesh/fleet-directory';
 import type { DaemonRecord } from '@daisyferry/mesh/daemon-record';
 import {
@@ -27,6 +28,9 @@
   readonly ownDaemonId: string;
   readonly log: EventLog;
   readonly clock: () => number;
+  readonly now: () => Moment;
+  /** Called with the moment at which a read of the configuration began that was answered. */
+  readonly onConfigurationRead: (begunAt: Moment) => void;
 }
 
 /** Time between two decisions whether this daemon follows the store. */
@@ -51,10 +55,15 @@
 
   constructor(private readonly parts: StoreSyncParts) {
     const { store, log } = parts;
+    let configurationReadAt = parts.now();
     this.configurationFollower = new PrefixFollower(store, parts.operatorPrefix, {
+      onReadBegun: () => {
+        configurationReadAt = parts.now();
+      },
       onSnapshot: (values) => {
         log.stateChange('configuration read from the store');
         for (const value of values) this.applyConfiguration(value);
+        parts.onConfigurationRead(configurationReadAt);
       },
       onEvents: (events) => {
         for (const event of events) this.applyConfiguration(event);
--- a/packages/sidecar/src/wire-sidecar.ts
+++ b/packages/sidecar/src/wire-sidecar.ts
@@ -18,6 +18,7 @@
 import { LevelBroadcastThrottle } from '@daisyferry/mesh/level-broadcast-throttle';
 import { AnnouncedTarget } from '@daisyferry/mesh/announced-target';
 import { RecentMaximum } from '@daisyferry/mesh/recent-maximum';
+import type { Moment } from '@daisyferry/mesh/moment';
 import { RouteFailureGate } from '@daisyferry/mesh/route-failure-gate';
 import type { LinkChange } from '@daisyferry/accounts/daemon-reach';
 import type { RoutingConfiguration } from '@daisyferry/mesh/routing-configuration';
@@ -118,6 +119,7 @@
   startUnixMs: number,
 ): SidecarLifecycle {
   const clock = () => performance.now();
+  const now = () => ({ monotonicMs: clock(), unixMs: Date.now() });
   const { store, headerNames } = platform;
   const log = new EventLog({ node: environment.daemonId }, clock);
   const target = new AnnouncedTarget();
@@ -281,6 +283,7 @@
     log.warn('response of the store rejected', { cause, detail }),
   );
   recordMissing.subscribe(() => registration.scheduleRewrite());
+  const configurationReads = new Emitter<Moment>();
   const storeSync = new StoreSync({
     store,
     storeState,
@@ -294,6 +297,8 @@
     ownDaemonId: environment.daemonId,
     log,
     clock,
+    now,
+    onConfigurationRead: (begunAt) => configurationReads.emit(begunAt),
   });
   const freshnessKeeper = new FreshnessKeeper({
     freshness: new ConfigurationFreshness(),
@@ -307,8 +312,9 @@
     fleetSize: () => (peerConnections.connectedCount === 0 ? 1 : directory.size),
     random: Math.random,
     log,
-    now: () => ({ monotonicMs: clock(), unixMs: Date.now() }),
+    now,
   });
+  configurationReads.subscribe((begunAt) => freshnessKeeper.recordRead(begunAt));
   const identification = new CallerIdentification({
     freshness: freshnessKeeper,
     headerNames,
