Let no change of the configuration rest on a watch alone

Callers saw: a request sent later than the bound after a change was handled as an older version allows, at daemons in touch.

Cause: a watch waits 33 s for a response. Where the connections that are open fall silent, the daemons that follow the store hear nothing and still count as following it, so that all others wait for their reports. Renewals were to notice such connections; since each call has its own they succeed on a new one.

The age of the knowledge now decides in each deployment, as it did for client accounts. The first in rank of the daemons that follow the store reads the configuration each half of the bound for all of them and reports it; another does at 0.65 of the bound, and any daemon at 0.75. A read that finds what the watch did not tell starts both watches anew. The watch of the records may be silent for 18 s at most.

--- a/packages/mesh/src/freshness-schedule.ts
+++ b/packages/mesh/src/freshness-schedule.ts
@@ -1,38 +1,72 @@
 import type { RandomSource } from '@daisyferry/model/scheduler';
 
+/** What a daemon does to keep the knowledge of the configuration fresh. */
+export const ReadingRole = {
+  /** Reads the store for all daemons that follow it. */
+  lead: 'lead',
+  /** Follows the store, and reads the configuration itself when the leading daemon fails. */
+  follow: 'follow',
+  /** Learns from its peers. */
+  none: 'none',
+} as const;
+
+export type ReadingRoleName = (typeof ReadingRole)[keyof typeof ReadingRole];
+
 export interface FreshnessNeed {
   /** Age of the knowledge of the configuration; infinite if there is none. */
   readonly ageMs: number;
-  readonly isProven: boolean;
-  /** True while this daemon follows the store for its data centre. */
-  readonly isFollowing: boolean;
+  /** Time within which a change has to be in force. */
+  readonly boundMs: number;
+  readonly role: ReadingRoleName;
   /** Daemons that may need the store at the same time as this one. */
   readonly fleetSize: () => number;
 }
 
-/** Time between two reads of a daemon that follows the store. */
-const READ_INTERVAL_MS = 1_000;
-const UNPROVEN_READ_INTERVAL_MS = 500;
-/** Time between two questions to peers. */
-const ASK_INTERVAL_MS = 600;
-const UNPROVEN_ASK_INTERVAL_MS = 250;
-/** Age above which peers are of no help. */
-const LACKING_AGE_MS = 2_500;
+// Ages and intervals, as shares of the bound.
+const LEAD_READ_SHARE = 0.5;
+const FOLLOWER_READ_SHARE = 0.65;
+/** Interval between two reads while what is known is older than the bound. */
+const OVERDUE_READ_SHARE = 0.25;
+/** Age from which peers are asked, as their reports fail to come. */
+const UNREPORTED_SHARE = 0.6;
+/** Age from which a peer is asked that reports that it has learned something. */
+const REPORTED_SHARE = 0.2;
+const ASK_INTERVAL_SHARE = 0.24;
+const OLD_ASK_INTERVAL_SHARE = 0.1;
+/** Interval between two questions to peers that report: a change is reported by many at once. */
+const REPORTER_INTERVAL_SHARE = 0.05;
+/** Age from which peers are asked more often, those of other data centres too. */
+const OLD_SHARE = 0.7;
+/** Age from which a daemon that does not follow the store reads it. */
+const LACKING_SHARE = 0.75;
+/** Random delay of such a read, where the fleet is small. */
+const OWN_READ_SPREAD_SHARE = 0.1;
 /** Reads a second that all daemons without fresh knowledge together send to the store. */
 const FLEET_READS_PER_S = 20;
 const MS_PER_SECOND = 1_000;
+/** Longest and shortest interval between two such reads of one daemon, relative to their mean. */
 const MIN_JITTER = 0.5;
 
+export function isOldAge(ageMs: number, boundMs: number): boolean {
+  return ageMs >= boundMs * OLD_SHARE;
+}
+
 /**
- * Decides when the store is read and when peers are asked. The daemons that follow the store read
- * it, and the others ask them. Load that it answers: a fleet whose followers are cut from the store,
- * in which any other daemon may still reach it, and an outage of the store, in which none does.
+ * Decides when the store is read and when peers are asked, so that a daemon in touch learns of a
+ * change within the bound, whether or not a watch tells it. One daemon reads the store for all that
+ * follow it; another does when its answers fail to come, and any daemon when nobody helps it. Load
+ * that it answers: watches that hear nothing, followers that are frozen, dead or cut from the store,
+ * a fleet that starts at once, and an outage of the store.
  */
 export class FreshnessSchedule {
+  private startedAtMs: number | undefined;
+
   private readAtMs = Number.NEGATIVE_INFINITY;
 
   private askedAtMs = Number.NEGATIVE_INFINITY;
 
+  private askedReporterAtMs = Number.NEGATIVE_INFINITY;
+
   /** When this daemon reads the store though it does not follow it. */
   private ownReadAtMs: number | undefined;
 
@@ -40,41 +74,64 @@
 
   /** Whether the store is to be read now. */
   shouldRead(need: FreshnessNeed, nowMs: number): boolean {
-    const isDue = need.isFollowing
-      ? this.isFollowerReadDue(need, nowMs)
-      : this.isOwnReadDue(need, nowMs);
+    this.startedAtMs ??= nowMs;
+    const isDue =
+      need.role === ReadingRole.none
+        ? this.isOwnReadDue(need, nowMs)
+        : this.isFollowerReadDue(need, nowMs);
     if (isDue) this.readAtMs = nowMs;
     return isDue;
   }
 
   /** Whether peers are to be asked now. */
-  shouldAsk({ ageMs, isProven, isFollowing }: FreshnessNeed, nowMs: number): boolean {
-    if (isFollowing && ageMs < READ_INTERVAL_MS + ASK_INTERVAL_MS) return false;
-    const intervalMs = isProven ? ASK_INTERVAL_MS : UNPROVEN_ASK_INTERVAL_MS;
-    if (nowMs - this.askedAtMs < intervalMs) return false;
+  shouldAsk({ ageMs, boundMs }: FreshnessNeed, nowMs: number): boolean {
+    if (ageMs < boundMs * UNREPORTED_SHARE) return false;
+    const share = isOldAge(ageMs, boundMs) ? OLD_ASK_INTERVAL_SHARE : ASK_INTERVAL_SHARE;
+    if (nowMs - this.askedAtMs < boundMs * share) return false;
     this.askedAtMs = nowMs;
     return true;
   }
 
-  private isFollowerReadDue({ isProven }: FreshnessNeed, nowMs: number): boolean {
+  /** Whether to ask a peer that has just reported its version. */
+  shouldAskReporter(
+    { ageMs, boundMs }: Pick<FreshnessNeed, 'ageMs' | 'boundMs'>,
+    nowMs: number,
+  ): boolean {
+    if (ageMs < boundMs * REPORTED_SHARE) return false;
+    if (nowMs - this.askedReporterAtMs < boundMs * REPORTER_INTERVAL_SHARE) return false;
+    this.askedReporterAtMs = nowMs;
+    return true;
+  }
+
+  private isFollowerReadDue({ ageMs, boundMs, role }: FreshnessNeed, nowMs: number): boolean {
     this.ownReadAtMs = undefined;
-    const intervalMs = isProven ? READ_INTERVAL_MS : UNPROVEN_READ_INTERVAL_MS;
-    return nowMs - this.readAtMs >= intervalMs;
+    const share = role === ReadingRole.lead ? LEAD_READ_SHARE : FOLLOWER_READ_SHARE;
+    if (ageMs < boundMs * share) return false;
+    const intervalShare = ageMs > boundMs ? OVERDUE_READ_SHARE : LEAD_READ_SHARE;
+    return nowMs - this.readAtMs >= boundMs * intervalShare;
   }
 
-  private isOwnReadDue({ ageMs, fleetSize }: FreshnessNeed, nowMs: number): boolean {
-    if (ageMs < LACKING_AGE_MS) {
+  private isOwnReadDue(need: FreshnessNeed, nowMs: number): boolean {
+    const { ageMs, boundMs } = need;
+    // A starting daemon first hears its peers.
+    const lackedMs = Math.min(ageMs, nowMs - (this.startedAtMs ?? nowMs));
+    if (lackedMs < boundMs * LACKING_SHARE) {
       this.ownReadAtMs = undefined;
       return false;
     }
-    this.ownReadAtMs ??= nowMs + this.ownReadDelayMs(fleetSize());
+    this.ownReadAtMs ??= nowMs + this.ownReadDelayMs(need, nowMs);
     if (nowMs < this.ownReadAtMs) return false;
     this.ownReadAtMs = undefined;
     return true;
   }
 
-  private ownReadDelayMs(fleetSize: number): number {
-    const intervalMs = Math.max(READ_INTERVAL_MS, (fleetSize / FLEET_READS_PER_S) * MS_PER_SECOND);
+  private ownReadDelayMs({ boundMs, fleetSize }: FreshnessNeed, nowMs: number): number {
+    const fleetIntervalMs = (fleetSize() / FLEET_READS_PER_S) * MS_PER_SECOND;
+    const hasJustRead = nowMs - this.readAtMs < boundMs;
+    if (!hasJustRead) {
+      return this.random() * Math.max(boundMs * OWN_READ_SPREAD_SHARE, fleetIntervalMs - boundMs);
+    }
+    const intervalMs = Math.max(boundMs * LEAD_READ_SHARE, fleetIntervalMs);
     return intervalMs * (MIN_JITTER + this.random());
   }
 }
--- a/packages/mesh/tests/peers-to-ask.test.ts
+++ b/packages/mesh/tests/peers-to-ask.test.ts
@@ -5,6 +5,8 @@
 /** Age up to which a request with a key is served, and the time between two rounds of questions. */
 const SERVED_UP_TO_MS = 4_800;
 const ROUND_MS = 600;
+/** Half of the bound on withdrawals. */
+const BOUND_MS = 2_500;
 const ROUNDS = 60;
 const REMOTE_DAEMONS = 100;
 /** A question and its answer, and what a daemon may receive and send for them. */
@@ -22,6 +24,10 @@
   return { name, isReading, isLocal, ageMs: isReading ? 0 : Number.POSITIVE_INFINITY };
 }
 
+function toAsking(ageMs: number) {
+  return { ageMs, boundMs: BOUND_MS, isFollowing: false };
+}
+
 /**
  * Rounds of questions of one data centre whose only follower reads the store each second, or which
  * is cut from the store while a hundred daemons of others are fresh.
@@ -45,7 +51,7 @@
     const agesMs = [...daemons, ...remote].map(({ ageMs }) => ageMs);
     for (const asking of daemons.filter(({ isReading }) => !isReading)) {
       const others = [...daemons, ...remote].filter((other) => other !== asking);
-      for (const asked of peersToAsk(others, asking.ageMs, random)) {
+      for (const asked of peersToAsk(others, toAsking(asking.ageMs), random)) {
         questions += 1;
         if (asked.isReading && asked.isLocal) toFollower += 1;
         asking.ageMs = Math.min(asking.ageMs, agesMs[asked.name] ?? Infinity);
@@ -83,13 +89,13 @@
     const peers = [daemon(0, true), daemon(1, false), daemon(2, true, false)];
     for (const value of [0, 0.5, 0.99]) {
       const isRemoteAsked = (ageMs: number) =>
-        peersToAsk(peers, ageMs, () => value).some(({ isLocal }) => !isLocal);
+        peersToAsk(peers, toAsking(ageMs), () => value).some(({ isLocal }) => !isLocal);
       expect(isRemoteAsked(1_500)).toBe(false);
       expect(isRemoteAsked(3_000)).toBe(true);
     }
   });
 
   it('asks nobody where nobody is connected', () => {
-    expect(peersToAsk([], Number.POSITIVE_INFINITY, () => 0.5)).toEqual([]);
+    expect(peersToAsk([], toAsking(Number.POSITIVE_INFINITY), () => 0.5)).toEqual([]);
   });
 });
--- a/packages/sidecar/src/configuration-exchange.ts
+++ b/packages/sidecar/src/configuration-exchange.ts
@@ -2,6 +2,7 @@
 import { decodeConfigurationVersion } from '@daisyferry/peering/control-codec';
 import { FrameKind, type Frame } from '@daisyferry/peering/frame';
 import type { ConfigurationHolder } from './configuration-holder';
+import { Emitter } from './emitter';
 import type { ControlFrameSender, PeerGroup } from './peer-group';
 
 interface ReportedVersion {
@@ -16,12 +17,27 @@
   /** Newer versions than this daemon's, by the peers that reported them. */
   private readonly newerVersions = new Map<ControlFrameSender, ReportedVersion>();
 
+  private readonly reports = new Emitter<ControlFrameSender>();
+
   constructor(
     private readonly configuration: ConfigurationHolder,
     private readonly peers: PeerGroup,
     private readonly clock: () => number,
   ) {}
 
+  /** Calls the listener with each peer that has reported its version since the hello. */
+  onVersionReported(listener: (sender: ControlFrameSender) => void): void {
+    this.reports.subscribe(listener);
+  }
+
+  /** Reports this daemon's version to one peer. */
+  reportTo(sender: ControlFrameSender): void {
+    sender.sendControl(
+      FrameKind.configuration,
+      JSON.stringify({ version: this.configuration.version }),
+    );
+  }
+
   /** Reports this daemon's version to all connected peers. */
   reportVersion(version: number): void {
     this.newerVersions.clear();
@@ -41,13 +57,14 @@
       this.newerVersions.set(sender, { version, isLocalPeer });
       this.requestIfDue(this.clock());
     } else if (version < ownVersion) {
-      sender.sendControl(FrameKind.configuration, JSON.stringify({ version: ownVersion }));
+      this.reportTo(sender);
     }
   }
 
   handleFrame({ head, body }: Frame, isLocalPeer: boolean, sender: ControlFrameSender): void {
     if (body.length > 0) this.configuration.applyIfNewer(body.toString('utf8'), 'peer');
     else this.handleVersion(decodeConfigurationVersion(head) ?? 0, isLocalPeer, sender);
+    this.reports.emit(sender);
   }
 
   sendDocument(sender: ControlFrameSender): void {
--- a/packages/sidecar/src/daemon-environment.ts
+++ b/packages/sidecar/src/daemon-environment.ts
@@ -41,6 +41,8 @@
      * seconds. Each daemon may make a part of them: the burst of its `RetryBudget`.
      */
     readonly retrySlack: number;
+    /** Time after the acknowledgement of a configuration within which it has to be in force. */
+    readonly applyMs: number;
     /**
      * Time after the acknowledgement of a configuration that took a key of a client account away, from
      * which no request that is sent with it may run; undefined if that is not bound.
--- a/packages/sidecar/src/freshness-keeper.ts
+++ b/packages/sidecar/src/freshness-keeper.ts
@@ -5,9 +5,20 @@
   encodeFreshness,
   encodeQuestion,
 } from '@daisyferry/peering/freshness-codec';
-import type { FreshnessSchedule } from '@daisyferry/mesh/freshness-schedule';
+import {
+  ReadingRole,
+  type FreshnessNeed,
+  type FreshnessSchedule,
+  type ReadingRoleName,
+} from '@daisyferry/mesh/freshness-schedule';
 import type { Moment } from '@daisyferry/mesh/moment';
 import { peersToAsk } from '@daisyferry/mesh/peers-to-ask';
+import {
+  FreshnessOccasion,
+  peersToReport,
+  type FreshnessOccasionName,
+} from '@daisyferry/mesh/peers-to-report';
+import { requestRank } from '@daisyferry/mesh/request-rank';
 import type { RandomSource } from '@daisyferry/model/scheduler';
 import { FrameKind } from '@daisyferry/peering/frame';
 import type { KeyValueStore } from '@daisyferry/store/key-value-store';
@@ -17,6 +28,7 @@
 import type { ControlFrameSender } from './peer-group';
 
 export interface FreshnessKeeperParts {
+  readonly ownDaemonId: string;
   readonly freshness: ConfigurationFreshness;
   readonly schedule: FreshnessSchedule;
   readonly store: KeyValueStore;
@@ -26,10 +38,14 @@
     PeerConnections,
     'connectedPeers' | 'dataCentrePeers' | 'configurations' | 'records' | 'setHandler'
   >;
+  /** Time within which a change has to be in force. */
+  readonly applyMs: () => number;
   /** Time after which no request with a withdrawn key may run; undefined without a bound. */
   readonly withdrawalMs: () => number | undefined;
   /** True while this daemon follows the store for its data centre. */
   readonly isFollowing: () => boolean;
+  /** Called when a read of a daemon that follows the store found what no watch had told. */
+  readonly onUntoldChange: () => void;
   /** Daemons that may lack fresh knowledge at the same time as this one. */
   readonly fleetSize: () => number;
   readonly random: RandomSource;
@@ -42,10 +58,12 @@
 const READ_TIMEOUT_MS = 3_000;
 /** Questions whose answers are awaited; a later answer proves too little. */
 const MAX_OPEN_QUESTIONS = 16;
+/** Share of the bound on withdrawals within which a change has to be known. */
+const WITHDRAWAL_SHARE = 0.5;
 
 /**
- * Keeps the knowledge of the configuration fresh where client accounts and the withdrawal of their
- * keys are in force: reads the store, asks peers, and answers theirs.
+ * Keeps the knowledge of the configuration fresh: reads the store, asks peers, answers theirs, and
+ * reports what was read. Where keys of client accounts are in force, requests with keys depend on it.
  */
 export class FreshnessKeeper {
   private timer: NodeJS.Timeout | undefined;
@@ -57,14 +75,17 @@
 
   private wasProven = false;
 
+  private wasCurrent = true;
+
   constructor(private readonly parts: FreshnessKeeperParts) {
     const { peers } = parts;
     peers.setHandler(FrameKind.freshnessRequest, ({ head }, _daemonId, sender) =>
       this.answer(head, sender),
     );
-    peers.setHandler(FrameKind.freshness, ({ head }, _daemonId, sender) =>
-      this.learn(head, sender),
+    peers.setHandler(FrameKind.freshness, ({ head }, daemonId, sender) =>
+      this.learn(head, daemonId, sender),
     );
+    peers.configurations.onVersionReported((sender) => this.askReporter(sender));
   }
 
   start(): void {
@@ -82,10 +103,8 @@
 
   /** False if a key may have been withdrawn longer ago than requests with it may run. */
   isProven(): boolean {
-    const { withdrawalMs, configuration, freshness, now } = this.parts;
-    const boundMs = withdrawalMs();
-    if (boundMs === undefined || configuration.routes?.hasAccounts !== true) return true;
-    return freshness.isProven(boundMs, now());
+    const boundMs = this.withdrawalBoundMs();
+    return boundMs === undefined || this.parts.freshness.isProven(boundMs, this.parts.now());
   }
 
   /** Records a read of the configuration by another part; it may not be stale. */
@@ -95,29 +114,55 @@
 
   /** Reads the store and asks peers if that is due; called several times a second. */
   check(): void {
-    const { withdrawalMs, configuration, schedule, isFollowing, fleetSize, now } = this.parts;
-    if (withdrawalMs() === undefined || configuration.routes?.hasAccounts !== true) return;
-    const need = {
-      ageMs: this.ageMs(),
-      isProven: this.isProven(),
-      isFollowing: isFollowing(),
-      fleetSize,
-    };
+    const { schedule, fleetSize, now } = this.parts;
+    const ageMs = this.ageMs();
+    this.logChanges(ageMs);
+    const need = { ageMs, boundMs: this.boundMs(), role: this.role(), fleetSize };
     const nowMs = now().monotonicMs;
-    this.logChange(need.isProven, need.ageMs);
     if (schedule.shouldRead(need, nowMs)) {
       this.read().catch((error: unknown) =>
         this.parts.log.warn('read of the store failed', { error: String(error) }),
       );
     }
-    if (schedule.shouldAsk(need, nowMs)) this.ask(need.ageMs);
+    if (schedule.shouldAsk(need, nowMs)) this.ask(need);
   }
 
-  private ask(ageMs: number): void {
-    const head = encodeQuestion(this.openQuestion());
-    for (const { sender } of peersToAsk(this.askablePeers(), ageMs, this.parts.random)) {
-      sender.sendControl(FrameKind.freshnessRequest, head);
+  private withdrawalBoundMs(): number | undefined {
+    const { withdrawalMs, configuration } = this.parts;
+    return configuration.routes?.hasAccounts === true ? withdrawalMs() : undefined;
+  }
+
+  private boundMs(): number {
+    const withdrawalMs = this.withdrawalBoundMs() ?? Number.POSITIVE_INFINITY;
+    return Math.min(this.parts.applyMs(), withdrawalMs * WITHDRAWAL_SHARE);
+  }
+
+  /** The first in rank of the connected daemons that follow the store reads it for all of them. */
+  private role(): ReadingRoleName {
+    const { isFollowing, ownDaemonId, peers } = this.parts;
+    if (!isFollowing()) return ReadingRole.none;
+    const ownRank = requestRank(ownDaemonId);
+    for (const { daemonId } of peers.connectedPeers()) {
+      if (peers.records.isReader(daemonId) && requestRank(daemonId) < ownRank)
+        return ReadingRole.follow;
     }
+    return ReadingRole.lead;
+  }
+
+  private ask({ ageMs, boundMs }: FreshnessNeed): void {
+    const { random, isFollowing } = this.parts;
+    const asking = { ageMs, boundMs, isFollowing: isFollowing() };
+    const asked = peersToAsk(this.askablePeers(), asking, random);
+    const head = encodeQuestion(this.openQuestion());
+    for (const { sender } of asked) sender.sendControl(FrameKind.freshnessRequest, head);
+  }
+
+  /** Asks a peer that has reported its version, as it may just have read the store. */
+  private askReporter(sender: ControlFrameSender): void {
+    const { schedule, now } = this.parts;
+    const need = { ageMs: this.ageMs(), boundMs: this.boundMs() };
+    if (!schedule.shouldAskReporter(need, now().monotonicMs)) return;
+    sender.sendControl(FrameKind.freshnessRequest, encodeQuestion(this.openQuestion()));
   }
 
   private askablePeers() {
@@ -138,15 +183,24 @@
   }
 
   private async read(): Promise<void> {
-    const { store, configurationKey, configuration, freshness, now } = this.parts;
+    const { store, configurationKey, configuration, freshness, now, isFollowing } = this.parts;
     const begunAt = now();
     const result = await store.range({ key: configurationKey }, READ_TIMEOUT_MS);
     if (!result.ok) return;
-    const stored = result.value.values.find(({ key }) => key === configurationKey);
-    // A store without a configuration has lost it.
-    if (stored === undefined || stored.value === '') return;
-    configuration.applyIfNewer(stored.value, 'store');
+    const document = result.value.values.find(({ key }) => key === configurationKey)?.value ?? '';
+    // A store without a configuration that this daemon has got from it has lost it.
+    if (document === '' && configuration.version > 0) return;
+    const versionBefore = configuration.version;
+    if (document !== '') configuration.applyIfNewer(document, 'store');
     freshness.recordAnswered(begunAt, now());
+    this.report(FreshnessOccasion.read);
+    if (configuration.version > versionBefore && isFollowing()) this.parts.onUntoldChange();
+  }
+
+  private report(occasion: FreshnessOccasionName): void {
+    const { peers, random } = this.parts;
+    for (const { sender } of peersToReport(this.askablePeers(), occasion, random))
+      peers.configurations.reportTo(sender);
   }
 
   private answer(head: string, sender: ControlFrameSender): void {
@@ -158,26 +212,46 @@
     sender.sendControl(FrameKind.freshness, encodeFreshness(stated));
   }
 
-  private learn(head: string, sender: ControlFrameSender): void {
-    const { configuration, freshness, peers, now } = this.parts;
+  private learn(head: string, daemonId: string, sender: ControlFrameSender): void {
+    const { configuration, freshness, peers, now, isFollowing } = this.parts;
     const stated = decodeFreshness(head);
     const askedAt = stated && this.askedAt.get(stated.question);
     if (stated === undefined || askedAt === undefined) return;
     if (stated.version > configuration.version) {
       peers.configurations.handleVersion(stated.version, true, sender);
-    } else {
-      freshness.recordPeerAnswer(askedAt, stated.ageMs, now());
+      return;
     }
+    const ageBeforeMs = this.ageMs();
+    freshness.recordPeerAnswer(askedAt, stated.ageMs, now());
+    if (this.ageMs() >= ageBeforeMs) return;
+    const isFromElsewhere = isFollowing() && !this.isLocal(daemonId);
+    this.report(isFromElsewhere ? FreshnessOccasion.toldFollower : FreshnessOccasion.told);
+  }
+
+  private isLocal(daemonId: string): boolean {
+    for (const peer of this.parts.peers.dataCentrePeers())
+      if (peer.daemonId === daemonId) return true;
+    return false;
   }
 
-  private logChange(isProven: boolean, ageMs: number): void {
-    if (isProven === this.wasProven) return;
+  private logChanges(ageMs: number): void {
+    const { log, freshness, configuration, applyMs } = this.parts;
+    const { version } = configuration;
+    const fields = { version, ageMs: Math.round(ageMs), source: freshness.source };
+    const isCurrent = ageMs <= applyMs();
+    if (isCurrent !== this.wasCurrent && Number.isFinite(ageMs)) {
+      this.wasCurrent = isCurrent;
+      const message = isCurrent
+        ? 'configuration known to be current again'
+        : 'configuration may be out of date';
+      log.stateChange(message, fields);
+    }
+    const isProven = this.isProven();
+    if (this.withdrawalBoundMs() === undefined || isProven === this.wasProven) return;
     this.wasProven = isProven;
-    const { log, freshness, configuration } = this.parts;
     const message = isProven
       ? 'configuration proven to be in force'
       : 'configuration too old for requests with keys';
-    const { source } = freshness;
-    log.stateChange(message, { version: configuration.version, ageMs: Math.round(ageMs), source });
+    log.stateChange(message, fields);
   }
 }
--- a/packages/sidecar/src/prefix-follower.ts
+++ b/packages/sidecar/src/prefix-follower.ts
@@ -34,10 +34,12 @@
   /** Increases with each start and stop, so that results of earlier reads are ignored. */
   private generation = 0;
 
+  /** @param maxSilenceMs Bound on the silence of a watch; undefined where its owner bounds it. */
   constructor(
     private readonly store: KeyValueStore,
     private readonly prefix: string,
     private readonly listener: PrefixListener,
+    private readonly maxSilenceMs?: number,
   ) {}
 
   get isStarted(): boolean {
@@ -60,6 +62,13 @@
     this.watch = undefined;
   }
 
+  /** Reads and watches anew, as the watch may hear nothing. */
+  restart(): void {
+    if (!this.isRunning) return;
+    this.stop();
+    this.start();
+  }
+
   private attempt(): void {
     const { generation } = this;
     this.readAndWatch(generation).catch((error: unknown) =>
@@ -80,7 +89,12 @@
     // The listener may have stopped this follower.
     if (generation !== this.generation) return;
     this.watch = this.store.watch(
-      { key: this.prefix, prefix: true, fromRevision: result.value.storeRevision + 1 },
+      {
+        key: this.prefix,
+        prefix: true,
+        fromRevision: result.value.storeRevision + 1,
+        ...(this.maxSilenceMs === undefined ? {} : { maxSilenceMs: this.maxSilenceMs }),
+      },
       {
         onEvents: (events) => this.listener.onEvents(events),
         onEnd: (reason) => this.scheduleRetry(generation, `watch ended: ${reason}`),
--- a/packages/sidecar/src/record-exchange.ts
+++ b/packages/sidecar/src/record-exchange.ts
@@ -116,12 +116,12 @@
     }
   }
 
-  /** Tells the daemons of this data centre whether this one follows the store. */
+  /** Tells the connected daemons whether this one follows the store. */
   broadcastReading(isReading: boolean): void {
     const { daemonId } = this.parts.ownRecord;
     const reported: ReportedReading = { daemonId, isReading };
     const head = JSON.stringify(reported);
-    for (const { sender } of this.parts.peers.dataCentrePeers()) {
+    for (const { sender } of this.parts.peers.connectedPeers()) {
       sender.sendControl(FrameKind.reading, head);
     }
   }
--- a/packages/sidecar/src/registration.ts
+++ b/packages/sidecar/src/registration.ts
@@ -7,14 +7,15 @@
 export const DAEMON_PREFIX = 'daisyferry/daemons/';
 
 /** Time to live of a record that its daemon no longer renews; longer if the store requires it. */
-const LEASE_MS = 18_000;
+export const LEASE_MS = 18_000;
 const MS_PER_SECOND = 1_000;
 /**
- * Time between two renewals. A daemon that follows the store renews more often, as it must notice
- * an unresponsive connection; it tells the others when their records are missing.
+ * Time between two renewals. A daemon that follows the store renews more often, to notice that the
+ * store does not answer it, so that another takes its place. A renewal has a connection of its own
+ * and tells nothing of those on which watches wait.
  */
 const RENEW_INTERVAL_MS = 6_000;
-const FREQUENT_RENEW_INTERVAL_MS = 1_200;
+const FREQUENT_RENEW_INTERVAL_MS = 4_000;
 /**
  * Time after the start within which a target usually announces itself; a record without a target
  * is written only after it.
--- a/packages/sidecar/src/store-sync.ts
+++ b/packages/sidecar/src/store-sync.ts
@@ -12,7 +12,7 @@
 import type { EventLog } from './event-log';
 import type { PeerConnections } from './peer-connections';
 import { PrefixFollower } from './prefix-follower';
-import { DAEMON_PREFIX, type Registration } from './registration';
+import { DAEMON_PREFIX, LEASE_MS, type Registration } from './registration';
 import type { StoreState } from './store-state';
 
 export interface StoreSyncParts {
@@ -35,6 +35,10 @@
 
 /** Time between two decisions whether this daemon follows the store. */
 const DECISION_INTERVAL_MS = 200;
+/** Bound on the silence of the watch of the records, which outlive their daemons as long. */
+const RECORD_SILENCE_MS = LEASE_MS;
+/** Time after a read within which the watch delivers the change that was read; it pauses in a burst. */
+const DELIVERY_GRACE_MS = 1_200;
 /** Timeout of a single read, and pause before the next one after it failed. */
 const READ_TIMEOUT_MS = 1_500;
 const READ_RETRY_MS = 400;
@@ -51,6 +55,11 @@
 
   private timer: NodeJS.Timeout | undefined;
 
+  /** Number of times that the configuration's follower has heard from the store. */
+  private heardCount = 0;
+
+  private heardTimer: NodeJS.Timeout | undefined;
+
   private isStopped = false;
 
   constructor(private readonly parts: StoreSyncParts) {
@@ -63,25 +72,32 @@
       onSnapshot: (values) => {
         log.stateChange('configuration read from the store');
         for (const value of values) this.applyConfiguration(value);
+        this.heardCount += 1;
         parts.onConfigurationRead(configurationReadAt);
       },
       onEvents: (events) => {
+        this.heardCount += 1;
         for (const event of events) this.applyConfiguration(event);
       },
       onInterrupted: (detail) => log.warn('configuration watch lost', { detail }),
     });
-    this.recordFollower = new PrefixFollower(store, DAEMON_PREFIX, {
-      onSnapshot: (values) => {
-        this.applyRecordSnapshot(values);
-        this.setReading(true);
-        parts.peerConnections.records.reportSnapshot();
+    this.recordFollower = new PrefixFollower(
+      store,
+      DAEMON_PREFIX,
+      {
+        onSnapshot: (values) => {
+          this.applyRecordSnapshot(values);
+          this.setReading(true);
+          parts.peerConnections.records.reportSnapshot();
+        },
+        onEvents: (events) => this.applyRecordEvents(events),
+        onInterrupted: (detail) => {
+          this.setReading(false);
+          log.warn('daemon watch lost', { detail });
+        },
       },
-      onEvents: (events) => this.applyRecordEvents(events),
-      onInterrupted: (detail) => {
-        this.setReading(false);
-        log.warn('daemon watch lost', { detail });
-      },
-    });
+      RECORD_SILENCE_MS,
+    );
   }
 
   start(): void {
@@ -93,6 +109,7 @@
   stop(): void {
     this.isStopped = true;
     clearInterval(this.timer);
+    clearTimeout(this.heardTimer);
     this.configurationFollower.stop();
     this.recordFollower.stop();
   }
@@ -102,6 +119,21 @@
     return this.recordFollower.isStarted;
   }
 
+  /**
+   * Reads and watches anew if the watch of the configuration does not deliver soon what a read has
+   * found: its connection, and that of the other watch, may have gone silent.
+   */
+  expectChange(): void {
+    const { heardCount } = this;
+    clearTimeout(this.heardTimer);
+    this.heardTimer = setTimeout(() => {
+      if (this.heardCount !== heardCount || !this.configurationFollower.isStarted) return;
+      this.parts.log.warn('watches hear nothing, started anew');
+      this.configurationFollower.restart();
+      this.recordFollower.restart();
+    }, DELIVERY_GRACE_MS);
+  }
+
   private decide(nowMs: number): void {
     const { readerChoice, directory, peerConnections } = this.parts;
     peerConnections.records.requestViewIfMissing(nowMs);
--- a/packages/sidecar/src/wire-sidecar.ts
+++ b/packages/sidecar/src/wire-sidecar.ts
@@ -301,14 +301,17 @@
     onConfigurationRead: (begunAt) => configurationReads.emit(begunAt),
   });
   const freshnessKeeper = new FreshnessKeeper({
+    ownDaemonId: environment.daemonId,
     freshness: new ConfigurationFreshness(),
     schedule: new FreshnessSchedule(Math.random),
     store,
     configurationKey: platform.configurationKey,
     configuration,
     peers: peerConnections,
+    applyMs: () => bounds.get().applyMs,
     withdrawalMs: () => bounds.get().withdrawalMs,
     isFollowing: () => storeSync.isFollowing,
+    onUntoldChange: () => storeSync.expectChange(),
     fleetSize: () => (peerConnections.connectedCount === 0 ? 1 : directory.size),
     random: Math.random,
     log,
--- a/packages/sidecar/tests/sidecar-lifecycle.test.ts
+++ b/packages/sidecar/tests/sidecar-lifecycle.test.ts
@@ -34,7 +34,12 @@
     const hasUnsentBytes = () => this.hasUnsentBytes;
     const hasUnsentReplies = () => this.hasUnsentReplies;
     return {
-      bounds: new CurrentBounds({ graceMs: GRACE_MS, retryRatio: 0.2, retrySlack: 48 }),
+      bounds: new CurrentBounds({
+        graceMs: GRACE_MS,
+        applyMs: 2_000,
+        retryRatio: 0.2,
+        retrySlack: 48,
+      }),
       readyState: { isStopping: false, beginStop: record('unready') },
       callers: {
         isClosing: false,
--- a/packages/sidecar/tests/support/fake-freshness-fleet.ts
+++ b/packages/sidecar/tests/support/fake-freshness-fleet.ts
@@ -1,17 +1,25 @@
+import type { RandomSource } from '@daisyferry/model/scheduler';
 import { seededRandom } from '@daisyferry/bench/random';
 import type { RangeResult, StoreResult } from '@daisyferry/store/key-value-store';
 import { FakeFreshnessDaemon, KEY } from './fake-freshness-daemon';
 
 /** Time that the store takes for an answer. */
 export const STORE_MS = 4;
-const STEP_MS = 50;
 const CHECK_MS = 100;
 
 /** Daemons, a store and messages between them, in virtual time. */
 export class FakeFreshnessFleet {
   readonly daemons: FakeFreshnessDaemon[] = [];
 
-  readonly random = seededRandom(11);
+  readonly random: RandomSource;
+
+  /** Time within which a change has to be in force. */
+  applyMs = Number.POSITIVE_INFINITY;
+
+  stepMs = 50;
+
+  /** Reads of the configuration that have begun. */
+  readCount = 0;
 
   nowMs = 10_000;
 
@@ -24,6 +32,10 @@
   /** Checks at which a daemon would refuse requests with keys, by its id. */
   readonly refusals = new Map<string, number>();
 
+  constructor(seed = 11) {
+    this.random = seededRandom(seed);
+  }
+
   private events: {
     readonly atMs: number;
     readonly daemon: FakeFreshnessDaemon;
@@ -38,8 +50,8 @@
   }
 
   /** Three data centres with a follower each. */
-  static ofThreeDataCentres(daemonsOfEach: number): FakeFreshnessFleet {
-    const fleet = new FakeFreshnessFleet();
+  static ofThreeDataCentres(daemonsOfEach: number, seed?: number): FakeFreshnessFleet {
+    const fleet = new FakeFreshnessFleet(seed);
     for (const zone of ['x', 'y', 'z']) {
       for (let index = 0; index < daemonsOfEach; index += 1) fleet.add(zone, index === 0);
     }
@@ -51,6 +63,7 @@
   }
 
   read(daemon: FakeFreshnessDaemon): Promise<StoreResult<RangeResult>> {
+    this.readCount += 1;
     const isLost = !daemon.storeAnswers || daemon.isCut || this.random() < this.lostShare;
     return new Promise((resolve) => {
       if (isLost) {
@@ -70,7 +83,7 @@
   async run(durationMs: number, atStep: () => void = () => undefined): Promise<void> {
     const endMs = this.nowMs + durationMs;
     while (this.nowMs < endMs) {
-      this.nowMs += STEP_MS;
+      this.nowMs += this.stepMs;
       const isDue = ({ atMs, daemon }: (typeof this.events)[number]) =>
         atMs <= this.nowMs && !daemon.isFrozen;
       const due = this.events.filter(isDue);
@@ -83,9 +96,10 @@
   }
 
   private check(): void {
-    for (const { daemonId, keeper, isFrozen } of this.daemons) {
+    for (const { daemonId, keeper, configurations, isFrozen } of this.daemons) {
       if (!isFrozen) {
         keeper.check();
+        configurations.requestIfDue(this.nowMs);
         const refusals = this.refusals.get(daemonId) ?? 0;
         this.refusals.set(daemonId, refusals + Number(!keeper.isProven()));
       }
--- a/packages/store/src/key-value-store.ts
+++ b/packages/store/src/key-value-store.ts
@@ -71,6 +71,17 @@
   readonly mayBeStale?: boolean;
 }
 
+export interface WatchQuery {
+  readonly key: string;
+  readonly prefix?: boolean;
+  readonly fromRevision: number;
+  /**
+   * Time for which a watch may hear nothing from the store without counting as lost; a store that is
+   * polled answers as often. Undefined where something else bounds the wait.
+   */
+  readonly maxSilenceMs?: number;
+}
+
 /** Key-value store with leases and watches. Failures are returned as values; no method rejects. */
 export interface KeyValueStore {
   /** Reads one key, or the keys with a prefix in key order. */
@@ -92,10 +103,7 @@
   ): Promise<StoreResult<{ readonly remainingSeconds: number }>>;
   revokeLease(leaseId: string, timeoutMs: number): Promise<StoreResult<null>>;
   /** Watches a key or prefix, starting at a store revision. */
-  watch(
-    query: { readonly key: string; readonly prefix?: boolean; readonly fromRevision: number },
-    listener: WatchListener,
-  ): Watch;
+  watch(query: WatchQuery, listener: WatchListener): Watch;
   /**
    * Calls the listener after the store came back from an older copy of itself: revisions that were
    * read before, and leases granted since the copy, are void, and running watches end. Absent where
