Close connections of daemons that have gone silent, at both ends, and probe for answers

A connection that another daemon opened had no bound at all: one that lost its power, or froze, stayed among the connected peers, as one that follows the store, and kept the others of its data centre from taking its place until the kernel gave up.

Both ends now probe alike (LivenessProbe); peers of an earlier build, which answer no pings on such connections, are not probed. A question that a peer answers at once is awaited like the reply to a call: its connection is probed after 300 ms, so that it is opened anew 1.2 s after the question.

--- a/packages/peering/src/control-codec.ts
+++ b/packages/peering/src/control-codec.ts
@@ -66,8 +66,7 @@
 /** Decodes the first frame of a connection. */
 export function decodeHello(text: string): Hello | undefined {
   const hello = fieldsOf<Hello>(parseJson(text));
-  const { record, processKey, configurationVersion, wantsView, isReading, acceptsBodyParts } =
-    hello;
+  const { record, processKey, configurationVersion, wantsView, isReading } = hello;
   if (!isDaemonRecord(record)) return undefined;
   return {
     record,
@@ -75,7 +74,8 @@
     configurationVersion: isNumber(configurationVersion) ? configurationVersion : 0,
     wantsView: wantsView === true,
     isReading: isReading === true,
-    acceptsBodyParts: acceptsBodyParts === true,
+    acceptsBodyParts: hello.acceptsBodyParts === true,
+    answersPings: hello.answersPings === true,
   };
 }
 
--- a/packages/peering/src/frame.ts
+++ b/packages/peering/src/frame.ts
@@ -40,6 +40,19 @@
 
 export type FrameKindNumber = (typeof FrameKind)[keyof typeof FrameKind];
 
+const ANSWERED_KINDS: ReadonlySet<FrameKindNumber> = new Set([
+  FrameKind.ping,
+  FrameKind.configurationRequest,
+  FrameKind.viewRequest,
+  FrameKind.quotaRequest,
+  FrameKind.freshnessRequest,
+]);
+
+/** True for frames that belong to no call and that the receiver answers at once. */
+export function isAnsweredKind(kind: FrameKindNumber): boolean {
+  return ANSWERED_KINDS.has(kind);
+}
+
 export interface Frame {
   readonly kind: number;
   /** Number of the frame's call, assigned by the side that opened the connection. */
--- a/packages/peering/src/hello.ts
+++ b/packages/peering/src/hello.ts
@@ -13,6 +13,8 @@
   readonly isReading: boolean;
   /** True if the sender accepts bodies in parts; earlier builds expect each in one frame. */
   readonly acceptsBodyParts: boolean;
+  /** True if the sender answers pings on connections that it has opened. */
+  readonly answersPings: boolean;
 }
 
 /**
--- a/packages/peering/src/inbound-peer.ts
+++ b/packages/peering/src/inbound-peer.ts
@@ -6,9 +6,10 @@
 import { refusedReply } from './call-replies';
 import { decodeHello, decodeResolve } from './control-codec';
 import type { Frame, FrameKindNumber } from './frame';
-import { encodeFrame, FrameKind, FrameReader } from './frame';
+import { encodeFrame, FrameKind, FrameReader, isAnsweredKind } from './frame';
 import { FrameWriter, MIN_BODY_BYTES_FOR_PARTS } from './frame-writer';
 import type { Hello } from './hello';
+import { Liveness, LivenessProbe } from './liveness-probe';
 import { IncomingBodies } from './incoming-bodies';
 
 /** A call that the home processes for another daemon. */
@@ -33,6 +34,8 @@
   onClosed(peer: InboundPeer): void;
 }
 
+/** Time within which a peer sends its hello. */
+const HELLO_TIMEOUT_MS = 5_000;
 /** Retry-after of a call for whose body there is no memory. */
 const NO_MEMORY_RETRY_AFTER_MS = 500;
 
@@ -53,15 +56,24 @@
 
   private peerAcceptsBodyParts = false;
 
+  private hasHello = false;
+
+  /** Undefined until the hello of a peer that answers pings. */
+  private liveness: LivenessProbe | undefined;
+
+  private readonly openedAtMs: number;
+
   constructor(
     private readonly socket: Socket,
     private readonly events: PeerServerEvents,
     private readonly bufferBudget: BufferBudget,
     private readonly clock: () => number,
   ) {
+    this.openedAtMs = clock();
     this.writer = new FrameWriter(socket);
     socket.setNoDelay(true);
     socket.on('data', (chunk: Buffer) => {
+      this.liveness?.recordReceived(clock());
       if (!this.reader.push(chunk, (frame) => this.handleFrame(frame))) socket.destroy();
     });
     // 'close' always follows and handles the end of the connection.
@@ -74,7 +86,19 @@
     return this.writer.hasUnsentBytes;
   }
 
+  /** Closes the connection if its peer is silent; called several times a second. */
+  checkTimeouts(nowMs: number): void {
+    if (!this.hasHello) {
+      if (nowMs - this.openedAtMs > HELLO_TIMEOUT_MS) this.socket.destroy();
+      return;
+    }
+    const liveness = this.liveness?.check(false, nowMs);
+    if (liveness === Liveness.lost) this.socket.destroy();
+    if (liveness === Liveness.doubtful) this.writer.write(encodeFrame(FrameKind.ping, 0, ''));
+  }
+
   sendControl(kind: FrameKindNumber, head: string, body?: Buffer): void {
+    if (isAnsweredKind(kind)) this.liveness?.expectAnswer();
     this.writer.write(encodeFrame(kind, 0, head, body));
   }
 
@@ -103,6 +127,8 @@
       case FrameKind.ping:
         this.writer.write(encodeFrame(FrameKind.pong, 0, ''));
         return;
+      case FrameKind.pong:
+        return;
       case FrameKind.hello:
         this.handleHello(frame);
         return;
@@ -117,7 +143,9 @@
       this.socket.destroy();
       return;
     }
+    this.hasHello = true;
     this.peerAcceptsBodyParts = hello.acceptsBodyParts;
+    if (hello.answersPings) this.liveness ??= new LivenessProbe(this.clock());
     this.writer.write(encodeFrame(FrameKind.hello, 0, JSON.stringify(this.events.hello())));
     this.events.onHello(hello, this);
   }
--- a/packages/peering/src/peer-link.ts
+++ b/packages/peering/src/peer-link.ts
@@ -5,20 +5,15 @@
 import { notSentReply, unknownReply } from './call-replies';
 import { decodeHello, encodeResolve } from './control-codec';
 import type { Frame, FrameKindNumber } from './frame';
-import { encodeFrame, FrameKind, FrameReader } from './frame';
+import { encodeFrame, FrameKind, FrameReader, isAnsweredKind } from './frame';
 import { FrameWriter, MIN_BODY_BYTES_FOR_PARTS } from './frame-writer';
 import { isSameProcess, type Hello } from './hello';
 import { IncomingBodies } from './incoming-bodies';
+import { Liveness, LivenessProbe } from './liveness-probe';
 import { OutstandingCall } from './outstanding-call';
 
 /** Timeout for connecting: several round trips within a region. */
 const CONNECT_TIMEOUT_MS = 600;
-/** Time without received data after which a connection with outstanding calls is probed. */
-const BUSY_PROBE_AFTER_MS = 300;
-/** Time without received data after which a connection without outstanding calls is probed. */
-const IDLE_PROBE_AFTER_MS = 2_000;
-/** Time after a probe without received data, after which the connection is closed. */
-const PROBE_TIMEOUT_MS = 700;
 /** Minimum and maximum backoff before a reconnect. */
 const MIN_BACKOFF_MS = 50;
 const MAX_BACKOFF_MS = 1_500;
@@ -77,11 +72,9 @@
     this.writer?.write(encodeFrame(FrameKind.bodyCredit, bytes, '')),
   );
 
-  private lastReceivedAtMs = 0;
-
   private lastCallAtMs: number;
 
-  private probedAtMs: number | undefined;
+  private liveness: LivenessProbe;
 
   private stateSinceMs = 0;
 
@@ -97,6 +90,7 @@
     private readonly bufferBudget: BufferBudget,
   ) {
     this.lastCallAtMs = clock();
+    this.liveness = new LivenessProbe(clock());
   }
 
   get isUp(): boolean {
@@ -164,7 +158,9 @@
 
   /** Sends a frame that belongs to no call, if the connection is up. */
   sendControl(kind: FrameKindNumber, head: string, body?: Buffer): void {
-    if (this.state === 'up') this.writer?.write(encodeFrame(kind, 0, head, body));
+    if (this.state !== 'up') return;
+    if (isAnsweredKind(kind)) this.liveness.expectAnswer();
+    this.writer?.write(encodeFrame(kind, 0, head, body));
   }
 
   /** Checks timeouts and reconnects; called several times a second. */
@@ -173,7 +169,7 @@
     if (this.state === 'down') {
       this.reconnectIfDue(nowMs);
     } else if (this.state === 'up') {
-      this.probeIfIdle(nowMs);
+      this.checkLiveness(nowMs);
     } else if (nowMs - this.stateSinceMs > CONNECT_TIMEOUT_MS) {
       // A lost machine does not respond either, so that this tells nothing of other connections.
       this.breakConnection(LinkEndReason.connectTimedOut, false);
@@ -194,19 +190,10 @@
     if (nowMs - this.stateSinceMs >= this.backoffMs) this.open(nowMs);
   }
 
-  private probeIfIdle(nowMs: number): void {
-    const idleMs = nowMs - this.lastReceivedAtMs;
-    if (this.probedAtMs !== undefined) {
-      if (this.lastReceivedAtMs >= this.probedAtMs) this.probedAtMs = undefined;
-      else if (nowMs - this.probedAtMs > PROBE_TIMEOUT_MS) {
-        this.breakConnection(LinkEndReason.probeTimedOut, true);
-      }
-      return;
-    }
-    const probeAfterMs = this.calls.size > 0 ? BUSY_PROBE_AFTER_MS : IDLE_PROBE_AFTER_MS;
-    if (idleMs < probeAfterMs) return;
-    this.probedAtMs = nowMs;
-    this.writer?.write(encodeFrame(FrameKind.ping, 0, ''));
+  private checkLiveness(nowMs: number): void {
+    const liveness = this.liveness.check(this.calls.size > 0, nowMs);
+    if (liveness === Liveness.lost) this.breakConnection(LinkEndReason.probeTimedOut, true);
+    if (liveness === Liveness.doubtful) this.writer?.write(encodeFrame(FrameKind.ping, 0, ''));
   }
 
   private open(nowMs: number): void {
@@ -223,7 +210,7 @@
     });
     socket.on('data', (chunk: Buffer) => {
       if (this.socket !== socket) return;
-      this.lastReceivedAtMs = this.clock();
+      this.liveness.recordReceived(this.clock());
       if (!reader.push(chunk, (frame) => this.handleFrame(frame, socket))) {
         this.handleSocketEnd(socket, 'malformed frame');
       }
@@ -253,6 +240,9 @@
         if (!this.incomingBodies.append(frame.stream, frame.body))
           this.breakConnection('body longer than announced', false);
         return;
+      case FrameKind.ping:
+        this.writer?.write(encodeFrame(FrameKind.pong, 0, ''));
+        return;
       case FrameKind.pong:
         return;
       default:
@@ -277,7 +267,6 @@
     }
     this.peerHello = hello;
     this.backoffMs = MIN_BACKOFF_MS;
-    this.probedAtMs = undefined;
     this.setState('up', this.clock());
     this.events.onHello(hello);
     // The record in the hello may have another address, for which the connection was closed.
@@ -397,7 +386,6 @@
   private setState(state: LinkState, nowMs: number): void {
     this.state = state;
     this.stateSinceMs = nowMs;
-    this.lastReceivedAtMs = nowMs;
-    this.probedAtMs = undefined;
+    this.liveness = new LivenessProbe(nowMs);
   }
 }
--- a/packages/peering/src/peer-server.ts
+++ b/packages/peering/src/peer-server.ts
@@ -29,6 +29,11 @@
     return false;
   }
 
+  /** Closes connections whose peers are silent; called several times a second. */
+  checkTimeouts(nowMs: number): void {
+    for (const peer of this.peers) peer.checkTimeouts(nowMs);
+  }
+
   listen(address: PeerAddress): Promise<void> {
     return new Promise((resolve, reject) => {
       this.server.once('error', reject);
--- a/packages/peering/tests/peer-link.test.ts
+++ b/packages/peering/tests/peer-link.test.ts
@@ -1,3 +1,4 @@
+import { BreakableProxy } from '@daisyferry/bench/breakable-proxy';
 import type { CallReply, ForwardedCall } from '@daisyferry/mesh/forwarded-call';
 import { ExecutionRecordRegistry } from '@daisyferry/mesh/execution-record-registry';
 import type { DaemonRecord } from '@daisyferry/mesh/daemon-record';
@@ -10,7 +11,6 @@
 import { PeerServer } from '@daisyferry/peering/peer-server';
 import { createConnection, createServer, type AddressInfo } from 'node:net';
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
-import { BreakableProxy } from './support/breakable-proxy';
 
 const CALL: ForwardedCall = {
   requestId: 'r-1',
@@ -79,6 +79,8 @@
 
   lostConnections = 0;
 
+  closedConnections = 0;
+
   finish: () => void = () => undefined;
 
   readonly bufferBudget = new BufferBudget(2_000_000);
@@ -105,6 +107,7 @@
         wantsView: false,
         isReading: false,
         acceptsBodyParts: this.acceptsBodyParts,
+        answersPings: true,
       }),
       onHello: () => undefined,
       onCall: (call, body, deliver) => {
@@ -124,7 +127,9 @@
         return found.isOpen ? this.inboundCall : undefined;
       },
       onControl: () => undefined,
-      onClosed: () => undefined,
+      onClosed: () => {
+        this.closedConnections += 1;
+      },
     },
     this.bufferBudget,
     () => performance.now(),
@@ -162,6 +167,7 @@
           wantsView: false,
           isReading: false,
           acceptsBodyParts: true,
+          answersPings: true,
         }),
         onHello: () => onHello(),
         onControl: () => undefined,
@@ -202,6 +208,29 @@
     expect(home.runs).toEqual(['r-1']);
   });
 
+  it('ends at both daemons, and is opened anew, when the connection goes silent for good', async () => {
+    const homeTimer = setInterval(() => home.server.checkTimeouts(performance.now()), 20);
+    link.connect();
+    await vi.waitFor(() => expect(ups).toBe(1), 5_000);
+    proxy.silenceConnections();
+    await vi.waitFor(() => expect(home.closedConnections).toBe(1), 10_000);
+    await vi.waitFor(() => expect(ups).toBe(2), 10_000);
+    expect(downs).toEqual([{ reason: 'probe timed out', wasUnresponsive: true }]);
+    clearInterval(homeTimer);
+  });
+
+  it('is probed soon when an answer fails to come', async () => {
+    link.connect();
+    await vi.waitFor(() => expect(ups).toBe(1), 5_000);
+    proxy.silenceConnections();
+    const askedAtMs = performance.now();
+    link.sendControl(FrameKind.freshnessRequest, '[1]');
+    clearInterval(timer);
+    for (let elapsedMs = 0; elapsedMs <= 1_200; elapsedMs += 100)
+      link.checkTimeouts(askedAtMs + elapsedMs);
+    expect(downs).toEqual([{ reason: 'probe timed out', wasUnresponsive: true }]);
+  });
+
   it('reports an unknown outcome when the home restarted', async () => {
     const replies: CallReply[] = [];
     link.call(CALL, BODY, (reply) => replies.push(reply));
--- a/packages/sidecar/src/peer-connections.ts
+++ b/packages/sidecar/src/peer-connections.ts
@@ -293,6 +293,7 @@
   private checkConnections(nowMs: number): void {
     const { directory, linkPlan, log, onDaemonRemoved } = this.parts;
     for (const link of this.links.values()) link.checkTimeouts(nowMs);
+    this.server.checkTimeouts(nowMs);
     for (const daemonId of directory.removeExpired(nowMs)) {
       this.closeLink(daemonId);
       linkPlan.remove(daemonId);
@@ -335,6 +336,7 @@
       wantsView: false,
       isReading: this.parts.isReading(),
       acceptsBodyParts: true,
+      answersPings: true,
     };
   }
 
