--- a/packages/sidecar/src/daemon-environment.ts
+++ b/packages/sidecar/src/daemon-environment.ts
@@ -23,6 +23,8 @@
     /** On which the local target announces its state. */
     readonly announcements: SocketAddress;
   };
+  /** Under which other daemons reach this one; undefined for the address on which it listens. */
+  readonly peerAddress?: SocketAddress | undefined;
   readonly store: {
     readonly address: SocketAddress;
     /** Shortest lease that the store grants. */
--- a/packages/sidecar/src/own-record.ts
+++ b/packages/sidecar/src/own-record.ts
@@ -30,12 +30,13 @@
 
   record(): DaemonRecord {
     const { daemonId, zone, listen } = this.environment;
+    const address = this.environment.peerAddress ?? listen.peers;
     const { announcement } = this.target;
     return {
       daemonId,
       incarnation: this.incarnation,
       revision: this.revision,
-      address: `${listen.peers.ip}:${listen.peers.port}`,
+      address: `${address.ip}:${address.port}`,
       zone,
       isLeaving: this.isLeaving,
       target: announcement && {
