Watch the configuration with two daemons of the fleet, not with one of each data centre

Each change ends each watch, and the platform charges for the next ones; since the bound rests on no watch, two are enough to tell of a change at once. The others that follow the store learn of it by reports, and watch when one of the two is lost.

--- a/packages/sidecar/src/store-sync.ts
+++ b/packages/sidecar/src/store-sync.ts
@@ -1,6 +1,8 @@
 import type { Moment } from '@daisyferry/mesh/moment';
 import type { FleetDirectory } from '@daisyferry/mesh/fleet-directory';
+import { ConfigurationWatchChoice } from '@daisyferry/mesh/configuration-watch-choice';
 import type { DaemonRecord } from '@daisyferry/mesh/daemon-record';
+import { requestRank } from '@daisyferry/mesh/request-rank';
 import {
   StoreReading,
   type DataCentrePeer,
@@ -53,6 +55,8 @@
 
   private readonly recordFollower: PrefixFollower;
 
+  private readonly watchChoice = new ConfigurationWatchChoice();
+
   private timer: NodeJS.Timeout | undefined;
 
   /** Number of times that the configuration's follower has heard from the store. */
@@ -139,7 +143,7 @@
     peerConnections.records.requestViewIfMissing(nowMs);
     const isSingleDataCentre = directory.zoneCount <= 1;
     const reading = readerChoice.decide(this.dataCentrePeers(), isSingleDataCentre, nowMs);
-    if (reading === StoreReading.follow) this.follow();
+    if (reading === StoreReading.follow) this.follow(nowMs);
     else this.stopFollowing();
     if (reading === StoreReading.once) {
       this.readRecordsOnce({ isFirst: false }).catch((error: unknown) => this.logFailedRead(error));
@@ -154,12 +158,27 @@
     }));
   }
 
-  private follow(): void {
-    if (this.recordFollower.isStarted) return;
-    this.parts.log.stateChange('follows the store');
-    this.configurationFollower.start();
-    this.recordFollower.start();
-    this.parts.registration.setFrequentRenewal(true);
+  private follow(nowMs: number): void {
+    if (!this.recordFollower.isStarted) {
+      this.parts.log.stateChange('follows the store');
+      this.watchChoice.reset();
+      this.recordFollower.start();
+      this.parts.registration.setFrequentRenewal(true);
+    }
+    const watches = this.watchChoice.decide(this.followersAhead(), nowMs);
+    if (watches === this.configurationFollower.isStarted) return;
+    this.parts.log.stateChange(`${watches ? 'watches' : 'no longer watches'} the configuration`);
+    if (watches) this.configurationFollower.start();
+    else this.configurationFollower.stop();
+  }
+
+  private followersAhead(): number {
+    const { peerConnections, ownDaemonId } = this.parts;
+    const { records } = peerConnections;
+    const ownRank = requestRank(ownDaemonId);
+    return [...peerConnections.connectedPeers()].filter(
+      ({ daemonId }) => records.isReader(daemonId) && requestRank(daemonId) < ownRank,
+    ).length;
   }
 
   private stopFollowing(): void {
