Spend fewer reads of the store on troubles that peers or time heal

A starting daemon first hears its peers, before it reads the store itself. One whose reads fail waits longer each time: those that follow the store go on. An unresponsive peer no longer ends the watches of the store, as no promise rests on them and each end costs two reads and two watches.

--- a/packages/mesh/src/freshness-schedule.ts
+++ b/packages/mesh/src/freshness-schedule.ts
@@ -25,8 +25,6 @@
 // Ages and intervals, as shares of the bound.
 const LEAD_READ_SHARE = 0.5;
 const FOLLOWER_READ_SHARE = 0.65;
-/** Interval between two reads while what is known is older than the bound. */
-const OVERDUE_READ_SHARE = 0.25;
 /** Age from which peers are asked, as their reports fail to come. */
 const UNREPORTED_SHARE = 0.6;
 /** Age from which a peer is asked that reports that it has learned something. */
@@ -39,6 +37,8 @@
 const OLD_SHARE = 0.7;
 /** Age from which a daemon that does not follow the store reads it. */
 const LACKING_SHARE = 0.75;
+/** Time after the start within which a daemon hears of its peers, before it reads the store itself. */
+const START_SHARE = 1.3;
 /** Random delay of such a read, where the fleet is small. */
 const OWN_READ_SPREAD_SHARE = 0.1;
 /** Reads a second that all daemons without fresh knowledge together send to the store. */
@@ -46,6 +46,8 @@
 const MS_PER_SECOND = 1_000;
 /** Longest and shortest interval between two such reads of one daemon, relative to their mean. */
 const MIN_JITTER = 0.5;
+/** Failures after which the interval between two such reads no longer doubles. */
+const MAX_FAILURES = 3;
 
 export function isOldAge(ageMs: number, boundMs: number): boolean {
   return ageMs >= boundMs * OLD_SHARE;
@@ -63,6 +65,9 @@
 
   private readAtMs = Number.NEGATIVE_INFINITY;
 
+  /** Reads that failed one after the other. */
+  private failures = 0;
+
   private askedAtMs = Number.NEGATIVE_INFINITY;
 
   private askedReporterAtMs = Number.NEGATIVE_INFINITY;
@@ -83,6 +88,10 @@
     return isDue;
   }
 
+  recordResult(isAnswered: boolean): void {
+    this.failures = isAnswered ? 0 : Math.min(MAX_FAILURES, this.failures + 1);
+  }
+
   /** Whether peers are to be asked now. */
   shouldAsk({ ageMs, boundMs }: FreshnessNeed, nowMs: number): boolean {
     if (ageMs < boundMs * UNREPORTED_SHARE) return false;
@@ -107,15 +116,13 @@
     this.ownReadAtMs = undefined;
     const share = role === ReadingRole.lead ? LEAD_READ_SHARE : FOLLOWER_READ_SHARE;
     if (ageMs < boundMs * share) return false;
-    const intervalShare = ageMs > boundMs ? OVERDUE_READ_SHARE : LEAD_READ_SHARE;
-    return nowMs - this.readAtMs >= boundMs * intervalShare;
+    return nowMs - this.readAtMs >= boundMs * LEAD_READ_SHARE;
   }
 
   private isOwnReadDue(need: FreshnessNeed, nowMs: number): boolean {
     const { ageMs, boundMs } = need;
-    // A starting daemon first hears its peers.
-    const lackedMs = Math.min(ageMs, nowMs - (this.startedAtMs ?? nowMs));
-    if (lackedMs < boundMs * LACKING_SHARE) {
+    const isStarting = nowMs - (this.startedAtMs ?? nowMs) < boundMs * START_SHARE;
+    if (isStarting || ageMs < boundMs * LACKING_SHARE) {
       this.ownReadAtMs = undefined;
       return false;
     }
@@ -126,6 +133,8 @@
   }
 
   private ownReadDelayMs({ boundMs, fleetSize }: FreshnessNeed, nowMs: number): number {
+    // A store that does not answer this daemon is left to those that follow it.
+    if (this.failures > 0) return boundMs * 2 ** this.failures * (MIN_JITTER + this.random());
     const fleetIntervalMs = (fleetSize() / FLEET_READS_PER_S) * MS_PER_SECOND;
     const hasJustRead = nowMs - this.readAtMs < boundMs;
     if (!hasJustRead) {
--- a/packages/sidecar/src/freshness-keeper.ts
+++ b/packages/sidecar/src/freshness-keeper.ts
@@ -183,9 +183,11 @@
   }
 
   private async read(): Promise<void> {
-    const { store, configurationKey, configuration, freshness, now, isFollowing } = this.parts;
+    const { store, schedule, configurationKey, configuration, freshness, now, isFollowing } =
+      this.parts;
     const begunAt = now();
     const result = await store.range({ key: configurationKey }, READ_TIMEOUT_MS);
+    schedule.recordResult(result.ok);
     if (!result.ok) return;
     const document = result.value.values.find(({ key }) => key === configurationKey)?.value ?? '';
     // A store without a configuration that this daemon has got from it has lost it.
--- a/packages/sidecar/src/peer-connections.ts
+++ b/packages/sidecar/src/peer-connections.ts
@@ -45,8 +45,6 @@
   readonly clock: () => number;
   /** True while this daemon follows the daemon records in the store. */
   readonly isReading: () => boolean;
-  /** Called when a peer connection became unresponsive; store connections may be affected too. */
-  readonly onUnresponsivePeer: () => void;
   /** Called when the home of this daemon or of a peer reports its shed level. */
   readonly onShedLevel: (daemonId: string, level: number, nowMs: number) => void;
   readonly onDaemonRemoved: (daemonId: string) => void;
@@ -265,12 +263,11 @@
           log.stateChange('peer connected', { daemonId });
           this.parts.onLinkChange(daemonId, 'up');
         },
-        onDown: (reason, wasUnresponsive) => {
+        onDown: (reason) => {
           directory.setConnected(daemonId, false, clock());
           this.forgetConnection(daemonId, link);
           log.stateChange('peer disconnected', { daemonId, reason });
           this.parts.onLinkChange(daemonId, linkChangeOf(reason));
-          if (wasUnresponsive) this.parts.onUnresponsivePeer();
         },
       },
       clock,
--- a/packages/sidecar/src/wire-sidecar.ts
+++ b/packages/sidecar/src/wire-sidecar.ts
@@ -11,7 +11,6 @@
 import { ClassInversions } from '@daisyferry/mesh/class-inversions';
 import { CrashSuspects, type CrashReport } from '@daisyferry/mesh/crash-suspects';
 import { DownstreamShedLevels } from '@daisyferry/mesh/downstream-shed-levels';
-import { EventThrottle } from '@daisyferry/mesh/event-throttle';
 import { ExecutionRecordRegistry } from '@daisyferry/mesh/execution-record-registry';
 import { FleetDirectory } from '@daisyferry/mesh/fleet-directory';
 import { LinkPlan } from '@daisyferry/mesh/link-plan';
@@ -93,11 +92,6 @@
 const BUFFER_SHARE_OF_MEMORY = 0.3;
 /** Maximum number of targets that are compared for one call. */
 const MAX_CANDIDATES = 12;
-/**
- * Shortest time between two resets of the store's connections because of an unresponsive peer: each
- * of many lost machines would otherwise interrupt the watches, which are then read again.
- */
-const STORE_RESET_INTERVAL_MS = 3_000;
 /** Daemons that were lost within this time, as in a partition, still have their share of retries. */
 const FLEET_SIZE_WINDOW_MS = 30_000;
 /** Time between two flushes of the log. */
@@ -162,7 +156,6 @@
   const levelChanges = new Emitter<number>();
   const shortageNews = new Emitter<readonly ServiceShortage[]>();
   const recordMissing = new Emitter<undefined>();
-  const storeResetThrottle = new EventThrottle(STORE_RESET_INTERVAL_MS);
   const downstreamLevels = new DownstreamShedLevels();
   // Short, as calls between data centres carry it.
   const processKey = randomBytes(PROCESS_KEY_BYTES).toString('base64url');
@@ -243,9 +236,6 @@
       isServiceUsed: (service) => chooser.isServiceUsed(service),
     }),
     isReading: () => storeState.isWatching,
-    onUnresponsivePeer: () => {
-      if (storeResetThrottle.passes(clock())) platform.resetStoreConnections();
-    },
     onShedLevel: (daemonId, level, nowMs) => {
       chooser.recordShedLevel(daemonId, level, nowMs);
       const service = directory.recordOf(daemonId)?.target?.service;
