Connect the daemons that follow the store in each data centre with each other

In a fleet of hundreds a daemon has four control links to other data centres, so that most followers did not hear each other's reads, and each read the configuration itself: 20 reads a second with 20 data centres. One that follows the store now keeps a link to the daemon that ranks first in each. A test draws a fleet of 600 in 20 data centres.

--- a/packages/mesh/src/fleet-directory.ts
+++ b/packages/mesh/src/fleet-directory.ts
@@ -1,5 +1,6 @@
 import type { DaemonRecord } from './daemon-record';
 import { isNewerRecord } from './daemon-record';
+import { requestRank } from './request-rank';
 
 interface DirectoryEntry {
   record: DaemonRecord;
@@ -53,6 +54,9 @@
 
   private readonly zoneSizes = new Map<string, number>();
 
+  /** First daemons in rank by data centre; undefined after a change. */
+  private firstOfZones: ReadonlyMap<string, string> | undefined;
+
   private readonly listeners: DirectoryListener[] = [];
 
   get size(): number {
@@ -91,6 +95,12 @@
     return this.zoneSizes.get(zone) ?? 0;
   }
 
+  /** True for the daemon that ranks first of those known in its data centre. */
+  isFirstOfZone({ daemonId, zone }: DaemonRecord): boolean {
+    this.firstOfZones ??= this.findFirstOfZones();
+    return this.firstOfZones.get(zone) === daemonId;
+  }
+
   /** Number of data centres with known daemons. */
   get zoneCount(): number {
     return this.zoneSizes.size;
@@ -198,7 +208,18 @@
     return false;
   }
 
+  private findFirstOfZones(): Map<string, string> {
+    const firsts = new Map<string, { readonly daemonId: string; readonly rank: number }>();
+    for (const { daemonId, zone } of this.allRecords()) {
+      const rank = requestRank(daemonId);
+      if (rank < (firsts.get(zone)?.rank ?? Number.POSITIVE_INFINITY))
+        firsts.set(zone, { daemonId, rank });
+    }
+    return new Map([...firsts].map(([zone, { daemonId }]) => [zone, daemonId]));
+  }
+
   private addToIndex(record: DaemonRecord): void {
+    this.firstOfZones = undefined;
     this.zoneSizes.set(record.zone, this.zoneSize(record.zone) + 1);
     const service = servedService(record);
     if (service === undefined) return;
@@ -207,6 +228,7 @@
   }
 
   private removeFromIndex(record: DaemonRecord): void {
+    this.firstOfZones = undefined;
     const othersInZone = this.zoneSize(record.zone) - 1;
     if (othersInZone > 0) this.zoneSizes.set(record.zone, othersInZone);
     else this.zoneSizes.delete(record.zone);
--- a/packages/mesh/src/link-plan.ts
+++ b/packages/mesh/src/link-plan.ts
@@ -33,11 +33,14 @@
     private readonly options: LinkPlanOptions,
   ) {}
 
-  isWanted({ daemonId, zone, target }: DaemonRecord): boolean {
+  isWanted(record: DaemonRecord): boolean {
+    const { daemonId, zone, target } = record;
     const { ownZone, isReading, isServiceUsed } = this.options;
     const rank = this.pairRank(daemonId);
     const localCount = this.directory.zoneSize(ownZone);
     if (zone === ownZone) return isReading() || rank * localCount < LOCAL_LINKS;
+    // The daemons that follow the store read the configuration for each other.
+    if (isReading() && this.directory.isFirstOfZone(record)) return true;
     const remoteCount = this.directory.size - localCount;
     if (rank * remoteCount < REMOTE_CONTROL_LINKS) return true;
     if (target?.isServing !== true || !isServiceUsed(target.service)) return false;
--- a/packages/mesh/tests/link-plan.test.ts
+++ b/packages/mesh/tests/link-plan.test.ts
@@ -40,6 +40,21 @@
 }
 
 describe('LinkPlan', () => {
+  it('connects the daemons that follow the store in each data centre with each other', () => {
+    const records = fleetOf(600, 20);
+    const directory = directoryOf(records);
+    const firsts = records.filter((record) => directory.isFirstOfZone(record));
+    expect(new Set(firsts.map(({ zone }) => zone)).size).toBe(20);
+    for (const own of firsts) {
+      const plan = planOf(directory, own, true);
+      expect(firsts.filter((other) => other === own || plan.isWanted(other))).toEqual(firsts);
+    }
+    const [first] = firsts;
+    directory.markRemovedFromStore(first?.daemonId ?? '', 0);
+    directory.removeExpired(60_000);
+    expect(records.filter((record) => directory.isFirstOfZone(record))).not.toContain(first);
+  });
+
   it.each([
     [14, 3],
     [195, 6],
