--- a/review/3/main.mjs
+++ b/review/3/main.mjs
@@ -3,10 +3,13 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import { CallerConnection } from '../lib/caller.mjs';
 import { runCase } from '../lib/run-case.mjs';
+import { configurationDocument } from '../lib/settings.mjs';
 import { lostRequests, startLoads, startTellers } from '../lib/scenario.mjs';
 
 /** The request whose answer has no end. */
 const ENDLESS_ID = 'endless';
+/** Time that the operator and the caller give a request; a busy machine needs more than 5 s. */
+const TIMEOUT_MS = 30_000;
 /** A part of a body in chunks of one byte. */
 const CHUNKS = Buffer.from('1\r\nx\r\n'.repeat(10_000));
 /** Long enough for the requests of the callers to be in progress when a daemon ends. */
@@ -41,13 +44,18 @@
 
 runCase(import.meta.url, async (fleet, record, hasTrouble) => {
   const answerFor = hasTrouble ? (machine) => answerWithoutEnd(record, machine) : undefined;
-  const options = { names: ['m1', 'm2'], serviceMs: serviceMsOf, answerFor };
+  const configuration = configurationDocument(`${TIMEOUT_MS}ms`);
+  const options = { names: ['m1', 'm2'], serviceMs: serviceMsOf, answerFor, configuration };
   const { targets } = await startTellers(fleet, record, options);
   const loads = startLoads(fleet, 24);
   await sleep(1_000);
   const fromMs = performance.now();
   const connection = new CallerConnection(fleet.machines[0]);
-  const { status } = await connection.request({ id: ENDLESS_ID, path: '/read/endless' });
+  const { status } = await connection.request({
+    id: ENDLESS_ID,
+    path: '/read/endless',
+    deadlineMs: TIMEOUT_MS,
+  });
   record.line(`request ${ENDLESS_ID}: ${status === 0 ? 'no answer' : `answer ${status}`}`);
   await sleep(3_000);
   for (const load of loads) await load.stop();
--- a/review/lib/scenario.mjs
+++ b/review/lib/scenario.mjs
@@ -7,8 +7,8 @@
  * Starts machines with a target of the service `teller` and a daemon each. `answerFor` returns what
  * the target beside a machine passes to `Target` as `answer`.
  */
-export async function startTellers(fleet, record, { names, serviceMs, answerFor }) {
-  await fleet.start();
+export async function startTellers(fleet, record, { names, serviceMs, answerFor, configuration }) {
+  await fleet.start(configuration);
   const targets = [];
   for (const name of names) {
     const machine = await fleet.addMachine(name, 'teller');
--- a/review/lib/settings.mjs
+++ b/review/lib/settings.mjs
@@ -69,15 +69,15 @@
   };
 }
 
-/** A configuration with one service, `teller`, and a safe and an unsafe route to it. */
-export function configurationDocument() {
+/** A configuration with a safe and an unsafe route to the service `teller`, and their timeout. */
+export function configurationDocument(timeout = '5s') {
   const rule = (name, kind, prefix, priority) => ({
     name,
     kind,
     targetLatency: '1200ms',
     priority,
     match: { prefix },
-    action: { service: 'teller', timeout: '5s', maxAttempts: 2 },
+    action: { service: 'teller', timeout, maxAttempts: 2 },
   });
   return {
     version: '0000000c',
