--- a/review/lib/load.mjs
+++ b/review/lib/load.mjs
@@ -39,7 +39,7 @@
       this.results.push({ id, sentMs, endMs: performance.now(), ...result });
       if (result.isComplete && !connection.isOpen) connection = new CallerConnection(this.machine);
       else if (!connection.isOpen) {
-        await sleep(100);
+        await sleep(500);
         connection = new CallerConnection(this.machine);
       }
       await sleep(pauseMs);
