--- a/review/1/main.mjs
+++ b/review/1/main.mjs
@@ -52,7 +52,7 @@
   return Math.round(Number(/VmRSS:\s+(\d+)/.exec(status)?.[1] ?? 0) / 1_024);
 }
 
-runCase(import.meta.url, async (fleet, record, hasTrouble) => {
+runCase(async (fleet, record, hasTrouble) => {
   const { targets } = await startTellers(fleet, record, { names: ['m1', 'm2'], serviceMs: 1_000 });
   const loads = startLoads(fleet, 8);
   let version = 16;
--- a/review/3/main.mjs
+++ b/review/3/main.mjs
@@ -42,7 +42,7 @@
   };
 }
 
-runCase(import.meta.url, async (fleet, record, hasTrouble) => {
+runCase(async (fleet, record, hasTrouble) => {
   const answerFor = hasTrouble ? (machine) => answerWithoutEnd(record, machine) : undefined;
   const configuration = configurationDocument(`${TIMEOUT_MS}ms`);
   const options = { names: ['m1', 'm2'], serviceMs: serviceMsOf, answerFor, configuration };
--- a/review/5/main.mjs
+++ b/review/5/main.mjs
@@ -16,7 +16,7 @@
 /** How long the target goes on serving after the acknowledgement. */
 const SERVES_ON_MS = 9_000;
 
-runCase(import.meta.url, async (fleet, record, hasTrouble) => {
+runCase(async (fleet, record, hasTrouble) => {
   const options = { names: ['m1', 'm2'], serviceMs: 200 };
   const { targets, announcers } = await startTellers(fleet, record, options);
   const [leaving] = targets;
--- a/review/lib/fleet.mjs
+++ b/review/lib/fleet.mjs
@@ -51,6 +51,12 @@
     return machine;
   }
 
+  /** Ends the daemons at once, as the script itself ends. */
+  killDaemons() {
+    for (const { child, isRunning } of this.machines)
+      if (child !== undefined && isRunning) child.kill('SIGKILL');
+  }
+
   /** Ends all processes and removes the temporary folder. */
   async stop() {
     for (const machine of this.machines) {
--- a/review/lib/machine.mjs
+++ b/review/lib/machine.mjs
@@ -78,7 +78,7 @@
   }
 
   get isRunning() {
-    return this.child.exitCode === null && this.child.signalCode === null;
+    return this.child?.exitCode === null && this.child.signalCode === null;
   }
 
   async isReady() {
--- a/review/lib/record.mjs
+++ b/review/lib/record.mjs
@@ -1,22 +1,18 @@
-import { createWriteStream } from 'node:fs';
-import path from 'node:path';
+import { appendFileSync } from 'node:fs';
 import { performance } from 'node:perf_hooks';
 
-/** Appends lines with the time since the start of the script to the record of a case. */
+/**
+ * The record of a case, a file that `run.sh` has begun. Lines carry the time since the start of the
+ * script and are written at once, so that none is missing if the script is ended.
+ */
 export class Record {
-  constructor(folder) {
+  constructor(path) {
+    this.path = path;
     this.startMs = performance.now();
-    this.stream = createWriteStream(path.join(folder, 'record.txt'));
   }
 
   line(text) {
     const seconds = ((performance.now() - this.startMs) / 1_000).toFixed(3);
-    this.stream.write(`${seconds.padStart(8)} s  ${text}\n`);
-  }
-
-  close() {
-    return new Promise((resolve) => {
-      this.stream.end(resolve);
-    });
+    appendFileSync(this.path, `${seconds.padStart(8)} s  ${text}\n`);
   }
 }
