Log signals, the steps of a stop and each request that is cut

Each signal is now logged with the daemon's state, each step of a stop with what is in progress, and a request that was read whole and whose connection ends without its response is counted by reason and phase (daisyferry_requests_cut_total) and logged with its id. The last line of a process names why it ends. No decision changes.

--- a/packages/sidecar/src/caller-connection.ts
+++ b/packages/sidecar/src/caller-connection.ts
@@ -5,6 +5,8 @@
 import { encodeResponse } from '@daisyferry/http1/message-writer';
 import { HeldBody, type BodyReservation, type BufferBudget } from '@daisyferry/mesh/buffer-budget';
 import type { Socket } from 'node:net';
+import { CutPhase, CutReason, phaseOfUnwritten } from './cut-requests';
+import type { CutPhaseName, CutReasonName, CutRequest } from './cut-requests';
 import type { Respond, CancellableRequest } from './entry';
 import type { PipelineCounts } from './pipeline-counts';
 import type { PipelinedRequest } from './pipelined-request';
@@ -35,6 +37,8 @@
   readonly onProblem: (detail: string) => void;
   /** Called when a response is dropped, as its request was answered before. */
   readonly onSurplusResponse: (status: number) => void;
+  /** Called for each request that was read whole and whose connection ends without its response. */
+  readonly onCut?: (cut: CutRequest) => void;
   readonly clock: () => number;
 }
 
@@ -95,11 +99,20 @@
 
   private lastActivityAtMs: number;
 
+  /** The request whose response was written last. */
+  private lastWritten: PipelinedRequest | undefined;
+
+  /** Why this side closed the connection; undefined if the caller did. */
+  private closeReason: CutReasonName | undefined;
+
   constructor(
     private readonly socket: Socket,
     private readonly listener: CallerConnectionHost,
   ) {
-    this.pipeline = new RequestPipeline(listener.parts.mayRunAhead, listener.parts.pipelineCounts);
+    const { mayRunAhead, pipelineCounts } = listener.parts;
+    this.pipeline = new RequestPipeline(mayRunAhead, pipelineCounts, (entry) =>
+      this.reportCut(entry, phaseOfUnwritten(entry)),
+    );
     this.lastActivityAtMs = listener.parts.clock();
     socket.setNoDelay(true);
     socket.on('data', (chunk: Buffer) => this.receive(chunk));
@@ -118,6 +131,11 @@
     if (!this.reader.hasPartialRequest) this.close();
   }
 
+  /** True while a request has partly arrived. */
+  get hasPartialRequest(): boolean {
+    return !this.hasEnded && this.reader.hasPartialRequest;
+  }
+
   /** True while a response is not sent whole. */
   get hasUnsentBytes(): boolean {
     return !this.socket.destroyed && this.socket.writableLength > 0;
@@ -127,7 +145,9 @@
    * Closes the connection in any state. A response that is not sent whole is cut off by a reset:
    * if its end is that of the connection, it would look complete otherwise.
    */
-  close(): void {
+  close(reason: CutReasonName = CutReason.stop): void {
+    this.closeReason ??= reason;
+    if (this.hasUnsentBytes) this.reportUnsent();
     // By itself, a reset waits until the bytes are sent.
     if (this.hasUnsentBytes) this.socket.resetAndDestroy();
     this.socket.destroy();
@@ -136,7 +156,7 @@
   checkTimeouts(nowMs: number): void {
     const idleMs = nowMs - this.lastActivityAtMs;
     if (this.hasUnsentBytes) {
-      if (idleMs > UNREAD_RESPONSE_TIMEOUT_MS) this.close();
+      if (idleMs > UNREAD_RESPONSE_TIMEOUT_MS) this.close(CutReason.unread);
       return;
     }
     if (this.hasEnded) {
@@ -195,6 +215,7 @@
     if (entry.responseReservation !== undefined)
       this.unreadReservations.push(entry.responseReservation);
     writeBuffers(this.socket, encodeResponse(response, isHead, closesConnection));
+    this.lastWritten = entry;
     if (closesConnection) this.end();
     return true;
   }
@@ -319,8 +340,22 @@
     for (const reservation of this.unreadReservations.splice(0)) reservation.release();
   }
 
+  private reportUnsent(): void {
+    if (this.lastWritten !== undefined) this.reportCut(this.lastWritten, CutPhase.sending);
+  }
+
+  private reportCut({ input }: PipelinedRequest, phase: CutPhaseName): void {
+    const { parts } = this.listener;
+    const { request, readMs } = input;
+    if (request === undefined) return;
+    const endReason = this.socket.destroyed ? CutReason.callerLeft : CutReason.behindClose;
+    const reason = this.closeReason ?? endReason;
+    parts.onCut?.({ request, reason, phase, ageMs: parts.clock() - readMs });
+  }
+
   private handleClose(): void {
     this.listener.remove(this);
+    if (this.closeReason === undefined && this.socket.writableLength > 0) this.reportUnsent();
     this.releaseBody();
     this.releaseUnread();
     this.pipeline.dropAll();
--- a/packages/sidecar/src/caller-listener.ts
+++ b/packages/sidecar/src/caller-listener.ts
@@ -40,6 +40,11 @@
     return false;
   }
 
+  /** Connections on which a request has partly arrived. */
+  get arrivingCount(): number {
+    return [...this.connections].filter(({ hasPartialRequest }) => hasPartialRequest).length;
+  }
+
   listen({ ip, port }: SocketAddress): Promise<void> {
     return new Promise((resolve, reject) => {
       this.server.once('error', reject);
--- a/packages/sidecar/src/event-log.ts
+++ b/packages/sidecar/src/event-log.ts
@@ -59,6 +59,12 @@
     this.destination.flush();
   }
 
+  /** Logs why the process ends, and writes all lines that are buffered. */
+  processEnd(cause: string, fields: Readonly<Record<string, unknown>> = {}): void {
+    this.logger.warn({ cause, ...fields }, 'process ends');
+    this.flushSync();
+  }
+
   /** Writes the buffered lines before the process ends. */
   flushSync(): void {
     this.destination.flushSync();
--- a/packages/sidecar/src/home.ts
+++ b/packages/sidecar/src/home.ts
@@ -93,6 +93,11 @@
     return this.activeCalls.size;
   }
 
+  /** Calls that wait for a slot of the target. */
+  get waitingCount(): number {
+    return this.parts.queue.waitingCount;
+  }
+
   /** Crashes of the local target since the start of the daemon. */
   get crashCount(): number {
     return this.crashes;
--- a/packages/sidecar/src/request-pipeline.ts
+++ b/packages/sidecar/src/request-pipeline.ts
@@ -44,6 +44,8 @@
   constructor(
     private readonly mayRunAhead: (request: RequestMessage) => boolean = () => false,
     private readonly counts = new PipelineCounts(),
+    /** Called with each request that is given up. */
+    private readonly onDropped: (entry: PipelinedRequest) => void = () => undefined,
   ) {}
 
   get isEmpty(): boolean {
@@ -155,6 +157,7 @@
       this.requestBytes -= entry.bodyBytes;
       this.countHeld(-entry.responseBytes);
       if (index > 0 && entry.isStarted) this.counts.droppedBehindClose += 1;
+      this.onDropped(entry);
       entry.drop();
     }
   }
--- a/packages/sidecar/src/sidecar-lifecycle.ts
+++ b/packages/sidecar/src/sidecar-lifecycle.ts
@@ -48,13 +48,30 @@
   });
 }
 
+const LifecycleState = {
+  created: 'created',
+  starting: 'starting',
+  running: 'running',
+  stopping: 'stopping',
+  stopped: 'stopped',
+} as const;
+
+type LifecycleStateName = (typeof LifecycleState)[keyof typeof LifecycleState];
+
 /** Starts one daemon and stops it gracefully. */
 export class SidecarLifecycle {
   private flushTimer: NodeJS.Timeout | undefined;
 
-  constructor(private readonly parts: SidecarLifecycleParts) {}
+  private state: LifecycleStateName = LifecycleState.created;
+
+  private stateSinceMs: number;
+
+  constructor(private readonly parts: SidecarLifecycleParts) {
+    this.stateSinceMs = parts.clock();
+  }
 
   async start(): Promise<void> {
+    this.setState(LifecycleState.starting);
     const { environment, peerConnections, callers, announcements, readiness, log } = this.parts;
     const { listen } = environment;
     await Promise.all([
@@ -68,6 +85,18 @@
     this.parts.freshnessKeeper.start();
     this.flushTimer = setInterval(() => log.flush(), this.parts.logFlushIntervalMs);
     log.stateChange('started', { environment });
+    this.setState(LifecycleState.running);
+  }
+
+  /** Logs a signal that the process received, with the state that the daemon is in. */
+  recordSignal(signal: string): void {
+    const stateForMs = Math.round(this.parts.clock() - this.stateSinceMs);
+    this.parts.log.stateChange('signal received', { signal, state: this.state, stateForMs });
+  }
+
+  /** Logs why the process ends, before it does. */
+  recordProcessEnd(cause: string, fields: Readonly<Record<string, unknown>> = {}): void {
+    this.parts.log.processEnd(cause, { state: this.state, ...fields });
   }
 
   /** Applies the bounds of a settings file that was read again; the rest needs a restart. */
@@ -87,19 +116,22 @@
   async stop(): Promise<void> {
     if (this.parts.readyState.isStopping) return;
     this.parts.readyState.beginStop();
-    const { callers, ownRecord, home, entry, log, peerConnections, registration } = this.parts;
+    this.setState(LifecycleState.stopping);
+    const { callers, ownRecord, home, entry, peerConnections, registration } = this.parts;
     const { graceMs } = this.parts.bounds.get();
     const stopDeadlineMs = this.parts.clock() + graceMs - EXIT_MARGIN_MS;
-    log.stateChange('stopping', { activeEntry: entry.activeCount, activeHome: home.activeCount });
+    this.logStop('stopping');
     callers.isClosing = true;
     // The target keeps running and is reachable only through this daemon, so that it continues to
     // serve until callers have learned of the stop.
     const noticeMs = Math.min(CALLER_NOTICE_MS, graceMs * MAX_NOTICE_SHARE_OF_GRACE);
     const peerNoticeMs = Math.min(PEER_NOTICE_MS, noticeMs / 2);
     await delay(noticeMs - peerNoticeMs);
+    this.logStop('stop: peers are told');
     ownRecord.publishLeaving();
     await delay(peerNoticeMs);
     // A request accepted from now on might not be finished in the remaining time.
+    this.logStop('stop: no longer listening');
     callers.stopListening();
     callers.closeIdle();
     const hasWork = () =>
@@ -111,17 +143,39 @@
       await delay(STOP_CHECK_INTERVAL_MS);
       callers.closeIdle();
     }
+    this.logStop('stop: work ended');
     home.close();
     callers.close();
     this.parts.storeSync.stop();
     this.parts.freshnessKeeper.stop();
     await Promise.race([registration.stop(), delay(EXIT_MARGIN_MS / 2)]);
+    this.logStop('stop: connections close');
     peerConnections.stop();
     callers.closeConnections();
     this.parts.announcements.close();
     this.parts.readiness.close();
     clearInterval(this.flushTimer);
-    log.stateChange('stopped', { activeEntry: entry.activeCount, activeHome: home.activeCount });
-    log.flushSync();
+    this.logStop('stopped');
+    this.setState(LifecycleState.stopped);
+    this.parts.log.flushSync();
+  }
+
+  private setState(state: LifecycleStateName): void {
+    this.state = state;
+    this.stateSinceMs = this.parts.clock();
+  }
+
+  /** Logs a step of the stop with what is in progress. */
+  private logStop(step: string): void {
+    const { callers, entry, home, peerConnections, log, clock } = this.parts;
+    log.stateChange(step, {
+      sinceStopMs: Math.round(clock() - this.stateSinceMs),
+      activeEntry: entry.activeCount,
+      activeHome: home.activeCount,
+      waitingHome: home.waitingCount,
+      arrivingRequests: callers.arrivingCount,
+      hasUnsentResponses: callers.hasUnsentBytes,
+      hasUnsentReplies: peerConnections.hasUnsentReplies,
+    });
   }
 }
--- a/packages/sidecar/src/sidecar-metrics.ts
+++ b/packages/sidecar/src/sidecar-metrics.ts
@@ -36,6 +36,11 @@
     this.increment(`daisyferry_target_responses_discarded_total{reason="${reason}"}`);
   }
 
+  /** Counts a request that was read whole and whose connection ended without its response. */
+  countCutRequest(reason: string, phase: string): void {
+    this.increment(`daisyferry_requests_cut_total{reason="${reason}",phase="${phase}"}`);
+  }
+
   /** Counts a window in which a class was served less than a less urgent one at the service. */
   countClassInversion(service: string): void {
     this.increment(`daisyferry_class_inversions_total{service="${service}"}`);
--- a/packages/sidecar/src/wire-sidecar.ts
+++ b/packages/sidecar/src/wire-sidecar.ts
@@ -43,6 +43,7 @@
 import type { ResponseFieldNames } from './classify-target-response';
 import { ConfigurationHolder } from './configuration-holder';
 import { ControlListener } from './control-listener';
+import { CutRequestReport } from './cut-requests';
 import type { DaemonEnvironment } from './daemon-environment';
 import { DiscardedResponseReport } from './discarded-response-report';
 import { Entry, type SidecarEntryParts } from './entry';
@@ -342,6 +343,7 @@
   };
   const entry = new Entry(entryParts, identification);
   const pipelineCounts = new PipelineCounts();
+  const cutRequests = new CutRequestReport(responseFieldNames.requestId, log, metrics);
   const callers = new CallerListener({
     handle: (request, respond, readMs) => entry.handle(request, respond, readMs),
     mayRunAhead: (request) => entry.mayRunAhead(request),
@@ -351,6 +353,7 @@
     onProblem: (detail) => log.decision('request rejected', { detail }),
     onSurplusResponse: (status) =>
       log.decision('second response to a request of a caller dropped', { status }),
+    onCut: (cut) => cutRequests.record(cut),
     clock,
   });
   const announcementHandler = new AnnouncementHandler({
