--- a/packages/sidecar/src/sidecar-lifecycle.ts
+++ b/packages/sidecar/src/sidecar-lifecycle.ts
@@ -66,6 +66,8 @@
 
   private stateSinceMs: number;
 
+  private stopped: Promise<void> | undefined;
+
   constructor(private readonly parts: SidecarLifecycleParts) {
     this.stateSinceMs = parts.clock();
   }
@@ -112,9 +114,16 @@
     this.parts.log.warn('settings invalid; keeping the previous ones', { problem });
   }
 
-  /** Finishes the work in progress and stops, within the grace time. */
-  async stop(): Promise<void> {
-    if (this.parts.readyState.isStopping) return;
+  /**
+   * Finishes the work in progress and stops, within the grace time. Each further call returns the
+   * promise of the first: a stop in progress is never shortened.
+   */
+  stop(): Promise<void> {
+    this.stopped ??= this.runStop();
+    return this.stopped;
+  }
+
+  private async runStop(): Promise<void> {
     this.parts.readyState.beginStop();
     this.setState(LifecycleState.stopping);
     const { callers, ownRecord, home, entry, peerConnections, registration } = this.parts;
--- a/packages/sidecar/tests/sidecar-lifecycle.test.ts
+++ b/packages/sidecar/tests/sidecar-lifecycle.test.ts
@@ -30,6 +30,7 @@
   /** Stubs of the daemon's components, with the members that a stop uses. */
   parts(): SidecarLifecycleParts {
     const record = (step: string) => () => this.recordStep(step);
+    const recordUnready = record('unready');
     const activeHomeCalls = () => this.activeHomeCalls;
     const hasUnsentBytes = () => this.hasUnsentBytes;
     const hasUnsentReplies = () => this.hasUnsentReplies;
@@ -40,7 +41,13 @@
         retryRatio: 0.2,
         retrySlack: 48,
       }),
-      readyState: { isStopping: false, beginStop: record('unready') },
+      readyState: {
+        isStopping: false,
+        beginStop() {
+          this.isStopping = true;
+          recordUnready();
+        },
+      },
       callers: {
         isClosing: false,
         closeIdle: () => undefined,
@@ -123,6 +130,24 @@
     expect(recorder.atMs('home closed')).toBeLessThan(4_100);
   });
 
+  it('is not shortened by a second request to stop, which ends with the first', async () => {
+    const recorder = new StopRecorder();
+    recorder.activeHomeCalls = 1;
+    const lifecycle = new SidecarLifecycle(recorder.parts());
+    const stopped = lifecycle.stop();
+    await vi.advanceTimersByTimeAsync(500);
+    let hasSecondEnded = false;
+    const second = lifecycle.stop().then(() => {
+      hasSecondEnded = true;
+    });
+    await vi.advanceTimersByTimeAsync(3_500);
+    expect(hasSecondEnded).toBe(false);
+    recorder.activeHomeCalls = 0;
+    await vi.advanceTimersByTimeAsync(1_000);
+    await Promise.all([stopped, second]);
+    expect(recorder.steps.filter(({ step }) => step === 'home closed')).toHaveLength(1);
+  });
+
   it('stops within the grace time even if its target has unfinished work', async () => {
     const recorder = new StopRecorder();
     recorder.activeHomeCalls = 1;
