--- a/packages/sidecar/src/sidecar-lifecycle.ts
+++ b/packages/sidecar/src/sidecar-lifecycle.ts
@@ -66,13 +66,25 @@
 
   private stateSinceMs: number;
 
+  private started: Promise<void> | undefined;
+
   private stopped: Promise<void> | undefined;
 
   constructor(private readonly parts: SidecarLifecycleParts) {
     this.stateSinceMs = parts.clock();
   }
 
-  async start(): Promise<void> {
+  start(): Promise<void> {
+    this.started ??= this.runStart();
+    return this.started;
+  }
+
+  /** True from the call of `start` on. */
+  get hasStarted(): boolean {
+    return this.started !== undefined;
+  }
+
+  private async runStart(): Promise<void> {
     this.setState(LifecycleState.starting);
     const { environment, peerConnections, callers, announcements, readiness, log } = this.parts;
     const { listen } = environment;
@@ -87,7 +99,7 @@
     this.parts.freshnessKeeper.start();
     this.flushTimer = setInterval(() => log.flush(), this.parts.logFlushIntervalMs);
     log.stateChange('started', { environment });
-    this.setState(LifecycleState.running);
+    if (this.stopped === undefined) this.setState(LifecycleState.running);
   }
 
   /** Logs a signal that the process received, with the state that the daemon is in. */
@@ -131,6 +143,8 @@
     const stopDeadlineMs = this.parts.clock() + graceMs - EXIT_MARGIN_MS;
     this.logStop('stopping');
     callers.isClosing = true;
+    // What is accepted during a start is finished, too.
+    if (this.started !== undefined) await this.started.catch(() => undefined);
     // The target keeps running and is reachable only through this daemon, so that it continues to
     // serve until callers have learned of the stop.
     const noticeMs = Math.min(CALLER_NOTICE_MS, graceMs * MAX_NOTICE_SHARE_OF_GRACE);
