Leave out entries of the store that cannot be used, and follow the others

Callers saw requests without an answer: another writer's entry among the daemons' records whose address cannot be read (`unknown`, a port out of range) ended all daemons, and again after each start.

Cause: a record was checked for the types of its fields alone. The address was split when a link was opened, in a timer, where createConnection throws for a port that is none. Records were also passed on as they were parsed, with unknown fields: one that is nested deeply makes JSON.stringify throw a RangeError in the report to the peers, so that following begins again and again.

Change: a record is read once into a new object of the known fields, with a range each: an address that can be connected to (IPv4 and a port from 1 on), ids that fit a header field, safe integers that a later record can exceed, and the daemon id of its key. A daemon writes its own record again if another writer has made it unreadable.

Fixtures of tests now have an address that can be connected to, as a hello without one is refused; the checks are unchanged.

--- a/packages/mesh/src/daemon-record.ts
+++ b/packages/mesh/src/daemon-record.ts
@@ -1,3 +1,5 @@
+import type { SocketAddress } from './socket-address';
+
 /** A target's announcement of its own state. */
 export interface TargetAnnouncement {
   readonly targetId: string;
@@ -17,6 +19,9 @@
   readonly bornUnixMs: number | undefined;
 }
 
+/** Greatest incarnation and revision of a record; a Unix time in milliseconds is far below. */
+export const MAX_RECORD_NUMBER = 2 ** 52;
+
 /** A daemon's description of itself and its local target, for the other daemons. */
 export interface DaemonRecord {
   readonly daemonId: string;
@@ -24,8 +29,8 @@
   readonly incarnation: number;
   /** Counts changes within one incarnation. */
   readonly revision: number;
-  /** `ip:port` at which the daemon accepts calls of other daemons. */
-  readonly address: string;
+  /** Address at which the daemon accepts calls of other daemons. */
+  readonly address: SocketAddress;
   /** Data centre of the daemon and its target. */
   readonly zone: string;
   /** True once the daemon is about to stop: no new calls are sent to it. */
--- a/packages/mesh/tests/fleet-directory.test.ts
+++ b/packages/mesh/tests/fleet-directory.test.ts
@@ -1,5 +1,6 @@
 import type { DaemonRecord } from '@daisyferry/mesh/daemon-record';
 import { FleetDirectory } from '@daisyferry/mesh/fleet-directory';
+import { SocketAddress } from '@daisyferry/mesh/socket-address';
 import fc from 'fast-check';
 import { describe, expect, it } from 'vitest';
 
@@ -8,7 +9,7 @@
     daemonId: 'd-1',
     incarnation: 10,
     revision: 1,
-    address: '10.0.0.1:1',
+    address: new SocketAddress('10.0.0.1', 1),
     zone: 'z',
     isLeaving: false,
     target: { targetId: 'i-1', service: 's', slots: 4, isServing: true, coldMs: 0 },
--- a/packages/mesh/tests/link-plan.test.ts
+++ b/packages/mesh/tests/link-plan.test.ts
@@ -1,6 +1,7 @@
 import type { DaemonRecord } from '@daisyferry/mesh/daemon-record';
 import { FleetDirectory } from '@daisyferry/mesh/fleet-directory';
 import { LinkPlan } from '@daisyferry/mesh/link-plan';
+import { SocketAddress } from '@daisyferry/mesh/socket-address';
 import { describe, expect, it } from 'vitest';
 
 /** One home of 's' in eight daemons, and one of 'rare' in 64; the others serve 'other'. */
@@ -16,7 +17,7 @@
       daemonId: `daemon-${index}`,
       incarnation: 1,
       revision: 1,
-      address: '10.0.0.1:1',
+      address: new SocketAddress('10.0.0.1', 1),
       zone: `z${index % zones}`,
       isLeaving: false,
       target: { targetId: `i-${index}`, service, slots: 4, isServing: true, coldMs: 0 },
--- a/packages/mesh/tests/support/replayed-service.ts
+++ b/packages/mesh/tests/support/replayed-service.ts
@@ -1,6 +1,7 @@
 import { FleetDirectory } from '@daisyferry/mesh/fleet-directory';
 import { TargetChooser } from '@daisyferry/mesh/target-chooser';
 import { TargetNoticeTable } from '@daisyferry/mesh/target-notice-table';
+import { SocketAddress } from '@daisyferry/mesh/socket-address';
 import {
   ReplayedHome,
   type ReplayedCall,
@@ -38,7 +39,7 @@
     this.homes = targets.map((behaviour, index) => {
       const daemonId = String(index);
       const target = { targetId: daemonId, service: 's', slots, isServing: true, coldMs: 0 };
-      const place = { address: 'a:1', zone: 'z', isLeaving: false };
+      const place = { address: new SocketAddress('10.0.0.1', 1), zone: 'z', isLeaving: false };
       const record = { daemonId, incarnation: 1, revision: 1, ...place, target };
       directory.applyRecord(record, 'stored', 0);
       directory.setConnected(daemonId, true, 0);
--- a/packages/mesh/tests/target-chooser.test.ts
+++ b/packages/mesh/tests/target-chooser.test.ts
@@ -2,6 +2,7 @@
 import type { TargetLoad } from '@daisyferry/mesh/forwarded-call';
 import { TargetChooser, type TargetQuery } from '@daisyferry/mesh/target-chooser';
 import { TargetNoticeTable } from '@daisyferry/mesh/target-notice-table';
+import { SocketAddress } from '@daisyferry/mesh/socket-address';
 import { describe, expect, it } from 'vitest';
 
 const IDLE: TargetLoad = {
@@ -38,7 +39,7 @@
       daemonId,
       incarnation: 1,
       revision: 1,
-      address: 'a:1',
+      address: new SocketAddress('10.0.0.1', 1),
       zone,
       isLeaving: false,
     };
--- a/packages/peering/src/control-codec.ts
+++ b/packages/peering/src/control-codec.ts
@@ -1,8 +1,9 @@
 import type { CrashReport } from '@daisyferry/mesh/crash-suspects';
-import type { DaemonRecord, ServingTarget } from '@daisyferry/mesh/daemon-record';
+import type { DaemonRecord } from '@daisyferry/mesh/daemon-record';
 import type { Attempt } from '@daisyferry/mesh/forwarded-call';
 import type { ServiceShortage } from '@daisyferry/mesh/shortage-news';
 import type { Hello } from './hello';
+import { toRecord } from './record-codec';
 
 // Heads of control frames are JSON. A peer of another build may send more or other fields: unknown
 // ones are ignored, and a head without the fields that are needed decodes to undefined.
@@ -28,46 +29,32 @@
   return typeof value === 'number' && Number.isFinite(value);
 }
 
-function isServingTarget(value: unknown): value is ServingTarget {
-  const { targetId, service, bornUnixMs, slots, isServing, isLeaving, coldMs } =
-    fieldsOf<ServingTarget>(value);
-  const hasTexts = typeof targetId === 'string' && typeof service === 'string';
-  if (bornUnixMs !== undefined && !isNumber(bornUnixMs)) return false;
-  if (isLeaving !== undefined && typeof isLeaving !== 'boolean') return false;
-  return hasTexts && isNumber(slots) && typeof isServing === 'boolean' && isNumber(coldMs);
-}
-
-function isDaemonRecord(value: unknown): value is DaemonRecord {
-  const record = fieldsOf<DaemonRecord>(value);
-  const { target } = record;
-  return (
-    typeof record.daemonId === 'string' &&
-    isNumber(record.incarnation) &&
-    isNumber(record.revision) &&
-    typeof record.address === 'string' &&
-    typeof record.zone === 'string' &&
-    typeof record.isLeaving === 'boolean' &&
-    (target === undefined || target === null || isServingTarget(target))
-  );
+function readRecord(value: unknown): DaemonRecord | undefined {
+  const reading = toRecord(value);
+  return reading.ok ? reading.record : undefined;
+}
+
+/** Reads those of the values that are records. */
+function readRecords(values: unknown): DaemonRecord[] {
+  return Array.isArray(values) ? values.flatMap((value) => readRecord(value) ?? []) : [];
 }
 
 /** Decodes the record of a daemon. */
 export function decodeRecord(text: string): DaemonRecord | undefined {
-  const value = parseJson(text);
-  return isDaemonRecord(value) ? value : undefined;
+  return readRecord(parseJson(text));
 }
 
 /** Decodes a list of records; leaves out those that cannot be read. */
 export function decodeRecords(text: string): DaemonRecord[] {
-  const value = parseJson(text);
-  return Array.isArray(value) ? value.filter(isDaemonRecord) : [];
+  return readRecords(parseJson(text));
 }
 
 /** Decodes the first frame of a connection. */
 export function decodeHello(text: string): Hello | undefined {
   const hello = fieldsOf<Hello>(parseJson(text));
-  const { record, processKey, configurationVersion, wantsView, isReading } = hello;
-  if (!isDaemonRecord(record)) return undefined;
+  const { processKey, configurationVersion, wantsView, isReading } = hello;
+  const record = readRecord(hello.record);
+  if (record === undefined) return undefined;
   return {
     record,
     processKey: typeof processKey === 'string' ? processKey : undefined,
@@ -126,7 +113,7 @@
 export function decodeRecordChanges(text: string): RecordChanges {
   const { records, removedIds } = fieldsOf<RecordChanges>(parseJson(text));
   return {
-    records: Array.isArray(records) ? records.filter(isDaemonRecord) : [],
+    records: readRecords(records),
     removedIds: Array.isArray(removedIds)
       ? removedIds.filter((id): id is string => typeof id === 'string')
       : [],
--- a/packages/peering/tests/control-codec.test.ts
+++ b/packages/peering/tests/control-codec.test.ts
@@ -27,7 +27,7 @@
 describe('heads of control frames', () => {
   it('ignores fields of a newer build', () => {
     const text = JSON.stringify({ ...RECORD, weight: 3 });
-    expect(decodeRecord(text)).toMatchObject(RECORD);
+    expect(JSON.parse(JSON.stringify(decodeRecord(text)))).toEqual(RECORD);
     const hello = JSON.stringify({ record: RECORD, configurationVersion: 7, codecs: ['x'] });
     expect(decodeHello(hello)).toMatchObject({ configurationVersion: 7, wantsView: false });
   });
--- a/packages/peering/tests/peer-link.test.ts
+++ b/packages/peering/tests/peer-link.test.ts
@@ -3,6 +3,7 @@
 import { ExecutionRecordRegistry } from '@daisyferry/mesh/execution-record-registry';
 import type { DaemonRecord } from '@daisyferry/mesh/daemon-record';
 import { BufferBudget } from '@daisyferry/mesh/buffer-budget';
+import { SocketAddress } from '@daisyferry/mesh/socket-address';
 import { decodeCallReply, encodeCall, encodeCallReply } from '@daisyferry/peering/call-codec';
 import { encodeFrame, FrameKind, FrameReader } from '@daisyferry/peering/frame';
 import type { InboundCall } from '@daisyferry/peering/inbound-peer';
@@ -41,7 +42,13 @@
 };
 
 function record(daemonId: string, incarnation: number): DaemonRecord {
-  const common = { revision: 1, address: '', zone: 'z', isLeaving: false, target: undefined };
+  const common = {
+    revision: 1,
+    address: new SocketAddress('10.0.0.1', 1),
+    zone: 'z',
+    isLeaving: false,
+    target: undefined,
+  };
   return { daemonId, incarnation, ...common };
 }
 
--- a/packages/sidecar/src/own-record.ts
+++ b/packages/sidecar/src/own-record.ts
@@ -1,5 +1,6 @@
 import type { AnnouncedTarget } from '@daisyferry/mesh/announced-target';
-import type { DaemonRecord } from '@daisyferry/mesh/daemon-record';
+import { MAX_RECORD_NUMBER, type DaemonRecord } from '@daisyferry/mesh/daemon-record';
+import { SocketAddress } from '@daisyferry/mesh/socket-address';
 import type { DaemonEnvironment } from './daemon-environment';
 import { Emitter } from './emitter';
 
@@ -36,7 +37,7 @@
       daemonId,
       incarnation: this.incarnation,
       revision: this.revision,
-      address: `${address.ip}:${address.port}`,
+      address: new SocketAddress(address.ip, address.port),
       zone,
       isLeaving: this.isLeaving,
       target: announcement && {
@@ -71,8 +72,9 @@
    * the clock was set back in between.
    */
   supersede(record: DaemonRecord): void {
-    if (record.incarnation <= this.incarnation) return;
-    this.incarnation = record.incarnation + 1;
+    const { incarnation } = record;
+    if (incarnation <= this.incarnation || incarnation >= MAX_RECORD_NUMBER) return;
+    this.incarnation = incarnation + 1;
     this.publish();
   }
 }
--- a/packages/sidecar/src/peer-connections.ts
+++ b/packages/sidecar/src/peer-connections.ts
@@ -81,11 +81,6 @@
   }
 }
 
-function parseAddress(address: string): PeerAddress {
-  const colon = address.lastIndexOf(':');
-  return { ip: address.slice(0, colon), port: Number(address.slice(colon + 1)) };
-}
-
 /**
  * The connections between this daemon and its peers, the other daemons: links over which this
  * daemon sends calls, and the connections that peers opened to send theirs.
@@ -240,7 +235,7 @@
 
   /** Adjusts the link to a daemon whose record has changed. */
   private updateLink(record: DaemonRecord): void {
-    this.links.get(record.daemonId)?.setAddress(parseAddress(record.address));
+    this.links.get(record.daemonId)?.setAddress(record.address);
     if (this.parts.linkPlan.isWanted(record)) this.getOrCreateLink(record.daemonId)?.connect();
   }
 
@@ -253,7 +248,7 @@
     const { directory, log, clock, bufferBudget } = this.parts;
     const link: PeerLink = new PeerLink(
       daemonId,
-      parseAddress(record.address),
+      record.address,
       {
         hello: () => this.hello(),
         onHello: (hello) => this.handleHello(hello, link),
--- a/packages/sidecar/src/sidecar-gauges.ts
+++ b/packages/sidecar/src/sidecar-gauges.ts
@@ -15,6 +15,7 @@
 import type { SidecarMetrics } from './sidecar-metrics';
 import type { TargetConnectionPool } from './target-connection-pool';
 import type { PipelineCounts } from './pipeline-counts';
+import type { UnreadableEntries } from './unreadable-entries';
 
 export interface GaugeSources {
   readonly queue: TargetSlotQueue;
@@ -33,6 +34,7 @@
   readonly configuration: ConfigurationHolder;
   readonly freshnessKeeper: FreshnessKeeper;
   readonly callers: CallerListener;
+  readonly unreadableEntries: UnreadableEntries;
   readonly clock: () => number;
 }
 
@@ -40,7 +42,7 @@
 export function addGauges(metrics: SidecarMetrics, sources: GaugeSources): void {
   const { queue, home, capacity, pool, returnPlan, pipelineCounts, configuration, clock } = sources;
   const { refusedShare, treeAdmission, suspects, notices, bufferBudget } = sources;
-  const { peerConnections, directory, freshnessKeeper, callers } = sources;
+  const { peerConnections, directory, freshnessKeeper, callers, unreadableEntries } = sources;
   const gauges: Readonly<Record<string, () => number>> = {
     daisyferry_target_running: () => queue.running,
     daisyferry_shed_level: () => home.effectiveShedLevel(clock()),
@@ -63,6 +65,7 @@
     daisyferry_pipeline_held_ms: () => pipelineCounts.heldMs,
     daisyferry_pipeline_dropped: () => pipelineCounts.droppedBehindClose,
     daisyferry_peers_connected: () => peerConnections.connectedCount,
+    daisyferry_store_entries_unreadable: () => unreadableEntries.count,
     daisyferry_daemons_known: () => directory.size,
     daisyferry_configuration_version: () => configuration.version,
     daisyferry_configuration_age_ms: () => Math.round(freshnessKeeper.ageMs()),
--- a/packages/sidecar/src/store-sync.ts
+++ b/packages/sidecar/src/store-sync.ts
@@ -8,7 +8,7 @@
   type DataCentrePeer,
   type StoreReaderChoice,
 } from '@daisyferry/mesh/store-reader-choice';
-import { decodeRecord } from '@daisyferry/peering/control-codec';
+import { decodeStoredRecord } from '@daisyferry/peering/record-codec';
 import type { KeyValueStore, StoredValue, WatchEvent } from '@daisyferry/store/key-value-store';
 import type { ConfigurationHolder } from './configuration-holder';
 import type { EventLog } from './event-log';
@@ -16,6 +16,7 @@
 import { PrefixFollower } from './prefix-follower';
 import { DAEMON_PREFIX, LEASE_MS, type Registration } from './registration';
 import type { StoreState } from './store-state';
+import type { UnreadableEntries } from './unreadable-entries';
 
 export interface StoreSyncParts {
   readonly store: KeyValueStore;
@@ -26,6 +27,7 @@
   readonly directory: FleetDirectory;
   readonly peerConnections: PeerConnections;
   readonly registration: Registration;
+  readonly unreadableEntries: UnreadableEntries;
   readonly readerChoice: StoreReaderChoice;
   readonly ownDaemonId: string;
   readonly log: EventLog;
@@ -225,7 +227,7 @@
     const result = await store.range(query, READ_TIMEOUT_MS);
     if (this.isStopped || this.recordFollower.isStarted) return;
     if (result.ok && isFirst) {
-      for (const record of this.parseRecords(result.value.values))
+      for (const record of this.readRecords(result.value.values))
         peerConnections.records.applyRecord(record, 'stored');
     } else if (result.ok) {
       this.applyRecordSnapshot(result.value.values);
@@ -255,7 +257,8 @@
     const { peerConnections, directory, log, clock, ownDaemonId, registration } = this.parts;
     log.stateChange('daemon records read from the store', { count: values.length });
     peerConnections.records.markViewComplete();
-    const records = this.parseRecords(values);
+    this.parts.unreadableEntries.retain(new Set(values.map(({ key }) => key)));
+    const records = this.readRecords(values);
     for (const record of records) peerConnections.records.applyRecord(record, 'stored');
     const storedIds = new Set(records.map(({ daemonId }) => daemonId));
     directory.retainStored(storedIds, clock());
@@ -264,32 +267,48 @@
   }
 
   private applyRecordEvents(events: readonly WatchEvent[]): void {
-    const { peerConnections, directory, log, clock, ownDaemonId, registration } = this.parts;
+    const { peerConnections, log, unreadableEntries } = this.parts;
     const records: DaemonRecord[] = [];
     const removedIds: string[] = [];
     for (const event of events) {
-      if (event.kind === 'put') {
-        records.push(...this.parseRecord(event.value));
+      const daemonId = event.key.slice(DAEMON_PREFIX.length);
+      const record = event.kind === 'put' ? this.readRecord(event) : undefined;
+      if (record !== undefined) {
+        records.push(record);
       } else {
-        const daemonId = event.key.slice(DAEMON_PREFIX.length);
+        // An entry that cannot be read has replaced the one before.
         removedIds.push(daemonId);
+        this.removeFromStored(daemonId);
+      }
+      if (event.kind === 'delete') {
+        unreadableEntries.remove(event.key);
         log.stateChange('daemon record removed from the store', { peerId: daemonId });
-        if (daemonId === ownDaemonId) registration.scheduleRewrite();
-        else directory.markRemovedFromStore(daemonId, clock());
       }
     }
     for (const record of records) peerConnections.records.applyRecord(record, 'stored');
     peerConnections.records.reportChanges({ records, removedIds });
   }
 
-  private parseRecords(values: readonly StoredValue[]): DaemonRecord[] {
-    return values.flatMap(({ value }) => this.parseRecord(value));
+  private removeFromStored(daemonId: string): void {
+    const { directory, clock, ownDaemonId, registration } = this.parts;
+    if (daemonId === ownDaemonId) registration.scheduleRewrite();
+    else directory.markRemovedFromStore(daemonId, clock());
   }
 
-  private parseRecord(text: string): DaemonRecord[] {
-    const record = decodeRecord(text);
-    if (record !== undefined) return [record];
-    this.parts.log.warn('malformed daemon record ignored', { source: 'store' });
-    return [];
+  private readRecords(values: readonly StoredValue[]): DaemonRecord[] {
+    return values.flatMap((value) => this.readRecord(value) ?? []);
+  }
+
+  private readRecord({ key, value }: Pick<StoredValue, 'key' | 'value'>): DaemonRecord | undefined {
+    const { unreadableEntries, log } = this.parts;
+    const reading = decodeStoredRecord(value, key.slice(DAEMON_PREFIX.length));
+    if (reading.ok) {
+      unreadableEntries.remove(key);
+      return reading.record;
+    }
+    const { problem } = reading;
+    if (unreadableEntries.add(key, problem))
+      log.warn('unreadable entry of the store left out', { key, problem });
+    return undefined;
   }
 }
--- a/packages/sidecar/src/wire-sidecar.ts
+++ b/packages/sidecar/src/wire-sidecar.ts
@@ -66,6 +66,7 @@
 import { StoreState } from './store-state';
 import { StoreSync } from './store-sync';
 import { TargetConnectionPool } from './target-connection-pool';
+import { UnreadableEntries } from './unreadable-entries';
 
 /** The platform's store, names and formats, supplied by its adapter. */
 export interface PlatformAdapter {
@@ -274,6 +275,7 @@
   );
   recordMissing.subscribe(() => registration.scheduleRewrite());
   const configurationReads = new Emitter<Moment>();
+  const unreadableEntries = new UnreadableEntries();
   const storeSync = new StoreSync({
     store,
     storeState,
@@ -283,6 +285,7 @@
     directory,
     peerConnections,
     registration,
+    unreadableEntries,
     readerChoice: new StoreReaderChoice(environment.daemonId, Math.random),
     ownDaemonId: environment.daemonId,
     log,
@@ -414,6 +417,7 @@
     configuration,
     freshnessKeeper,
     callers,
+    unreadableEntries,
     clock,
   });
 
--- a/packages/sidecar/tests/quota-exchange.test.ts
+++ b/packages/sidecar/tests/quota-exchange.test.ts
@@ -3,6 +3,7 @@
 import { FleetDirectory } from '@daisyferry/mesh/fleet-directory';
 import { RouteTable } from '@daisyferry/mesh/route-table';
 import type { RoutingConfiguration } from '@daisyferry/mesh/routing-configuration';
+import { SocketAddress } from '@daisyferry/mesh/socket-address';
 import type { FrameKindNumber } from '@daisyferry/peering/frame';
 import type { EventLog } from '@daisyferry/sidecar/event-log';
 import type { ControlFrameHandler } from '@daisyferry/sidecar/peer-connections';
@@ -66,7 +67,13 @@
       clock: () => this.nowMs,
     });
     for (const daemonId of ['d-1', 'd-2']) {
-      const record = { daemonId, incarnation: 1, revision: 1, address: 'a:1', zone: 'z' };
+      const record = {
+        daemonId,
+        incarnation: 1,
+        revision: 1,
+        address: new SocketAddress('10.0.0.1', 1),
+        zone: 'z',
+      };
       directory.applyRecord({ ...record, isLeaving: false, target: undefined }, 'stored', 0);
       if (daemonId !== ownDaemonId) exchange.handleLink(daemonId, 'up');
     }
--- a/packages/sidecar/tests/record-exchange.test.ts
+++ b/packages/sidecar/tests/record-exchange.test.ts
@@ -1,6 +1,7 @@
 import type { DaemonRecord } from '@daisyferry/mesh/daemon-record';
 import { FleetDirectory } from '@daisyferry/mesh/fleet-directory';
 import { TargetNoticeTable } from '@daisyferry/mesh/target-notice-table';
+import { SocketAddress } from '@daisyferry/mesh/socket-address';
 import { FrameKind, type FrameKindNumber } from '@daisyferry/peering/frame';
 import type { EventLog } from '@daisyferry/sidecar/event-log';
 import type { OwnRecord } from '@daisyferry/sidecar/own-record';
@@ -9,7 +10,12 @@
 import { describe, expect, it } from 'vitest';
 
 function record(daemonId: string, changes: Partial<DaemonRecord> = {}): DaemonRecord {
-  const common = { incarnation: 1, revision: 1, address: '10.0.0.1:1', zone: 'z' };
+  const common = {
+    incarnation: 1,
+    revision: 1,
+    address: new SocketAddress('10.0.0.1', 1),
+    zone: 'z',
+  };
   return { daemonId, ...common, isLeaving: false, target: undefined, ...changes };
 }
 
--- a/packages/sidecar/tests/support/entry-parts.ts
+++ b/packages/sidecar/tests/support/entry-parts.ts
@@ -10,6 +10,7 @@
 import { TargetChooser } from '@daisyferry/mesh/target-chooser';
 import { TargetNoticeTable } from '@daisyferry/mesh/target-notice-table';
 import { TreeAdmission } from '@daisyferry/mesh/tree-admission';
+import { SocketAddress } from '@daisyferry/mesh/socket-address';
 import type { SidecarEntryParts } from '@daisyferry/sidecar/entry';
 import type { EventLog } from '@daisyferry/sidecar/event-log';
 import { RetryBudget } from '@daisyferry/sidecar/retry-budget';
@@ -30,7 +31,7 @@
   const directory = new FleetDirectory();
   for (const daemonId of daemonIds) {
     const target = { targetId: daemonId, service: 's', slots: 10, isServing: true, coldMs: 0 };
-    const record = { daemonId, incarnation: 1, revision: 1, address: 'a:1', zone: 'z', target };
+    const record = { daemonId, incarnation: 1, revision: 1, address: new SocketAddress('10.0.0.1', 1), zone: 'z', target };
     directory.applyRecord({ ...record, isLeaving: false }, 'stored', 0);
   }
   const random = () => randomNumber;
