Answer heartbeats that cannot be read, whatever is wrong with them

Callers saw requests without an answer: `PUT /v1/instances/%ff` ended the daemon beside the target.

Cause: the path was decoded outside the try of AnnouncementHandler, and ControlListener had none. The class: an error of a handler, and the second error of a server that cannot accept connections, had no owner and ended the process.

ControlListener answers 500 to a request whose handler throws, and reports it with its method and path; its requests, responses and server have handlers for their errors. Two counters show input that was refused and errors of this program.

--- a/packages/sidecar/src/announcement-handler.ts
+++ b/packages/sidecar/src/announcement-handler.ts
@@ -3,8 +3,9 @@
 import type { ControlResponse, ControlRequest } from './control-listener';
 import type { EventLog } from './event-log';
 
-/** Decodes the platform's messages about a target; decoding malformed input throws. */
+/** Decodes the platform's messages about a target; malformed input throws a decode error. */
 export interface AnnouncementDecoder {
+  isDecodeError(error: unknown): boolean;
   targetIdOfPath(path: string): string | undefined;
   decodeAnnouncement(targetId: string, text: string): TargetAnnouncement;
   decodeDeregistrationBornUnixMs(text: string): number | undefined;
@@ -18,10 +19,14 @@
   readonly onChange: (isServing: boolean) => void;
   /** Called when another incarnation of the target has taken the place of the present one. */
   readonly onReplaced: (wasEndExpected: boolean) => void;
+  /** Called when a message cannot be read. */
+  readonly onRejected: () => void;
   readonly log: EventLog;
   readonly clock: () => number;
 }
 
+/** Maximum number of characters of a path that are logged. */
+const MAX_LOGGED_PATH_LENGTH = 200;
 const OK: ControlResponse = { status: 200, text: '{}' };
 
 function errorResponse(status: number, error: string): ControlResponse {
@@ -32,17 +37,22 @@
 export class AnnouncementHandler {
   constructor(private readonly parts: AnnouncementHandlerParts) {}
 
-  handle(request: ControlRequest): ControlResponse {
-    const targetId = this.parts.decoder.targetIdOfPath(request.path);
-    if (targetId === undefined) return errorResponse(404, 'path: not known here');
+  handle({ method, path, text }: ControlRequest): ControlResponse {
     try {
-      if (request.method === 'PUT') return this.announce(targetId, request.text);
-      if (request.method === 'DELETE') return this.deregister(targetId, request.text);
+      const targetId = this.parts.decoder.targetIdOfPath(path);
+      if (targetId === undefined) return errorResponse(404, 'path: not known here');
+      if (method === 'PUT') return this.announce(targetId, text);
+      if (method === 'DELETE') return this.deregister(targetId, text);
+      return errorResponse(405, 'method: PUT or DELETE expected');
     } catch (error) {
-      this.parts.log.decision('announcement rejected', { targetId, error: String(error) });
+      if (!this.parts.decoder.isDecodeError(error)) throw error;
+      this.parts.onRejected();
+      this.parts.log.decision('announcement rejected', {
+        path: path.slice(0, MAX_LOGGED_PATH_LENGTH),
+        error: String(error),
+      });
       return errorResponse(400, String(error));
     }
-    return errorResponse(405, 'method: PUT or DELETE expected');
   }
 
   private announce(targetId: string, text: string): ControlResponse {
--- a/packages/sidecar/src/control-listener.ts
+++ b/packages/sidecar/src/control-listener.ts
@@ -1,3 +1,4 @@
+import { listen } from '@daisyferry/peering/listen';
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import type { SocketAddress } from './daemon-environment';
 
@@ -18,6 +19,10 @@
  * closes the connection without a response.
  */
 const MAX_BODY_BYTES = 65_536;
+/** Maximum number of characters of a path that are logged. */
+const MAX_LOGGED_PATH_LENGTH = 200;
+/** Response to a request whose handler failed. */
+const FAILED: ControlResponse = { status: 500, text: '{"error":"internal error"}' };
 
 /**
  * HTTP listener that reads each request whole and sends the response of its handler. Used for
@@ -26,15 +31,16 @@
 export class ControlListener {
   private readonly server: Server;
 
-  constructor(private readonly handle: (request: ControlRequest) => ControlResponse) {
+  /** @param onFailure Called with an error, and with the request or the step that caused it. */
+  constructor(
+    private readonly handle: (request: ControlRequest) => ControlResponse,
+    private readonly onFailure: (error: unknown, origin: string) => void = () => undefined,
+  ) {
     this.server = createServer((request, response) => this.receive(request, response));
   }
 
   listen({ ip, port }: SocketAddress): Promise<void> {
-    return new Promise((resolve, reject) => {
-      this.server.once('error', reject);
-      this.server.listen(port, ip, () => resolve());
-    });
+    return listen(this.server, { host: ip, port }, (error) => this.onFailure(error, 'accept'));
   }
 
   close(): void {
@@ -50,8 +56,10 @@
       if (receivedBytes > MAX_BODY_BYTES) request.destroy();
       else chunks.push(chunk);
     });
+    request.on('error', () => response.destroy());
+    response.on('error', () => request.destroy());
     request.on('end', () => {
-      const { status, contentType, text } = this.handle({
+      const { status, contentType, text } = this.respondTo({
         method: request.method ?? '',
         path: request.url ?? '',
         text: Buffer.concat(chunks).toString('utf8'),
@@ -63,4 +71,13 @@
       response.end(text);
     });
   }
+
+  private respondTo(request: ControlRequest): ControlResponse {
+    try {
+      return this.handle(request);
+    } catch (error) {
+      this.onFailure(error, `${request.method} ${request.path.slice(0, MAX_LOGGED_PATH_LENGTH)}`);
+      return FAILED;
+    }
+  }
 }
--- a/packages/sidecar/src/sidecar-metrics.ts
+++ b/packages/sidecar/src/sidecar-metrics.ts
@@ -41,6 +41,16 @@
     this.increment(`daisyferry_class_inversions_total{service="${service}"}`);
   }
 
+  /** Counts a message of another process that could not be read, by its kind. */
+  countRejectedInput(kind: string): void {
+    this.increment(`daisyferry_input_rejected_total{kind="${kind}"}`);
+  }
+
+  /** Counts an error that a part of this program did not expect, by where it occurred. */
+  countFailure(origin: string): void {
+    this.increment(`daisyferry_failures_total{origin="${origin}"}`);
+  }
+
   addGauge(name: string, read: () => number): void {
     this.gauges.set(name, read);
   }
--- a/packages/sidecar/src/wire-sidecar.ts
+++ b/packages/sidecar/src/wire-sidecar.ts
@@ -47,6 +47,7 @@
 import { DiscardedResponseReport } from './discarded-response-report';
 import { Entry, type SidecarEntryParts } from './entry';
 import { EventLog } from './event-log';
+import { FailureReport } from './failure-report';
 import { FreshnessKeeper } from './freshness-keeper';
 import { PeerConnections } from './peer-connections';
 import type { HeaderNames } from './header-names';
@@ -117,6 +118,7 @@
   const now = () => ({ monotonicMs: clock(), unixMs: Date.now() });
   const { store, headerNames } = platform;
   const log = new EventLog({ node: environment.daemonId }, clock);
+  const failures = new FailureReport(log, metrics, clock);
   const target = new AnnouncedTarget();
   const bounds = new CurrentBounds(environment.bounds);
   const fleetSize = new RecentMaximum(FLEET_SIZE_WINDOW_MS);
@@ -363,6 +365,7 @@
       service === environment.service ||
       configuration.routes?.configuration.services.some(({ name }) => name === service) === true,
     onReplaced: (wasEndExpected) => home.forgetTarget(wasEndExpected),
+    onRejected: () => metrics.countRejectedInput('announcement'),
     onChange: (isServing) => {
       const slots = target.announcement?.slots;
       if (slots !== undefined) capacity.setSlots(slots);
@@ -433,11 +436,18 @@
     home,
     ownRecord,
     log,
-    announcements: new ControlListener((request) => announcementHandler.handle(request)),
-    readiness: new ControlListener(({ path }) => ({
-      status: path === platform.readinessPath && readyState.isReady ? STATUS_OK : STATUS_NOT_READY,
-      text: '{}',
-    })),
+    announcements: new ControlListener(
+      (request) => announcementHandler.handle(request),
+      (error, input) => failures.report('announcements', error, { input }),
+    ),
+    readiness: new ControlListener(
+      ({ path }) => ({
+        status:
+          path === platform.readinessPath && readyState.isReady ? STATUS_OK : STATUS_NOT_READY,
+        text: '{}',
+      }),
+      (error, input) => failures.report('readiness', error, { input }),
+    ),
     readyState,
     logFlushIntervalMs: LOG_FLUSH_INTERVAL_MS,
     clock,
