--- a/packages/sidecar/src/wire-sidecar.ts
+++ b/packages/sidecar/src/wire-sidecar.ts
@@ -48,6 +48,7 @@
 import { DiscardedResponseReport } from './discarded-response-report';
 import { Entry, type SidecarEntryParts } from './entry';
 import { EventLog } from './event-log';
+import { FailureReport } from './failure-report';
 import { FreshnessKeeper } from './freshness-keeper';
 import { PeerConnections } from './peer-connections';
 import type { HeaderNames } from './header-names';
@@ -67,6 +68,7 @@
 import { StoreState } from './store-state';
 import { StoreSync } from './store-sync';
 import { TargetConnectionPool } from './target-connection-pool';
+import { UnreadableEntries } from './unreadable-entries';
 
 /** The platform's store, names and formats, supplied by its adapter. */
 export interface PlatformAdapter {
@@ -117,6 +119,7 @@
   const now = () => ({ monotonicMs: clock(), unixMs: Date.now() });
   const { store, headerNames } = platform;
   const log = new EventLog({ node: environment.daemonId }, clock);
+  const failures = new FailureReport(log, metrics, clock);
   const target = new AnnouncedTarget();
   const bounds = new CurrentBounds(environment.bounds);
   const fleetSize = new RecentMaximum(FLEET_SIZE_WINDOW_MS);
@@ -275,6 +278,7 @@
   );
   recordMissing.subscribe(() => registration.scheduleRewrite());
   const configurationReads = new Emitter<Moment>();
+  const unreadableEntries = new UnreadableEntries();
   const storeSync = new StoreSync({
     store,
     storeState,
@@ -284,6 +288,7 @@
     directory,
     peerConnections,
     registration,
+    unreadableEntries,
     readerChoice: new StoreReaderChoice(environment.daemonId, Math.random),
     ownDaemonId: environment.daemonId,
     log,
@@ -363,6 +368,7 @@
       service === environment.service ||
       configuration.routes?.configuration.services.some(({ name }) => name === service) === true,
     onReplaced: (wasEndExpected) => home.forgetTarget(wasEndExpected),
+    onRejected: () => metrics.countRejectedInput('announcement'),
     onChange: (isServing) => {
       const slots = target.announcement?.slots;
       if (slots !== undefined) capacity.setSlots(slots);
@@ -417,6 +423,7 @@
     configuration,
     freshnessKeeper,
     callers,
+    unreadableEntries,
     clock,
   });
 
@@ -432,11 +439,18 @@
     home,
     ownRecord,
     log,
-    announcements: new ControlListener((request) => announcementHandler.handle(request)),
-    readiness: new ControlListener(({ path }) => ({
-      status: path === platform.readinessPath && readyState.isReady ? STATUS_OK : STATUS_NOT_READY,
-      text: '{}',
-    })),
+    announcements: new ControlListener(
+      (request) => announcementHandler.handle(request),
+      (error, input) => failures.report('announcements', error, { input }),
+    ),
+    readiness: new ControlListener(
+      ({ path }) => ({
+        status:
+          path === platform.readinessPath && readyState.isReady ? STATUS_OK : STATUS_NOT_READY,
+        text: '{}',
+      }),
+      (error, input) => failures.report('readiness', error, { input }),
+    ),
     readyState,
     logFlushIntervalMs: LOG_FLUSH_INTERVAL_MS,
     clock,
