Give large responses that end with their connection a length, so that a kill shows

Cause: the daemon holds the body whole, but wrote no length for any body that the end of the target's connection delimits, so that the end of the caller's connection was its only mark. The system ends the connections of a killed process in an orderly way. Change: above 64 KiB the response has a Content-Length. Up to 64 KiB it has none as before, and is written only once all before it is sent, so that the system takes it at once and delivers it whatever becomes of the process. Chunks were not taken, as the body is whole by then and HTTP/1.0 has none. Existing checks are unchanged: a small response without a length still has none, and an unsent one is still reset.

--- a/packages/http1/src/message-writer.ts
+++ b/packages/http1/src/message-writer.ts
@@ -76,13 +76,24 @@
   readonly reason: string;
   readonly fields: HeaderFields;
   readonly body: Buffer;
-  /**
-   * True for a body that may be incomplete. It is forwarded without a length and delimited by the
-   * end of the connection, so that it does not look complete to the receiver.
-   */
+  /** True for a body that was delimited by the orderly end of its sender's connection. */
   readonly endsWithConnection?: boolean;
 }
 
+/**
+ * Largest body that is written without a length. The operating system takes it at once and delivers
+ * it even if the process is killed then, whereas the rest of a larger one would be lost.
+ */
+const MAX_UNFRAMED_BODY_BYTES = 65_536;
+
+/**
+ * True for a response that is written without a length, so that its connection ends with it. The
+ * sender of such a body may have been cut off: a length of this process's own would vouch for it.
+ */
+export function isUnframed({ endsWithConnection, body }: ResponseParts): boolean {
+  return endsWithConnection === true && body.length <= MAX_UNFRAMED_BODY_BYTES;
+}
+
 /** Encodes a response into buffers to write in order, without a body for a HEAD request, 204 and 304. */
 export function encodeResponse(
   parts: ResponseParts,
@@ -91,8 +102,8 @@
 ): readonly Buffer[] {
   const { status, reason, fields, body } = parts;
   const isBodiless = isHeadRequest || status === 204 || status === 304;
-  const isUnframed = isBodiless || parts.endsWithConnection === true;
-  const length = isUnframed ? '' : `Content-Length: ${body.length}\r\n`;
+  const hasNoLength = isBodiless || isUnframed(parts);
+  const length = hasNoLength ? '' : `Content-Length: ${body.length}\r\n`;
   const connection = closesConnection ? 'Connection: close\r\n' : '';
   const head = `HTTP/1.1 ${status} ${reason}\r\n${fieldLines(fields)}${length}${connection}\r\n`;
   return isBodiless ? [Buffer.from(head, 'latin1')] : joinHeadAndBody(head, body);
--- a/packages/http1/src/message.ts
+++ b/packages/http1/src/message.ts
@@ -25,7 +25,7 @@
   readonly body: Buffer;
   /** False when the server closes the connection after this response. */
   readonly isPersistent: boolean;
-  /** True if the body was delimited by the end of the connection, so that it may be truncated. */
+  /** True if the body was delimited by the orderly end of the connection. */
   readonly endsWithConnection: boolean;
   /** Idle time after which the server closes the connection, if it announces one. */
   readonly keepAliveMs: number | undefined;
--- a/packages/http1/tests/message-writer.test.ts
+++ b/packages/http1/tests/message-writer.test.ts
@@ -71,10 +71,17 @@
 });
 
 describe('a response whose body may be truncated', () => {
+  const truncated = { status: 200, reason: 'OK', fields: [], body: Buffer.from('xy') };
+
   it('has no Content-Length, so that it does not look complete', () => {
-    const truncated = { status: 200, reason: 'OK', fields: [], body: Buffer.from('xy') };
     const message = encodeResponse({ ...truncated, endsWithConnection: true }, false, true);
     const text = Buffer.concat(message).toString();
     expect(text).toBe('HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nxy');
   });
+
+  it('has one if a part of it may be unsent when the process is killed', () => {
+    const body = Buffer.alloc(65_537);
+    const [head] = encodeResponse({ ...truncated, body, endsWithConnection: true }, false, false);
+    expect(head?.toString()).toBe('HTTP/1.1 200 OK\r\nContent-Length: 65537\r\n\r\n');
+  });
 });
--- a/packages/sidecar/src/caller-connection.ts
+++ b/packages/sidecar/src/caller-connection.ts
@@ -69,6 +69,7 @@
 const MAX_PIPELINED_BYTES = 65_536;
 /** Requests of one connection that are read before others get their turn. */
 const MAX_READS_AT_ONCE = 16;
+const NOTHING = Buffer.alloc(0);
 const CONTINUE_RESPONSE = Buffer.from('HTTP/1.1 100 Continue\r\n\r\n');
 
 /** One connection of a caller. Its responses are sent in the order of its requests. */
@@ -84,6 +85,9 @@
 
   private isAdvancing = false;
 
+  /** True while a response waits until those ahead of it are sent. */
+  private isAwaitingSent = false;
+
   /** When the request that is arriving began; undefined without one, or while it is held up. */
   private partialSinceMs: number | undefined;
 
@@ -186,6 +190,10 @@
 
   /** Writes the response whose turn it is. Returns false if it is not there. */
   private writeNext(): boolean {
+    if (this.hasUnsentBytes && this.pipeline.isNextUnframed) {
+      this.advanceOnceSent();
+      return false;
+    }
     const nowMs = this.listener.parts.clock();
     const next = this.pipeline.nextToWrite(this.listener.isClosing, nowMs);
     if (next === undefined) return false;
@@ -199,6 +207,19 @@
     return true;
   }
 
+  /**
+   * Goes on once everything is sent: a response without a length is written when the system takes
+   * it at once, as a part of it would look complete if the process were killed.
+   */
+  private advanceOnceSent(): void {
+    if (this.isAwaitingSent) return;
+    this.isAwaitingSent = true;
+    this.socket.write(NOTHING, () => {
+      this.isAwaitingSent = false;
+      this.advance();
+    });
+  }
+
   /** Starts the next request. Returns false if none may start. */
   private startNext(): boolean {
     const { parts, isClosing } = this.listener;
--- a/packages/sidecar/src/entry.ts
+++ b/packages/sidecar/src/entry.ts
@@ -1,6 +1,6 @@
 import type { QuotaGate } from '@daisyferry/accounts/quota-gate';
 import type { ResponseParts } from '@daisyferry/http1/message-writer';
-import { endToEndFields } from '@daisyferry/http1/message-writer';
+import { endToEndFields, isUnframed } from '@daisyferry/http1/message-writer';
 import type { HeaderFields, RequestMessage } from '@daisyferry/http1/message';
 import { fieldValue } from '@daisyferry/http1/message';
 import type { CallReply, ForwardedCall } from '@daisyferry/mesh/forwarded-call';
@@ -190,7 +190,7 @@
       this.parts,
       (response) => {
         this.activeRequests.delete(callerRequest);
-        if (response.endsWithConnection === true) this.unframedRoutes.record(route.name, clock());
+        if (isUnframed(response)) this.unframedRoutes.record(route.name, clock());
         respond(response);
       },
     );
--- a/packages/sidecar/src/request-pipeline.ts
+++ b/packages/sidecar/src/request-pipeline.ts
@@ -1,5 +1,5 @@
 import type { RequestMessage } from '@daisyferry/http1/message';
-import type { ResponseParts } from '@daisyferry/http1/message-writer';
+import { isUnframed, type ResponseParts } from '@daisyferry/http1/message-writer';
 import type { BodyReservation } from '@daisyferry/mesh/buffer-budget';
 import { PipelineCounts } from './pipeline-counts';
 import { PipelinedRequest, type PipelinedRequestInput } from './pipelined-request';
@@ -113,7 +113,13 @@
   ): void {
     entry.hold(response, reservation, nowMs);
     this.countHeld(entry.responseBytes);
-    if (response.endsWithConnection === true) this.dropFrom(this.entries.indexOf(entry) + 1);
+    if (isUnframed(response)) this.dropFrom(this.entries.indexOf(entry) + 1);
+  }
+
+  /** True if the response whose turn it is has no length, so that the connection ends with it. */
+  get isNextUnframed(): boolean {
+    const response = this.entries[0]?.response;
+    return response !== undefined && isUnframed(response);
   }
 
   /** Returns the response whose turn it is, if it is there, and removes its request. */
--- a/packages/sidecar/tests/caller-connection.test.ts
+++ b/packages/sidecar/tests/caller-connection.test.ts
@@ -24,12 +24,16 @@
   let receivedBytes: number;
   let end: string;
 
+  const sockets: Socket[] = [];
+
   const server = createServer((socket) => {
+    sockets.push(socket);
     const parts = {
       handle: (request: RequestMessage, respond: Respond) => {
         requests.push({ request, respond });
         return undefined;
       },
+      mayRunAhead: () => true,
       limits: () => ({
         maxHeaderBytes: 1_024,
         maxBodyBytes: 1_024,
@@ -119,6 +123,20 @@
       expect(failure).toBeInstanceOf(Error);
     });
 
+    it('writes one without a length only once the system takes it whole', async () => {
+      caller.pause();
+      caller.write(encodeGet('/large') + encodeGet('/unframed'));
+      await answer(0, { ...OK, body });
+      const socket = sockets.at(-1);
+      const unsentBytes = socket?.writableLength;
+      await answer(1, { ...OK, body: Buffer.from('unframed'), endsWithConnection: true });
+      await sleep(50);
+      expect(socket?.writableLength).toBe(unsentBytes);
+      caller.resume();
+      await vi.waitFor(() => expect(end).toBe('complete'), 5_000);
+      expect(socket?.bytesWritten).toBe(receivedBytes);
+    });
+
     it('keeps it when idle connections are closed', async () => {
       await answerUnread(false);
       connection?.closeIfIdle();
