--- a/packages/sidecar/src/pipeline-counts.ts
+++ b/packages/sidecar/src/pipeline-counts.ts
@@ -9,6 +9,9 @@
   /** Started requests whose connection closed after the response to one ahead of them. */
   droppedBehindClose = 0;
 
+  /** Responses without a length that were replaced, as requests behind theirs had started. */
+  replacedUnframed = 0;
+
   /** Bytes of the responses that wait for their turn. */
   heldBytes = 0;
 
--- a/packages/sidecar/src/request-pipeline.ts
+++ b/packages/sidecar/src/request-pipeline.ts
@@ -1,6 +1,7 @@
 import type { RequestMessage } from '@daisyferry/http1/message';
-import type { ResponseParts } from '@daisyferry/http1/message-writer';
+import { isUnframed, type ResponseParts } from '@daisyferry/http1/message-writer';
 import type { BodyReservation } from '@daisyferry/mesh/buffer-budget';
+import { daemonResponse, DaemonResponseReason } from './daemon-response';
 import { PipelineCounts } from './pipeline-counts';
 import { PipelinedRequest, type PipelinedRequestInput } from './pipelined-request';
 
@@ -10,6 +11,7 @@
 const MAX_REQUEST_BYTES = 65_536;
 /** Bytes of responses that are held or unsent, above which no further request is started. */
 const MAX_RESPONSE_BYTES = 262_144;
+const UNKNOWN_OUTCOME = daemonResponse(DaemonResponseReason.outcomeUnknown, 0);
 
 export interface ResponseToWrite {
   readonly entry: PipelinedRequest;
@@ -104,8 +106,10 @@
   }
 
   /**
-   * Records the response to a started request, and the memory of a large one. If the connection
-   * ends with it, the requests behind it are given up.
+   * Records the response to a started request, and the memory of a large one. If it has no length,
+   * the connection ends with it, and requests that wait behind it are not started. If some have
+   * started, which only idempotent requests do, the request counts as one whose outcome is unknown
+   * instead, as the connection would end without their responses.
    */
   recordResponse(
     entry: PipelinedRequest,
@@ -113,9 +117,19 @@
     reservation: BodyReservation | undefined,
     nowMs: number,
   ): void {
-    entry.hold(response, reservation, nowMs);
+    const behind = this.entries.indexOf(entry) + 1;
+    const endsConnection = isUnframed(response);
+    const isReplaced = endsConnection && this.startedCount > behind;
+    if (isReplaced) this.counts.replacedUnframed += 1;
+    entry.hold(isReplaced ? UNKNOWN_OUTCOME : response, reservation, nowMs);
     this.countHeld(entry.responseBytes);
-    if (response.endsWithConnection === true) this.dropFrom(this.entries.indexOf(entry) + 1);
+    if (endsConnection && !isReplaced) this.dropFrom(behind);
+  }
+
+  /** True if the response whose turn it is has no length, so that the connection ends with it. */
+  get isNextUnframed(): boolean {
+    const response = this.entries[0]?.response;
+    return response !== undefined && isUnframed(response);
   }
 
   /** Returns the response whose turn it is, if it is there, and removes its request. */
--- a/packages/sidecar/src/sidecar-gauges.ts
+++ b/packages/sidecar/src/sidecar-gauges.ts
@@ -64,6 +64,7 @@
     daisyferry_pipeline_held_bytes: () => pipelineCounts.heldBytes,
     daisyferry_pipeline_held_ms: () => pipelineCounts.heldMs,
     daisyferry_pipeline_dropped: () => pipelineCounts.droppedBehindClose,
+    daisyferry_pipeline_unframed_replaced: () => pipelineCounts.replacedUnframed,
     daisyferry_peers_connected: () => peerConnections.connectedCount,
     daisyferry_store_entries_unreadable: () => unreadableEntries.count,
     daisyferry_daemons_known: () => directory.size,
