--- a/packages/sidecar/src/sidecar-lifecycle.ts
+++ b/packages/sidecar/src/sidecar-lifecycle.ts
@@ -108,6 +108,11 @@
     this.parts.log.stateChange('signal received', { signal, state: this.state, stateForMs });
   }
 
+  /** Logs a fault that the daemon serves on with. */
+  recordProblem(message: string, problem: string): void {
+    this.parts.log.warn(message, { problem });
+  }
+
   /** Logs why the process ends, before it does. */
   recordProcessEnd(cause: string, fields: Readonly<Record<string, unknown>> = {}): void {
     this.parts.log.processEnd(cause, { state: this.state, ...fields });
