--- /dev/null
+++ b/packages/mesh/src/stop-plan.ts
@@ -0,0 +1,140 @@
+/** The phases of a planned stop, in their order. */
+export const StopPhase = {
+  /** Callers learn of the stop through readiness and are served meanwhile. */
+  notice: 'notice',
+  /** Other daemons know of the stop, and their last calls arrive. */
+  peerNotice: 'peerNotice',
+  /** No connection is accepted; what has been accepted is finished. */
+  finishing: 'finishing',
+  /** What has not been passed on to a target is refused. */
+  refusing: 'refusing',
+  /** What is at a target is broken off; the last responses and replies are sent. */
+  breaking: 'breaking',
+  /** All connections close. */
+  ended: 'ended',
+} as const;
+
+export type StopPhaseName = (typeof StopPhase)[keyof typeof StopPhase];
+
+/** A request that an entry may pass on. */
+export interface StopRequest {
+  /** When its last byte was read. */
+  readonly readMs: number;
+  /** When it has its answer at the latest: its deadline. */
+  readonly deadlineMs: number;
+}
+
+interface StopTimes {
+  readonly peerNoticeMs: number;
+  readonly finishMs: number;
+  readonly refuseMs: number;
+  readonly breakMs: number;
+  readonly endMs: number;
+  readonly goneMs: number;
+}
+
+/** Time after the request to stop in which callers learn of it: two readiness probes. */
+const CALLER_NOTICE_MS = 2_600;
+/** Maximum length of this notice, as a share of the grace time. */
+const MAX_NOTICE_SHARE_OF_GRACE = 0.45;
+/** Last part of the notice, in which other daemons learn of the stop and send their last calls. */
+const PEER_NOTICE_MS = 300;
+/** Time before the kill at which work at targets is broken off; less than a sixth of the grace. */
+const MAX_EXIT_MARGIN_MS = 800;
+const MAX_EXIT_MARGIN_SHARE_OF_GRACE = 0.13;
+/** Time before that at which refusals are sent, as a share of the margin: replies need a round trip. */
+const REFUSAL_SHARE_OF_MARGIN = 0.375;
+/** Parts of the margin in which the last responses are sent, and in which the record is removed. */
+const FLUSH_SHARE_OF_MARGIN = 0.3;
+const REMOVAL_SHARE_OF_MARGIN = 0.4;
+/** By how much a call may take longer than expected and still fit into the time that is left. */
+const CALL_TIME_FACTOR = 1.5;
+/** Time until another process of the daemon serves. */
+const RESTART_MS = 1_000;
+
+function timesOf(beganMs: number, graceMs: number): StopTimes {
+  const noticeMs = Math.min(CALLER_NOTICE_MS, graceMs * MAX_NOTICE_SHARE_OF_GRACE);
+  const marginMs = Math.min(MAX_EXIT_MARGIN_MS, graceMs * MAX_EXIT_MARGIN_SHARE_OF_GRACE);
+  const finishMs = beganMs + noticeMs;
+  const breakMs = beganMs + graceMs - marginMs;
+  const endMs = breakMs + marginMs * FLUSH_SHARE_OF_MARGIN;
+  return {
+    peerNoticeMs: finishMs - Math.min(PEER_NOTICE_MS, noticeMs / 2),
+    finishMs,
+    refuseMs: breakMs - marginMs * REFUSAL_SHARE_OF_MARGIN,
+    breakMs,
+    endMs,
+    goneMs: endMs + marginMs * REMOVAL_SHARE_OF_MARGIN,
+  };
+}
+
+/**
+ * The decisions of a planned stop: what is accepted, passed on, refused and broken off, and when. Load
+ * that it answers: requests that arrive, run or wait while a daemon has to end within the grace time.
+ * A request that is passed on is finished, as far as its target answers before the end; one that
+ * might not be is refused before it is passed on. Until `begin`, everything is accepted.
+ */
+export class StopPlan {
+  private times: StopTimes | undefined;
+
+  /** The first call counts: neither a further signal nor other settings change a stop. */
+  begin(graceMs: number, nowMs: number): void {
+    this.times ??= timesOf(nowMs, graceMs);
+  }
+
+  /** The phase that follows `phase`, or `phase` while that lasts. */
+  phaseAfter(phase: StopPhaseName, hasWork: boolean, nowMs: number): StopPhaseName {
+    const { times } = this;
+    if (times === undefined) return phase;
+    const isOver = (endMs: number) => nowMs >= endMs;
+    switch (phase) {
+      case StopPhase.notice:
+        return isOver(times.peerNoticeMs) ? StopPhase.peerNotice : phase;
+      case StopPhase.peerNotice:
+        return isOver(times.finishMs) ? StopPhase.finishing : phase;
+      case StopPhase.finishing:
+        if (!hasWork) return StopPhase.ended;
+        return isOver(times.refuseMs) ? StopPhase.refusing : phase;
+      case StopPhase.refusing:
+        if (!hasWork) return StopPhase.ended;
+        return isOver(times.breakMs) ? StopPhase.breaking : phase;
+      case StopPhase.breaking:
+        return !hasWork || isOver(times.endMs) ? StopPhase.ended : phase;
+      case StopPhase.ended:
+        return phase;
+      default:
+        return phase satisfies never;
+    }
+  }
+
+  /**
+   * Whether the entry may pass a request on. One that was read during the notice may be until the
+   * refusals; a later one only if it has its answer before work is broken off.
+   */
+  mayPassOn({ readMs, deadlineMs }: StopRequest, nowMs: number): boolean {
+    const { times } = this;
+    if (times === undefined) return true;
+    if (nowMs >= times.refuseMs) return false;
+    return readMs < times.finishMs || deadlineMs <= times.breakMs;
+  }
+
+  /** Whether the home may accept a call that is expected to take `expectedMs`. */
+  mayAcceptCall(expectedMs: number, nowMs: number): boolean {
+    const { times } = this;
+    if (times === undefined) return true;
+    return nowMs < times.refuseMs && nowMs + expectedMs * CALL_TIME_FACTOR <= times.breakMs;
+  }
+
+  /** Time after which a caller that was refused for the stop finds a daemon again. */
+  retryAfterMs(nowMs: number): number {
+    return Math.max(0, (this.times?.breakMs ?? nowMs) - nowMs) + RESTART_MS;
+  }
+
+  /** Time that is left for the removal of the daemon's record from the store. */
+  removalTimeoutMs(nowMs: number): number {
+    const { times } = this;
+    return times === undefined
+      ? 0
+      : Math.max(0, Math.min(times.goneMs - nowMs, times.goneMs - times.endMs));
+  }
+}
--- /dev/null
+++ b/packages/mesh/tests/stop-plan.test.ts
@@ -0,0 +1,99 @@
+import { StopPhase, StopPlan, type StopPhaseName } from '@daisyferry/mesh/stop-plan';
+import { describe, expect, it } from 'vitest';
+
+const STEP_MS = 10;
+
+/** Plays a stop that begins at 0; returns when each phase began. */
+function play(graceMs: number, hasWork: (atMs: number) => boolean): Record<StopPhaseName, number> {
+  const plan = new StopPlan();
+  plan.begin(graceMs, 0);
+  const begins = { [StopPhase.notice]: 0 } as Record<StopPhaseName, number>;
+  let phase: StopPhaseName = StopPhase.notice;
+  for (let nowMs = 0; phase !== StopPhase.ended && nowMs <= graceMs; nowMs += STEP_MS) {
+    const next = plan.phaseAfter(phase, hasWork(nowMs), nowMs);
+    if (next !== phase) begins[next] = nowMs;
+    phase = next;
+  }
+  return begins;
+}
+
+describe.each([1_000, 3_000, 6_000, 20_000])('StopPlan with a grace of %d ms', (graceMs) => {
+  it('breaks off work only in the last sixth of the grace, and ends before its end', () => {
+    const begins = play(graceMs, () => true);
+    expect(begins.breaking).toBeGreaterThanOrEqual((graceMs * 5) / 6);
+    expect(begins.refusing).toBeLessThan(begins.breaking);
+    const plan = new StopPlan();
+    plan.begin(graceMs, 0);
+    expect(begins.ended + plan.removalTimeoutMs(begins.ended)).toBeLessThan(graceMs);
+  });
+
+  it('goes on until its work has ended, and no longer', () => {
+    const workEndMs = graceMs * 0.6;
+    const begins = play(graceMs, (atMs) => atMs < workEndMs);
+    expect(begins.ended).toBeGreaterThanOrEqual(workEndMs);
+    expect(begins.ended).toBeLessThanOrEqual(workEndMs + STEP_MS);
+    expect(begins.refusing).toBeUndefined();
+  });
+
+  it('keeps to the grace with which it began, whatever the settings become', () => {
+    const plan = new StopPlan();
+    plan.begin(graceMs, 0);
+    plan.begin(graceMs / 10, 50);
+    expect(plan.phaseAfter(StopPhase.finishing, true, graceMs * 0.7)).toBe(StopPhase.finishing);
+  });
+});
+
+describe('StopPlan', () => {
+  const GRACE_MS = 6_000;
+
+  function begun(): StopPlan {
+    const plan = new StopPlan();
+    plan.begin(GRACE_MS, 0);
+    return plan;
+  }
+
+  it('accepts everything until it begins', () => {
+    const plan = new StopPlan();
+    expect(plan.mayPassOn({ readMs: 0, deadlineMs: 1e9 }, 0)).toBe(true);
+    expect(plan.mayAcceptCall(1e9, 0)).toBe(true);
+  });
+
+  it('passes on what callers send during the notice, which lasts for two readiness probes', () => {
+    const plan = begun();
+    expect(play(GRACE_MS, () => false).finishing).toBeGreaterThanOrEqual(2_600);
+    for (let readMs = 0; readMs < 2_600; readMs += 100) {
+      expect(plan.mayPassOn({ readMs, deadlineMs: readMs + 5_000 }, readMs)).toBe(true);
+    }
+  });
+
+  it('never passes on a late request that may have no answer before work is broken off', () => {
+    const plan = begun();
+    const { breaking } = play(GRACE_MS, () => true);
+    for (let readMs = 2_600; readMs < GRACE_MS; readMs += 50) {
+      for (const timeoutMs of [100, 1_000, 2_500, 5_000]) {
+        const deadlineMs = readMs + timeoutMs;
+        const isPassedOn = plan.mayPassOn({ readMs, deadlineMs }, readMs);
+        if (isPassedOn) expect(deadlineMs).toBeLessThanOrEqual(breaking);
+        if (deadlineMs < breaking - 500) expect(isPassedOn).toBe(true);
+      }
+    }
+  });
+
+  // The daemon of the caller stops too, so that no other answer follows.
+  it('accepts no call that it is expected to break off', () => {
+    const plan = begun();
+    const { breaking, refusing } = play(GRACE_MS, () => true);
+    for (let nowMs = 0; nowMs < GRACE_MS; nowMs += 50) {
+      for (const expectedMs of [10, 500, 2_000, 4_000]) {
+        const isAccepted = plan.mayAcceptCall(expectedMs, nowMs);
+        if (isAccepted) expect(nowMs + expectedMs).toBeLessThan(breaking);
+        if (nowMs + expectedMs * 2 < refusing) expect(isAccepted).toBe(true);
+      }
+    }
+  });
+
+  it('tells refused callers to come back after its end', () => {
+    const { breaking } = play(GRACE_MS, () => true);
+    expect(begun().retryAfterMs(3_000)).toBeGreaterThan(breaking - 3_000);
+  });
+});
--- a/packages/sidecar/src/caller-connection.ts
+++ b/packages/sidecar/src/caller-connection.ts
@@ -60,6 +60,8 @@
 };
 /** Retry-after of a request for whose body there is no memory. */
 const NO_MEMORY_RETRY_AFTER_S = '0.5';
+/** Retry-after of a request that arrives too slowly for a stop: time until another process serves. */
+const STOPPING_RETRY_AFTER_S = '1.5';
 /** Size from which a body counts in the memory budget. */
 const MIN_COUNTED_BODY_BYTES = 65_536;
 /**
@@ -131,6 +133,13 @@
     if (!this.reader.hasPartialRequest) this.close();
   }
 
+  /** Refuses the request that has partly arrived, if any, as the daemon stops. */
+  refuseArriving(): void {
+    if (!this.hasPartialRequest) return;
+    this.reject(503, 'the daemon stops', ['Retry-After', STOPPING_RETRY_AFTER_S]);
+    this.advance();
+  }
+
   /** True while a request has partly arrived. */
   get hasPartialRequest(): boolean {
     return !this.hasEnded && this.reader.hasPartialRequest;
--- a/packages/sidecar/src/caller-listener.ts
+++ b/packages/sidecar/src/caller-listener.ts
@@ -61,6 +61,11 @@
     for (const connection of this.connections) connection.closeIfIdle();
   }
 
+  /** Refuses the requests that have partly arrived. */
+  refuseArriving(): void {
+    for (const connection of this.connections) connection.refuseArriving();
+  }
+
   /** Stops accepting connections; open ones are kept. */
   stopListening(): void {
     if (this.server.listening) this.server.close();
--- a/packages/sidecar/src/caller-request.ts
+++ b/packages/sidecar/src/caller-request.ts
@@ -59,6 +59,7 @@
 }
 
 function reasonOfRefusal(detail: string): DaemonResponseReasonName {
+  if (detail === DaemonResponseReason.stopping) return DaemonResponseReason.stopping;
   if (detail === CallRefusalReason.crashesTargets) return DaemonResponseReason.crashesTargets;
   return detail === 'noTarget' ? DaemonResponseReason.noTarget : DaemonResponseReason.noRoom;
 }
@@ -162,6 +163,13 @@
     });
   }
 
+  /** Ends the request if it waits for its account's quota, as the daemon stops. */
+  refuseUnsent(nowMs: number): void {
+    if (this.isDone || this.sentCall !== undefined) return;
+    this.quotaWait?.cancel();
+    this.giveUp(0, nowMs, DaemonResponseReason.stopping);
+  }
+
   checkDeadline(nowMs: number): void {
     if (this.isDone || !this.isPastDeadline(nowMs)) return;
     this.quotaWait?.cancel();
@@ -221,6 +229,13 @@
     return shedForecastMs(this.parts.chooser.shedLevelOf(service, nowMs), classesBelow, roomInMs);
   }
 
+  /** Time until a daemon serves here again, within what the caller honors. */
+  private restartMs(nowMs: number): number {
+    const { input, parts } = this;
+    const remainingMs = input.callerDeadlineMs - nowMs;
+    return boundedRetryAfterMs(parts.stopPlan.retryAfterMs(nowMs), remainingMs, parts.random());
+  }
+
   /** `onlyDaemonId` is the home to send to if there is no choice. */
   private tryNextTarget(
     nowMs: number,
@@ -228,7 +243,12 @@
     onlyDaemonId = this.onlyDaemonId,
   ): void {
     const { input, parts } = this;
-    const remainingMs = Math.min(input.routeDeadlineMs, input.callerDeadlineMs) - nowMs;
+    const deadlineMs = Math.min(input.routeDeadlineMs, input.callerDeadlineMs);
+    const remainingMs = deadlineMs - nowMs;
+    if (!parts.stopPlan.mayPassOn({ readMs: input.arrivedMs, deadlineMs }, nowMs)) {
+      this.giveUp(0, nowMs, DaemonResponseReason.stopping);
+      return;
+    }
     if (remainingMs < MIN_REMAINING_MS || this.tried.areHomesExhausted) {
       this.giveUp(retryAfterMs, nowMs, 'no time or attempts left');
       return;
@@ -427,7 +447,10 @@
       this.respondFromDaemon(DaemonResponseReason.outcomeUnknown, 0, nowMs, detail);
     } else {
       const reason = reasonOfRefusal(detail);
-      const retryAfterMs = this.retryAfterMs(this.forecastMs(reason, roomInMs, nowMs), nowMs);
+      const retryAfterMs =
+        reason === DaemonResponseReason.stopping
+          ? this.restartMs(nowMs)
+          : this.retryAfterMs(this.forecastMs(reason, roomInMs, nowMs), nowMs);
       this.respondFromDaemon(reason, retryAfterMs, nowMs, detail);
     }
   }
--- a/packages/sidecar/src/daemon-response.ts
+++ b/packages/sidecar/src/daemon-response.ts
@@ -14,6 +14,8 @@
   overQuota: 'overQuota',
   quotaUnanswered: 'quotaUnanswered',
   crashesTargets: 'crashesTargets',
+  /** The daemon stops before the request could be finished. */
+  stopping: 'stopping',
   timedOut: 'timedOut',
   outcomeUnknown: 'outcomeUnknown',
 } as const;
@@ -39,6 +41,7 @@
   overQuota: { status: 429, reason: 'Too Many Requests', guaranteesNotRun: true },
   quotaUnanswered: { status: 503, reason: 'Service Unavailable', guaranteesNotRun: true },
   crashesTargets: { status: 503, reason: 'Service Unavailable', guaranteesNotRun: true },
+  stopping: { status: 503, reason: 'Service Unavailable', guaranteesNotRun: true },
   timedOut: { status: 504, reason: 'Gateway Timeout', guaranteesNotRun: false },
   outcomeUnknown: { status: 502, reason: 'Bad Gateway', guaranteesNotRun: false },
 };
--- a/packages/sidecar/src/entry.ts
+++ b/packages/sidecar/src/entry.ts
@@ -14,6 +14,7 @@
 import type { RetryAfterPlan } from '@daisyferry/mesh/retry-after-plan';
 import type { RouteTable } from '@daisyferry/mesh/route-table';
 import type { DestinationSelector } from '@daisyferry/mesh/destination-selector';
+import type { StopPlan } from '@daisyferry/mesh/stop-plan';
 import type { TargetNoticeTable } from '@daisyferry/mesh/target-notice-table';
 import type { TreeAdmission } from '@daisyferry/mesh/tree-admission';
 import type { TargetChooser } from '@daisyferry/mesh/target-chooser';
@@ -62,6 +63,7 @@
   readonly callerService: string;
   /** Unique for this process, so that keys built from it never occur at another entry. */
   readonly attemptKeyPrefix: string;
+  readonly stopPlan: StopPlan;
   readonly log: EventLog;
   readonly metrics: SidecarMetrics;
   readonly clock: () => number;
@@ -115,6 +117,11 @@
     return this.activeRequests.size;
   }
 
+  /** Answers the requests that are not at a home, as the daemon stops. */
+  refuseUnsent(nowMs: number): void {
+    for (const callerRequest of [...this.activeRequests]) callerRequest.refuseUnsent(nowMs);
+  }
+
   /** True if the request may run beside others of its connection, as its order has no effect. */
   mayRunAhead({ head }: RequestMessage): boolean {
     const route = this.parts.routes()?.find(head.host, head.target);
--- a/packages/sidecar/src/home.ts
+++ b/packages/sidecar/src/home.ts
@@ -108,10 +108,22 @@
     this.isClosing = true;
   }
 
+  /** Refuses the calls that wait for a slot, which have not run, and new ones from now on. */
+  refuseWaiting(): void {
+    this.close();
+    this.parts.queue.refuseAll(CallRefusalReason.leaving);
+  }
+
+  /** Ends all calls in progress with an unknown outcome, as the daemon exits. */
+  breakOff(): void {
+    this.refuseWaiting();
+    for (const call of [...this.activeCalls]) call.breakOff();
+  }
+
   submit(call: ForwardedCall, body: Buffer, deliver: (reply: CallReply) => void): InboundCall {
     const nowMs = this.parts.clock();
     this.parts.routeCallers.recordCall(call.route, call.callerService);
-    const refusalReason = this.refusalReasonFor(call);
+    const refusalReason = this.refusalReasonFor(call, nowMs);
     const opened = this.openRecord(call, deliver, nowMs);
     if (opened.kind === 'replied') return SETTLED_CALL;
     const { record } = opened;
@@ -276,14 +288,23 @@
     onCrashReports(reports);
   }
 
-  private refusalReasonFor(call: ForwardedCall): CallRefusalReasonName | undefined {
-    const { target } = this.parts;
+  private refusalReasonFor(call: ForwardedCall, nowMs: number): CallRefusalReasonName | undefined {
+    const { target, stopPlan } = this.parts;
     if (this.isClosing) return CallRefusalReason.leaving;
     const { announcement } = target;
     if (announcement?.targetId !== call.targetId || announcement.service !== call.service) {
       return CallRefusalReason.notHere;
     }
-    return target.isServing ? undefined : CallRefusalReason.leaving;
+    const mayAccept =
+      target.isServing && stopPlan.mayAcceptCall(this.expectedMs(call, nowMs), nowMs);
+    return mayAccept ? undefined : CallRefusalReason.leaving;
+  }
+
+  /** Expected time until the answer to a call that arrives now. */
+  private expectedMs({ route }: ForwardedCall, nowMs: number): number {
+    const { queue, capacity } = this.parts;
+    const serviceMs = capacity.pace.routeMs(route, nowMs) ?? queue.load().serviceMs;
+    return queue.expectedWaitMs(nowMs) + serviceMs;
   }
 
   private openRecord(
--- a/packages/sidecar/src/sidecar-lifecycle.ts
+++ b/packages/sidecar/src/sidecar-lifecycle.ts
@@ -1,3 +1,4 @@
+import { StopPhase, type StopPhaseName, type StopPlan } from '@daisyferry/mesh/stop-plan';
 import type { CallerListener } from './caller-listener';
 import type { ControlListener } from './control-listener';
 import type { DaemonEnvironment } from './daemon-environment';
@@ -27,21 +28,17 @@
   readonly announcements: ControlListener;
   readonly readiness: ControlListener;
   readonly readyState: ReadyState;
+  readonly stopPlan: StopPlan;
   readonly logFlushIntervalMs: number;
   readonly clock: () => number;
 }
 
-/** Time after the request to stop in which callers learn of it: two readiness probes. */
-const CALLER_NOTICE_MS = 2_600;
-/** Maximum length of this notice, as a share of the grace time. */
-const MAX_NOTICE_SHARE_OF_GRACE = 0.45;
-/** Last part of the notice, in which other daemons learn of the stop and send their last calls. */
-const PEER_NOTICE_MS = 300;
-/** Time before the kill at which the process exits even if work is unfinished. */
-const EXIT_MARGIN_MS = 800;
 /** Time between two checks of the work in progress while stopping. */
 const STOP_CHECK_INTERVAL_MS = 50;
 
+/** Turns of the event loop in which a connection is accepted, read, and its request passed on. */
+const RECEIVE_TURNS = 3;
+
 function delay(ms: number): Promise<void> {
   return new Promise((resolve) => {
     setTimeout(resolve, ms);
@@ -58,6 +55,15 @@
 
 type LifecycleStateName = (typeof LifecycleState)[keyof typeof LifecycleState];
 
+/** Lets the event loop accept connections and read what has arrived on them. */
+async function receivePending(): Promise<void> {
+  for (let turn = 0; turn < RECEIVE_TURNS; turn += 1) {
+    await new Promise((resolve) => {
+      setImmediate(resolve);
+    });
+  }
+}
+
 /** Starts one daemon and stops it gracefully. */
 export class SidecarLifecycle {
   private flushTimer: NodeJS.Timeout | undefined;
@@ -141,51 +147,89 @@
   }
 
   private async runStop(): Promise<void> {
-    this.parts.readyState.beginStop();
+    const { stopPlan, bounds, readyState, callers, registration, clock } = this.parts;
+    stopPlan.begin(bounds.get().graceMs, clock());
+    readyState.beginStop();
     this.setState(LifecycleState.stopping);
-    const { callers, ownRecord, home, entry, peerConnections, registration } = this.parts;
-    const { graceMs } = this.parts.bounds.get();
-    const stopDeadlineMs = this.parts.clock() + graceMs - EXIT_MARGIN_MS;
     this.logStop('stopping');
     callers.isClosing = true;
     // What is accepted during a start is finished, too.
     if (this.started !== undefined) await this.started.catch(() => undefined);
-    // The target keeps running and is reachable only through this daemon, so that it continues to
-    // serve until callers have learned of the stop.
-    const noticeMs = Math.min(CALLER_NOTICE_MS, graceMs * MAX_NOTICE_SHARE_OF_GRACE);
-    const peerNoticeMs = Math.min(PEER_NOTICE_MS, noticeMs / 2);
-    await delay(noticeMs - peerNoticeMs);
-    this.logStop('stop: peers are told');
-    ownRecord.publishLeaving();
-    await delay(peerNoticeMs);
-    // A request accepted from now on might not be finished in the remaining time.
-    this.logStop('stop: no longer listening');
-    callers.stopListening();
-    callers.closeIdle();
-    const hasWork = () =>
+    let phase: StopPhaseName = StopPhase.notice;
+    while (phase !== StopPhase.ended) {
+      const next = stopPlan.phaseAfter(phase, this.hasWork, clock());
+      if (next === phase) {
+        await delay(STOP_CHECK_INTERVAL_MS);
+        if (phase === StopPhase.finishing) callers.closeIdle();
+      } else {
+        // After a pause of the process, timers come before what has arrived meanwhile.
+        await receivePending();
+        if (stopPlan.phaseAfter(phase, this.hasWork, clock()) === next) {
+          phase = next;
+          this.enterPhase(phase);
+        }
+      }
+    }
+    await Promise.race([registration.stop(), delay(stopPlan.removalTimeoutMs(clock()))]);
+    this.parts.announcements.close();
+    this.parts.readiness.close();
+    clearInterval(this.flushTimer);
+    this.logStop('stopped');
+    this.setState(LifecycleState.stopped);
+    this.parts.log.flushSync();
+  }
+
+  /** True while something that was accepted has no answer that is sent whole. */
+  private get hasWork(): boolean {
+    const { entry, home, callers, peerConnections } = this.parts;
+    return (
       entry.activeCount > 0 ||
       home.activeCount > 0 ||
+      callers.arrivingCount > 0 ||
       callers.hasUnsentBytes ||
-      peerConnections.hasUnsentReplies;
-    while (this.parts.clock() < stopDeadlineMs && hasWork()) {
-      await delay(STOP_CHECK_INTERVAL_MS);
-      callers.closeIdle();
+      peerConnections.hasUnsentReplies
+    );
+  }
+
+  private enterPhase(phase: StopPhaseName): void {
+    const { callers, ownRecord, entry, home, clock } = this.parts;
+    this.logStop('stop phase', phase);
+    switch (phase) {
+      case StopPhase.notice:
+        return;
+      case StopPhase.peerNotice:
+        ownRecord.publishLeaving();
+        return;
+      case StopPhase.finishing:
+        callers.stopListening();
+        callers.closeIdle();
+        return;
+      case StopPhase.refusing:
+        home.refuseWaiting();
+        entry.refuseUnsent(clock());
+        callers.refuseArriving();
+        return;
+      case StopPhase.breaking:
+        home.breakOff();
+        return;
+      case StopPhase.ended:
+        this.closeConnections();
+        return;
+      default:
+        phase satisfies never;
     }
-    this.logStop('stop: work ended');
+  }
+
+  /** Closes all connections at the same moment, so that nothing is accepted that cannot be answered. */
+  private closeConnections(): void {
+    const { callers, home, peerConnections, storeSync, freshnessKeeper } = this.parts;
     home.close();
     callers.close();
-    this.parts.storeSync.stop();
-    this.parts.freshnessKeeper.stop();
-    await Promise.race([registration.stop(), delay(EXIT_MARGIN_MS / 2)]);
-    this.logStop('stop: connections close');
+    storeSync.stop();
+    freshnessKeeper.stop();
+    // Calls at other daemons get their outcome, which is passed on to their callers.
     peerConnections.stop();
     callers.closeConnections();
-    this.parts.announcements.close();
-    this.parts.readiness.close();
-    clearInterval(this.flushTimer);
-    this.logStop('stopped');
-    this.setState(LifecycleState.stopped);
-    this.parts.log.flushSync();
   }
 
   private setState(state: LifecycleStateName): void {
@@ -194,9 +238,10 @@
   }
 
   /** Logs a step of the stop with what is in progress. */
-  private logStop(step: string): void {
+  private logStop(step: string, phase?: StopPhaseName): void {
     const { callers, entry, home, peerConnections, log, clock } = this.parts;
     log.stateChange(step, {
+      phase,
       sinceStopMs: Math.round(clock() - this.stateSinceMs),
       activeEntry: entry.activeCount,
       activeHome: home.activeCount,
--- a/packages/sidecar/src/target-call.ts
+++ b/packages/sidecar/src/target-call.ts
@@ -24,6 +24,7 @@
 import type { AnnouncedTarget } from '@daisyferry/mesh/announced-target';
 import type { ServiceShortage } from '@daisyferry/mesh/shortage-news';
 import type { ShedLevel } from '@daisyferry/mesh/shed-level';
+import type { StopPlan } from '@daisyferry/mesh/stop-plan';
 import type { UnresponsiveTargetDetector } from '@daisyferry/mesh/unresponsive-target-detector';
 import type { RefusedShare } from '@daisyferry/mesh/refused-share';
 import type { LearntCapacity } from '@daisyferry/mesh/learnt-capacity';
@@ -72,6 +73,7 @@
   readonly headerNames: HeaderNames;
   readonly responseFieldNames: ResponseFieldNames;
   readonly notices: LocalTargetNotices;
+  readonly stopPlan: StopPlan;
   readonly log: EventLog;
   readonly clock: () => number;
   /** Called when the target stopped or resumed accepting connections. */
@@ -268,6 +270,14 @@
     }
   }
 
+  /** Ends the call, as the daemon exits: it may run on at the target. */
+  breakOff(): void {
+    if (this.isDone) return;
+    if (this.lostDetail !== undefined) this.settleLost(false);
+    else if (this.runningExchange !== undefined) this.abortRunning('the daemon stops');
+    else this.refuse(CallRefusalReason.leaving, 0);
+  }
+
   settleLost(hasCrashed: boolean): void {
     const { lostDetail = '' } = this;
     if (!hasCrashed) {
--- a/packages/sidecar/src/wire-sidecar.ts
+++ b/packages/sidecar/src/wire-sidecar.ts
@@ -30,6 +30,7 @@
 import { RetryAfterPlan } from '@daisyferry/mesh/retry-after-plan';
 import { LearntCapacity } from '@daisyferry/mesh/learnt-capacity';
 import { DestinationSelector } from '@daisyferry/mesh/destination-selector';
+import { StopPlan } from '@daisyferry/mesh/stop-plan';
 import { SuspectGate } from '@daisyferry/mesh/suspect-gate';
 import { TreeAdmission } from '@daisyferry/mesh/tree-admission';
 import { TargetChooser } from '@daisyferry/mesh/target-chooser';
@@ -126,6 +127,7 @@
     notRun: headerNames.notRun.toLowerCase(),
     signature: headerNames.signature.toLowerCase(),
   };
+  const stopPlan = new StopPlan();
   const pool = new TargetConnectionPool(
     environment.targetAddress,
     responseFieldNames,
@@ -210,6 +212,7 @@
       ownDaemonId: environment.daemonId,
     }),
     onCrashReports: (reports) => crashReports.emit(reports),
+    stopPlan,
     log,
     clock,
     onTargetChange: () => ownRecord.publish(),
@@ -337,6 +340,7 @@
     headerNames,
     callerService: environment.service,
     attemptKeyPrefix: `${processKey}/`,
+    stopPlan,
     log,
     metrics,
     clock,
@@ -438,6 +442,7 @@
       text: '{}',
     })),
     readyState,
+    stopPlan,
     logFlushIntervalMs: LOG_FLUSH_INTERVAL_MS,
     clock,
   });
--- a/packages/sidecar/tests/sidecar-lifecycle.test.ts
+++ b/packages/sidecar/tests/sidecar-lifecycle.test.ts
@@ -3,6 +3,7 @@
   type SidecarLifecycleParts,
 } from '@daisyferry/sidecar/sidecar-lifecycle';
 import { CurrentBounds } from '@daisyferry/sidecar/settings-reload';
+import { StopPlan } from '@daisyferry/mesh/stop-plan';
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
 
 const GRACE_MS = 6_000;
@@ -17,6 +18,10 @@
 
   hasUnsentReplies = false;
 
+  arrivingRequests = 0;
+
+  isStoreSilent = false;
+
   private readonly startMs = performance.now();
 
   recordStep(step: string): void {
@@ -33,6 +38,7 @@
     const recordUnready = record('unready');
     const activeHomeCalls = () => this.activeHomeCalls;
     const hasUnsentBytes = () => this.hasUnsentBytes;
+    const arrivingRequests = () => this.arrivingRequests;
     const hasUnsentReplies = () => this.hasUnsentReplies;
     return {
       bounds: new CurrentBounds({
@@ -51,20 +57,27 @@
       callers: {
         isClosing: false,
         closeIdle: () => undefined,
+        refuseArriving: () => undefined,
         stopListening: record('listening stopped'),
         close: record('callers closed'),
         closeConnections: record('caller connections closed'),
         get hasUnsentBytes() {
           return hasUnsentBytes();
         },
+        get arrivingCount() {
+          return arrivingRequests();
+        },
       },
       freshnessKeeper: { stop: () => undefined },
       ownRecord: { publishLeaving: record('leaving published') },
-      entry: { activeCount: 0 },
+      stopPlan: new StopPlan(),
+      entry: { activeCount: 0, refuseUnsent: () => undefined },
       home: {
         get activeCount() {
           return activeHomeCalls();
         },
+        refuseWaiting: record('waiting refused'),
+        breakOff: record('broken off'),
         close: record('home closed'),
       },
       log: { stateChange: () => undefined, flushSync: () => undefined },
@@ -75,7 +88,9 @@
         },
       },
       storeSync: { stop: () => undefined },
-      registration: { stop: () => Promise.resolve() },
+      registration: {
+        stop: () => (this.isStoreSilent ? Promise.race([]) : Promise.resolve()),
+      },
       announcements: { close: () => undefined },
       readiness: { close: () => undefined },
       logFlushIntervalMs: 1_000,
@@ -148,6 +163,39 @@
     expect(recorder.steps.filter(({ step }) => step === 'home closed')).toHaveLength(1);
   });
 
+  it('accepts nothing while it waits for a store that is silent', async () => {
+    const recorder = new StopRecorder();
+    recorder.isStoreSilent = true;
+    const stopped = new SidecarLifecycle(recorder.parts()).stop();
+    await vi.advanceTimersByTimeAsync(GRACE_MS);
+    await stopped;
+    expect(recorder.atMs('caller connections closed') - recorder.atMs('home closed')).toBeLessThan(
+      1,
+    );
+  });
+
+  it('waits for a request that has partly arrived', async () => {
+    const recorder = new StopRecorder();
+    recorder.arrivingRequests = 1;
+    const stopped = new SidecarLifecycle(recorder.parts()).stop();
+    await vi.advanceTimersByTimeAsync(4_000);
+    expect(recorder.atMs('caller connections closed')).toBeNaN();
+    recorder.arrivingRequests = 0;
+    await vi.advanceTimersByTimeAsync(100);
+    await stopped;
+  });
+
+  it('refuses what waits before it breaks off what runs', async () => {
+    const recorder = new StopRecorder();
+    recorder.activeHomeCalls = 1;
+    const stopped = new SidecarLifecycle(recorder.parts()).stop();
+    await vi.advanceTimersByTimeAsync(GRACE_MS);
+    await stopped;
+    const replyMs = recorder.atMs('broken off') - recorder.atMs('waiting refused');
+    expect(replyMs).toBeGreaterThan(200);
+    expect(recorder.atMs('peers closed') - recorder.atMs('broken off')).toBeGreaterThan(100);
+  });
+
   it('stops within the grace time even if its target has unfinished work', async () => {
     const recorder = new StopRecorder();
     recorder.activeHomeCalls = 1;
--- a/packages/sidecar/tests/support/entry-parts.ts
+++ b/packages/sidecar/tests/support/entry-parts.ts
@@ -7,6 +7,7 @@
 import { RetryAfterPlan } from '@daisyferry/mesh/retry-after-plan';
 import type { RetryBounds } from '@daisyferry/mesh/retry-bounds';
 import { RouteFailureGate } from '@daisyferry/mesh/route-failure-gate';
+import { StopPlan } from '@daisyferry/mesh/stop-plan';
 import { TargetChooser } from '@daisyferry/mesh/target-chooser';
 import { TargetNoticeTable } from '@daisyferry/mesh/target-notice-table';
 import { TreeAdmission } from '@daisyferry/mesh/tree-admission';
@@ -67,6 +68,7 @@
     attemptKeyPrefix: 'm/1/',
     log: { decision: () => undefined } as unknown as EventLog,
     metrics: new SidecarMetrics(),
+    stopPlan: new StopPlan(),
     clock: () => 0,
     ...overrides,
   };
