Give each error an owner, and go on after one that has none

Callers saw requests without an answer: an error that a handler, a timer or a promise does not expect ended the process, and with it all requests in progress.

An error of the code that handles what has arrived, as for a value that nobody foresaw, reached the top.

A peer that reports the record, the level or the following of another daemon is ignored.

--- a/packages/peering/src/control-codec.ts
+++ b/packages/peering/src/control-codec.ts
@@ -72,6 +72,12 @@
   return isNumber(version) ? version : undefined;
 }
 
+/** Id of the daemon that a record or a report is about; undefined if none is named. */
+export function decodeSubjectId(text: string): string | undefined {
+  const { daemonId } = fieldsOf<{ daemonId: string }>(parseJson(text));
+  return typeof daemonId === 'string' ? daemonId : undefined;
+}
+
 export interface ReportedLevel {
   readonly daemonId: string;
   readonly level: number;
--- a/packages/peering/src/inbound-peer.ts
+++ b/packages/peering/src/inbound-peer.ts
@@ -32,6 +32,10 @@
   onControl(frame: Frame, peer: InboundPeer): void;
   /** Called once the connection has ended. */
   onClosed(peer: InboundPeer): void;
+  /** Called when handling a frame of this kind threw an error; the connection is then closed. */
+  onFailure(error: unknown, frameKind: number, peer: InboundPeer): void;
+  /** Called when a connection could not be accepted. */
+  onAcceptFailed(error: Error): void;
 }
 
 /** Time within which a peer sends its hello. */
@@ -74,7 +78,7 @@
     socket.setNoDelay(true);
     socket.on('data', (chunk: Buffer) => {
       this.liveness?.recordReceived(clock());
-      if (!this.reader.push(chunk, (frame) => this.handleFrame(frame))) socket.destroy();
+      if (!this.reader.push(chunk, (frame) => this.receiveFrame(frame))) socket.destroy();
     });
     // 'close' always follows and handles the end of the connection.
     socket.on('error', () => undefined);
@@ -102,6 +106,15 @@
     this.writer.write(encodeFrame(kind, 0, head, body));
   }
 
+  private receiveFrame(frame: Frame): void {
+    try {
+      this.handleFrame(frame);
+    } catch (error) {
+      this.socket.destroy();
+      this.events.onFailure(error, frame.kind, this);
+    }
+  }
+
   private handleFrame(frame: Frame): void {
     // A frame that follows the one for which the connection was closed.
     if (this.socket.destroyed) return;
--- a/packages/peering/src/peer-link.ts
+++ b/packages/peering/src/peer-link.ts
@@ -26,6 +26,7 @@
   addressChanged: 'address changed',
   connectTimedOut: 'connection attempt timed out',
   probeTimedOut: 'probe timed out',
+  failed: 'internal error',
 } as const;
 
 export interface PeerAddress {
@@ -40,6 +41,8 @@
   onControl(frame: Frame): void;
   onUp(): void;
   onDown(reason: string, wasUnresponsive: boolean): void;
+  /** Called when handling a frame of this kind threw an error; the connection is then closed. */
+  onFailure(error: unknown, frameKind: number): void;
 }
 
 export interface CancellableCall {
@@ -211,7 +214,7 @@
     socket.on('data', (chunk: Buffer) => {
       if (this.socket !== socket) return;
       this.liveness.recordReceived(this.clock());
-      if (!reader.push(chunk, (frame) => this.handleFrame(frame, socket))) {
+      if (!reader.push(chunk, (frame) => this.receiveFrame(frame, socket))) {
         this.handleSocketEnd(socket, 'malformed frame');
       }
     });
@@ -223,6 +226,15 @@
     if (this.socket === socket) this.breakConnection(reason, false);
   }
 
+  private receiveFrame(frame: Frame, socket: Socket): void {
+    try {
+      this.handleFrame(frame, socket);
+    } catch (error) {
+      this.events.onFailure(error, frame.kind);
+      this.handleSocketEnd(socket, LinkEndReason.failed);
+    }
+  }
+
   private handleFrame(frame: Frame, socket: Socket): void {
     // A frame that follows the one for which the connection was closed.
     if (this.socket !== socket) return;
--- a/packages/peering/src/peer-server.ts
+++ b/packages/peering/src/peer-server.ts
@@ -1,6 +1,7 @@
 import type { BufferBudget } from '@daisyferry/mesh/buffer-budget';
 import { createServer, type Server, type Socket } from 'node:net';
 import { InboundPeer, type PeerServerEvents } from './inbound-peer';
+import { listen } from './listen';
 import type { PeerAddress } from './peer-link';
 
 /** Accepts the connections of other daemons; each is an `InboundPeer`. */
@@ -11,7 +12,11 @@
 
   private readonly sockets = new Set<Socket>();
 
-  constructor(events: PeerServerEvents, bufferBudget: BufferBudget, clock: () => number) {
+  constructor(
+    private readonly events: PeerServerEvents,
+    bufferBudget: BufferBudget,
+    clock: () => number,
+  ) {
     this.server = createServer((socket) => {
       const peer = new InboundPeer(socket, events, bufferBudget, clock);
       this.peers.add(peer);
@@ -35,10 +40,8 @@
   }
 
   listen(address: PeerAddress): Promise<void> {
-    return new Promise((resolve, reject) => {
-      this.server.once('error', reject);
-      this.server.listen(address.port, address.ip, () => resolve());
-    });
+    const { ip, port } = address;
+    return listen(this.server, { host: ip, port }, (error) => this.events.onAcceptFailed(error));
   }
 
   close(): void {
--- a/packages/peering/tests/peer-link.test.ts
+++ b/packages/peering/tests/peer-link.test.ts
@@ -88,6 +88,10 @@
 
   closedConnections = 0;
 
+  readonly failures: string[] = [];
+
+  handleControl: () => void = () => undefined;
+
   finish: () => void = () => undefined;
 
   readonly bufferBudget = new BufferBudget(2_000_000);
@@ -133,10 +137,12 @@
         else deliver({ outcome: barredOutcome(), load: undefined });
         return found.isOpen ? this.inboundCall : undefined;
       },
-      onControl: () => undefined,
+      onControl: () => this.handleControl(),
       onClosed: () => {
         this.closedConnections += 1;
       },
+      onFailure: (error, frameKind) => this.failures.push(`${frameKind}: ${String(error)}`),
+      onAcceptFailed: (error) => this.failures.push(error.message),
     },
     this.bufferBudget,
     () => performance.now(),
@@ -152,12 +158,15 @@
   let downs: { readonly reason: string; readonly wasUnresponsive: boolean }[];
   let ups: number;
   let onHello: () => void;
+  let handleLinkControl: () => void;
+  const linkFailures: number[] = [];
   let entryBudget: BufferBudget;
 
   beforeEach(async () => {
     downs = [];
     ups = 0;
     onHello = () => undefined;
+    handleLinkControl = () => undefined;
     home = new HomeStub();
     address = { host: '127.0.0.1', port: await freePort() };
     await home.server.listen({ ip: address.host, port: address.port });
@@ -177,7 +186,8 @@
           answersPings: true,
         }),
         onHello: () => onHello(),
-        onControl: () => undefined,
+        onControl: () => handleLinkControl(),
+        onFailure: (_error, frameKind) => linkFailures.push(frameKind),
         onUp: () => {
           ups += 1;
         },
@@ -443,6 +453,45 @@
     await vi.waitFor(() => expect(home.cancelled).toBe(1));
   });
 
+  it('closes only the connection whose frame makes a handler throw', async () => {
+    const replies: CallReply[] = [];
+    link.call(CALL, BODY, (reply) => replies.push(reply));
+    await vi.waitFor(() => expect(home.runs).toEqual(['r-1']));
+    home.handleControl = () => {
+      throw new RangeError('unexpected');
+    };
+    const socket = createConnection(address);
+    const closed = new Promise((resolve) => {
+      socket.on('close', resolve);
+    });
+    socket.write(encodeFrame(FrameKind.level, 0, '{}'));
+    await closed;
+    expect(home.failures).toEqual([`${FrameKind.level}: RangeError: unexpected`]);
+    home.finish();
+    await vi.waitFor(() => expect(replies).toEqual([REPLY]));
+  });
+
+  it('closes the link whose frame makes a handler throw, and opens it anew', async () => {
+    await vi.waitFor(() => expect(link.isUp).toBe(true));
+    linkFailures.length = 0;
+    handleLinkControl = () => {
+      throw new RangeError('unexpected');
+    };
+    for (const peer of home.server.peers) peer.sendControl(FrameKind.level, '{}');
+    await vi.waitFor(() => expect(linkFailures).toEqual([FrameKind.level]));
+    expect(downs.at(-1)?.reason).toBe('internal error');
+    handleLinkControl = () => undefined;
+    await vi.waitFor(() => expect(link.isUp).toBe(true));
+  });
+
+  it('goes on listening when connections of peers cannot be accepted', () => {
+    const { server } = home.server as unknown as {
+      server: { emit(name: string, error: Error): void };
+    };
+    for (let count = 0; count < 3; count += 1) server.emit('error', new Error('accept EMFILE'));
+    expect(home.failures).toHaveLength(3);
+  });
+
   it('closes a connection whose hello cannot be read', async () => {
     const socket = createConnection(address);
     const closed = new Promise((resolve) => {
--- a/packages/sidecar/src/caller-connection.ts
+++ b/packages/sidecar/src/caller-connection.ts
@@ -6,6 +6,7 @@
 import { HeldBody, type BodyReservation, type BufferBudget } from '@daisyferry/mesh/buffer-budget';
 import type { Socket } from 'node:net';
 import type { Respond, CancellableRequest } from './entry';
+import type { FailureReport } from './failure-report';
 import type { PipelineCounts } from './pipeline-counts';
 import type { PipelinedRequest } from './pipelined-request';
 import { RequestPipeline } from './request-pipeline';
@@ -33,6 +34,7 @@
   /** Bounds the large request bodies that are held, and the large responses not yet read. */
   readonly bufferBudget: BufferBudget;
   readonly onProblem: (detail: string) => void;
+  readonly failures: Pick<FailureReport, 'report'>;
   /** Called when a response is dropped, as its request was answered before. */
   readonly onSurplusResponse: (status: number) => void;
   readonly clock: () => number;
@@ -102,14 +104,16 @@
     this.pipeline = new RequestPipeline(listener.parts.mayRunAhead, listener.parts.pipelineCounts);
     this.lastActivityAtMs = listener.parts.clock();
     socket.setNoDelay(true);
-    socket.on('data', (chunk: Buffer) => this.receive(chunk));
+    socket.on('data', (chunk: Buffer) => this.attempt(() => this.receive(chunk)));
     // 'close' always follows and cancels the requests in progress.
     socket.on('error', () => socket.destroy());
     socket.on('close', () => this.handleClose());
-    socket.on('drain', () => {
-      this.releaseUnread();
-      this.advance();
-    });
+    socket.on('drain', () =>
+      this.attempt(() => {
+        this.releaseUnread();
+        this.advance();
+      }),
+    );
   }
 
   /** Closes the connection if it is idle between two requests and has sent all responses. */
@@ -134,6 +138,10 @@
   }
 
   checkTimeouts(nowMs: number): void {
+    this.attempt(() => this.closeIfTimedOut(nowMs));
+  }
+
+  private closeIfTimedOut(nowMs: number): void {
     const idleMs = nowMs - this.lastActivityAtMs;
     if (this.hasUnsentBytes) {
       if (idleMs > UNREAD_RESPONSE_TIMEOUT_MS) this.close();
@@ -158,6 +166,16 @@
     return this.pipeline.mayRead(this.listener.isClosing);
   }
 
+  /** Closes the connection if handling what it has sent fails. */
+  private attempt(handle: () => void): void {
+    try {
+      handle();
+    } catch (error) {
+      this.listener.parts.failures.report('caller', error);
+      this.close();
+    }
+  }
+
   private receive(chunk: Buffer): void {
     if (this.hasEnded) return;
     this.reader.push(chunk);
@@ -267,7 +285,7 @@
     while (!this.hasEnded && !this.socket.destroyed && this.writeNext());
     // Not at once: this runs within the decisions on another request.
     if (this.pipeline.hasWaiting || this.reader.hasPartialRequest)
-      setImmediate(() => this.advance());
+      setImmediate(() => this.attempt(() => this.advance()));
   }
 
   /** Ends the connection once all that was written is sent. */
--- a/packages/sidecar/src/caller-listener.ts
+++ b/packages/sidecar/src/caller-listener.ts
@@ -1,3 +1,4 @@
+import { listen } from '@daisyferry/peering/listen';
 import { createServer, type Server } from 'node:net';
 import {
   CallerConnection,
@@ -41,10 +42,9 @@
   }
 
   listen({ ip, port }: SocketAddress): Promise<void> {
-    return new Promise((resolve, reject) => {
-      this.server.once('error', reject);
-      this.server.listen({ host: ip, port, backlog: 1_024 }, () => resolve());
-    });
+    return listen(this.server, { host: ip, port, backlog: 1_024 }, (error) =>
+      this.parts.failures.report('accept', error, { input: 'callers' }),
+    );
   }
 
   remove(connection: CallerConnection): void {
--- a/packages/sidecar/src/entry.ts
+++ b/packages/sidecar/src/entry.ts
@@ -220,8 +220,11 @@
     this.sweepTimer ??= setTimeout(() => {
       this.sweepTimer = undefined;
       const nowMs = this.parts.clock();
-      for (const callerRequest of this.activeRequests) callerRequest.checkDeadline(nowMs);
-      if (this.activeRequests.size > 0) this.scheduleSweep();
+      try {
+        for (const callerRequest of this.activeRequests) callerRequest.checkDeadline(nowMs);
+      } finally {
+        if (this.activeRequests.size > 0) this.scheduleSweep();
+      }
     }, SWEEP_INTERVAL_MS);
   }
 }
--- a/packages/sidecar/src/home.ts
+++ b/packages/sidecar/src/home.ts
@@ -319,13 +319,16 @@
   private scheduleSweep(): void {
     this.sweepTimer ??= setTimeout(() => {
       this.sweepTimer = undefined;
-      this.sweep(this.parts.clock());
-      const nowMs = this.parts.clock();
-      const isNeeded =
-        this.activeCalls.size > 0 ||
-        this.effectiveShedLevel(nowMs) > 0 ||
-        this.parts.callTrees.hasShortages(nowMs);
-      if (isNeeded) this.scheduleSweep();
+      try {
+        this.sweep(this.parts.clock());
+      } finally {
+        const nowMs = this.parts.clock();
+        const isNeeded =
+          this.activeCalls.size > 0 ||
+          this.effectiveShedLevel(nowMs) > 0 ||
+          this.parts.callTrees.hasShortages(nowMs);
+        if (isNeeded) this.scheduleSweep();
+      }
     }, SWEEP_INTERVAL_MS);
   }
 
--- a/packages/sidecar/src/peer-connections.ts
+++ b/packages/sidecar/src/peer-connections.ts
@@ -7,7 +7,7 @@
 import type { TargetNoticeTable } from '@daisyferry/mesh/target-notice-table';
 import type { DaemonRecord } from '@daisyferry/mesh/daemon-record';
 import { FrameKind, type Frame, type FrameKindNumber } from '@daisyferry/peering/frame';
-import { decodeLevel } from '@daisyferry/peering/control-codec';
+import { decodeLevel, decodeSubjectId } from '@daisyferry/peering/control-codec';
 import type { Hello } from '@daisyferry/peering/hello';
 import type { InboundPeer } from '@daisyferry/peering/inbound-peer';
 import {
@@ -23,6 +23,7 @@
 import { CrashExchange } from './crash-exchange';
 import type { HomeTransport } from './entry';
 import type { EventLog } from './event-log';
+import type { FailureReport } from './failure-report';
 import type { Home } from './home';
 import { InboundConnections } from './inbound-connections';
 import type { OwnRecord } from './own-record';
@@ -41,6 +42,7 @@
   readonly home: Home;
   readonly bufferBudget: BufferBudget;
   readonly configuration: ConfigurationHolder;
+  readonly failures: FailureReport;
   readonly log: EventLog;
   readonly clock: () => number;
   /** True while this daemon follows the daemon records in the store. */
@@ -68,6 +70,13 @@
 /** Time without calls after which a link that is not planned is closed. */
 const UNPLANNED_LINK_IDLE_MS = 20_000;
 
+/** Kinds of frames by which a daemon reports on itself alone. */
+const KINDS_ABOUT_SENDER: ReadonlySet<number> = new Set([
+  FrameKind.record,
+  FrameKind.level,
+  FrameKind.reading,
+]);
+
 function linkChangeOf(reason: string): LinkChange {
   switch (reason) {
     case LinkEndReason.closed:
@@ -137,6 +146,9 @@
         onCall: (call, body, deliver) => parts.home.submit(call, body, deliver),
         onResolve: (attempt, deliver) => parts.home.resolve(attempt, deliver),
         onControl: (frame, peer) => this.handleControlFrame(frame, peer),
+        onFailure: (error, frameKind, peer) =>
+          this.reportFailure(error, frameKind, this.daemonIds.get(peer)),
+        onAcceptFailed: (error) => parts.failures.report('accept', error, { input: 'peers' }),
       },
       parts.bufferBudget,
       clock,
@@ -264,6 +276,7 @@
           log.stateChange('peer disconnected', { daemonId, reason });
           this.parts.onLinkChange(daemonId, linkChangeOf(reason));
         },
+        onFailure: (error, frameKind) => this.reportFailure(error, frameKind, daemonId),
       },
       clock,
       bufferBudget,
@@ -284,8 +297,10 @@
 
   private checkConnections(nowMs: number): void {
     const { directory, linkPlan, log, onDaemonRemoved } = this.parts;
-    for (const link of this.links.values()) link.checkTimeouts(nowMs);
-    this.server.checkTimeouts(nowMs);
+    for (const [daemonId, link] of this.links) {
+      this.attempt(() => link.checkTimeouts(nowMs), daemonId);
+    }
+    this.attempt(() => this.server.checkTimeouts(nowMs));
     for (const daemonId of directory.removeExpired(nowMs)) {
       this.closeLink(daemonId);
       linkPlan.remove(daemonId);
@@ -307,7 +322,8 @@
       if (daemonId !== ownRecord.daemonId) {
         const link = this.links.get(daemonId);
         if (linkPlan.isWanted(record)) {
-          if (link === undefined) this.getOrCreateLink(daemonId)?.connect();
+          if (link === undefined)
+            this.attempt(() => this.getOrCreateLink(daemonId)?.connect(), daemonId);
         } else if (link !== undefined && link.idleMs(nowMs) > UNPLANNED_LINK_IDLE_MS) {
           this.closeLink(daemonId);
         }
@@ -332,6 +348,19 @@
     };
   }
 
+  /** Does a part of a periodic check; an error does not keep the rest from being done. */
+  private attempt(check: () => void, peerId?: string): void {
+    try {
+      check();
+    } catch (error) {
+      this.parts.failures.report('connectionCheck', error, { peerId });
+    }
+  }
+
+  private reportFailure(error: unknown, frameKind: number, daemonId: string | undefined): void {
+    this.parts.failures.report('frame', error, { kind: frameKind, peerId: daemonId });
+  }
+
   private isLocal(sender: ControlFrameSender): boolean {
     return this.zones.get(sender) === this.parts.ownRecord.zone;
   }
@@ -350,6 +379,16 @@
   }
 
   private handleControlFrame(frame: Frame, peer: ControlFrameSender): void {
+    if (KINDS_ABOUT_SENDER.has(frame.kind)) {
+      const daemonId = this.daemonIds.get(peer);
+      if (daemonId === undefined || decodeSubjectId(frame.head) !== daemonId) {
+        this.parts.log.decision('report on another daemon ignored', {
+          kind: frame.kind,
+          peerId: daemonId,
+        });
+        return;
+      }
+    }
     switch (frame.kind) {
       case FrameKind.configuration:
         this.configurations.handleFrame(frame, this.isLocal(peer), peer);
--- a/packages/sidecar/src/sidecar-lifecycle.ts
+++ b/packages/sidecar/src/sidecar-lifecycle.ts
@@ -3,6 +3,7 @@
 import type { DaemonEnvironment } from './daemon-environment';
 import type { Entry } from './entry';
 import type { EventLog } from './event-log';
+import type { FailureReport } from './failure-report';
 import type { FreshnessKeeper } from './freshness-keeper';
 import type { PeerConnections } from './peer-connections';
 import type { Home } from './home';
@@ -23,6 +24,7 @@
   readonly entry: Entry;
   readonly home: Home;
   readonly ownRecord: OwnRecord;
+  readonly failures: FailureReport;
   readonly log: EventLog;
   readonly announcements: ControlListener;
   readonly readiness: ControlListener;
@@ -83,6 +85,11 @@
     this.parts.log.warn('settings invalid; keeping the previous ones', { problem });
   }
 
+  /** Reports an error that no part has handled. */
+  reportFailure(origin: string, error: unknown): void {
+    this.parts.failures.report(origin, error);
+  }
+
   /** Finishes the work in progress and stops, within the grace time. */
   async stop(): Promise<void> {
     if (this.parts.readyState.isStopping) return;
--- a/packages/sidecar/src/store-sync.ts
+++ b/packages/sidecar/src/store-sync.ts
@@ -13,6 +13,7 @@
 import type { ConfigurationHolder } from './configuration-holder';
 import type { EventLog } from './event-log';
 import type { PeerConnections } from './peer-connections';
+import type { FailureReport } from './failure-report';
 import { PrefixFollower } from './prefix-follower';
 import { DAEMON_PREFIX, LEASE_MS, type Registration } from './registration';
 import type { StoreState } from './store-state';
@@ -28,6 +29,7 @@
   readonly peerConnections: PeerConnections;
   readonly registration: Registration;
   readonly unreadableEntries: UnreadableEntries;
+  readonly failures: FailureReport;
   readonly readerChoice: StoreReaderChoice;
   readonly ownDaemonId: string;
   readonly log: EventLog;
@@ -227,8 +229,7 @@
     const result = await store.range(query, READ_TIMEOUT_MS);
     if (this.isStopped || this.recordFollower.isStarted) return;
     if (result.ok && isFirst) {
-      for (const record of this.readRecords(result.value.values))
-        peerConnections.records.applyRecord(record, 'stored');
+      for (const record of this.readRecords(result.value.values)) this.applyRecord(record);
     } else if (result.ok) {
       this.applyRecordSnapshot(result.value.values);
     } else {
@@ -259,7 +260,7 @@
     peerConnections.records.markViewComplete();
     this.parts.unreadableEntries.retain(new Set(values.map(({ key }) => key)));
     const records = this.readRecords(values);
-    for (const record of records) peerConnections.records.applyRecord(record, 'stored');
+    for (const record of records) this.applyRecord(record);
     const storedIds = new Set(records.map(({ daemonId }) => daemonId));
     directory.retainStored(storedIds, clock());
     if (!storedIds.has(ownDaemonId)) registration.scheduleRewrite();
@@ -285,10 +286,20 @@
         log.stateChange('daemon record removed from the store', { peerId: daemonId });
       }
     }
-    for (const record of records) peerConnections.records.applyRecord(record, 'stored');
+    for (const record of records) this.applyRecord(record);
     peerConnections.records.reportChanges({ records, removedIds });
   }
 
+  /** A record that cannot be applied does not keep the others from being applied. */
+  private applyRecord(record: DaemonRecord): void {
+    const { peerConnections, failures } = this.parts;
+    try {
+      peerConnections.records.applyRecord(record, 'stored');
+    } catch (error) {
+      failures.report('record', error, { key: `${DAEMON_PREFIX}${record.daemonId}` });
+    }
+  }
+
   private removeFromStored(daemonId: string): void {
     const { directory, clock, ownDaemonId, registration } = this.parts;
     if (daemonId === ownDaemonId) registration.scheduleRewrite();
--- a/packages/sidecar/src/target-connection.ts
+++ b/packages/sidecar/src/target-connection.ts
@@ -96,8 +96,8 @@
       CONNECT_TIMEOUT_MS,
     );
     this.socket.on('connect', () => this.handleConnect());
-    this.socket.on('data', (chunk: Buffer) => this.receive(chunk));
-    this.socket.on('end', () => this.handleEnd());
+    this.socket.on('data', (chunk: Buffer) => this.attempt(() => this.receive(chunk)));
+    this.socket.on('end', () => this.attempt(() => this.handleEnd()));
     this.socket.on('error', (error: NodeJS.ErrnoException) => {
       this.wasRefused = error.code === CONNECTION_REFUSED;
       this.failExchange(error.message);
@@ -157,6 +157,16 @@
     }
   }
 
+  /** Ends the exchange and the connection if handling what the target has sent fails. */
+  private attempt(handle: () => void): void {
+    try {
+      handle();
+    } catch (error) {
+      this.failExchange('internal error', false);
+      throw error;
+    }
+  }
+
   private receive(chunk: Buffer): void {
     if (this.exchange === undefined) {
       // After an unsolicited response, later ones could not be matched to their requests.
--- a/packages/sidecar/src/wire-sidecar.ts
+++ b/packages/sidecar/src/wire-sidecar.ts
@@ -44,6 +44,7 @@
 import { ConfigurationHolder } from './configuration-holder';
 import { ControlListener } from './control-listener';
 import type { DaemonEnvironment } from './daemon-environment';
+import { daemonResponse, DaemonResponseReason } from './daemon-response';
 import { DiscardedResponseReport } from './discarded-response-report';
 import { Entry, type SidecarEntryParts } from './entry';
 import { EventLog } from './event-log';
@@ -230,6 +231,7 @@
     home,
     bufferBudget,
     configuration,
+    failures,
     log,
     clock,
     linkPlan: new LinkPlan(directory, {
@@ -288,6 +290,7 @@
     peerConnections,
     registration,
     unreadableEntries,
+    failures,
     readerChoice: new StoreReaderChoice(environment.daemonId, Math.random),
     ownDaemonId: environment.daemonId,
     log,
@@ -348,7 +351,17 @@
   const entry = new Entry(entryParts, identification);
   const pipelineCounts = new PipelineCounts();
   const callers = new CallerListener({
-    handle: (request, respond, readMs) => entry.handle(request, respond, readMs),
+    handle: (request, respond, readMs) => {
+      try {
+        return entry.handle(request, respond, readMs);
+      } catch (error) {
+        const { host, method } = request.head;
+        failures.report('request', error, { host, method });
+        respond(daemonResponse(DaemonResponseReason.outcomeUnknown, 0));
+        return undefined;
+      }
+    },
+    failures,
     mayRunAhead: (request) => entry.mayRunAhead(request),
     pipelineCounts,
     limits: () => configuration.routes?.configuration.limits ?? DEFAULT_LIMITS,
@@ -435,6 +448,7 @@
     entry,
     home,
     ownRecord,
+    failures,
     log,
     announcements: new ControlListener(
       (request) => announcementHandler.handle(request),
--- a/packages/sidecar/tests/caller-connection.test.ts
+++ b/packages/sidecar/tests/caller-connection.test.ts
@@ -38,6 +38,11 @@
       }),
       bufferBudget: new BufferBudget(64_000_000),
       onProblem: () => undefined,
+      failures: {
+        report: (_origin: string, error: unknown) => {
+          throw error;
+        },
+      },
       onSurplusResponse: (status: number) => surplusStatuses.push(status),
       clock: () => 0,
     };
--- a/packages/sidecar/tests/pipelined-requests.test.ts
+++ b/packages/sidecar/tests/pipelined-requests.test.ts
@@ -91,6 +91,11 @@
       }),
       bufferBudget: budget,
       onProblem: () => undefined,
+      failures: {
+        report: (_origin: string, error: unknown) => {
+          throw error;
+        },
+      },
       onSurplusResponse: () => {
         surplusCount += 1;
       },
