--- a/packages/peering/tests/frame-input.test.ts
+++ b/packages/peering/tests/frame-input.test.ts
@@ -14,7 +14,7 @@
 import { decodeQuotaAnswers, decodeQuotaQuestion } from '@daisyferry/peering/quota-codec';
 import fc from 'fast-check';
 import { describe, expect, it } from 'vitest';
-import { FUZZ, mutatedJson } from './support/json-mutations';
+import { FUZZ, mutatedJson } from '@daisyferry/bench/json-mutations';
 
 const CALL: ForwardedCall = {
   requestId: 'r-1',
@@ -82,8 +82,11 @@
   if (outcome.kind !== 'answered') return;
   const reader = new ResponseReader(() => true);
   for (const bytes of encodeResponse(outcome, false, true)) reader.push(bytes);
+  const read = reader.next(false);
+  // An answer without a length ends with its connection.
   reader.endOfInput();
-  expect(reader.next(false)).toMatchObject({ response: { status: outcome.status } });
+  const whole = read.kind === 'incomplete' ? reader.next(false) : read;
+  expect(whole).toMatchObject({ response: { status: outcome.status } });
 }
 
 describe('frames of a peer that lies', () => {
--- a/packages/peering/tests/record-codec.test.ts
+++ b/packages/peering/tests/record-codec.test.ts
@@ -3,7 +3,7 @@
 import fc from 'fast-check';
 import { createConnection } from 'node:net';
 import { describe, expect, it } from 'vitest';
-import { FUZZ } from './support/json-mutations';
+import { FUZZ } from '@daisyferry/bench/json-mutations';
 
 const TARGET = { targetId: 'i-1', service: 's', slots: 4, isServing: true, coldMs: 0 };
 const RECORD = {
