--- a/packages/sidecar/src/wire-sidecar.ts
+++ b/packages/sidecar/src/wire-sidecar.ts
@@ -46,6 +46,7 @@
 import { ControlListener } from './control-listener';
 import { CutRequestReport } from './cut-requests';
 import type { DaemonEnvironment } from './daemon-environment';
+import { daemonResponse, DaemonResponseReason } from './daemon-response';
 import { DiscardedResponseReport } from './discarded-response-report';
 import { Entry, type SidecarEntryParts } from './entry';
 import { EventLog } from './event-log';
@@ -234,6 +235,7 @@
     home,
     bufferBudget,
     configuration,
+    failures,
     log,
     clock,
     linkPlan: new LinkPlan(directory, {
@@ -292,6 +294,7 @@
     peerConnections,
     registration,
     unreadableEntries,
+    failures,
     readerChoice: new StoreReaderChoice(environment.daemonId, Math.random),
     ownDaemonId: environment.daemonId,
     log,
@@ -354,7 +357,17 @@
   const pipelineCounts = new PipelineCounts();
   const cutRequests = new CutRequestReport(responseFieldNames.requestId, log, metrics);
   const callers = new CallerListener({
-    handle: (request, respond, readMs) => entry.handle(request, respond, readMs),
+    handle: (request, respond, readMs) => {
+      try {
+        return entry.handle(request, respond, readMs);
+      } catch (error) {
+        const { host, method } = request.head;
+        failures.report('request', error, { host, method });
+        respond(daemonResponse(DaemonResponseReason.outcomeUnknown, 0));
+        return undefined;
+      }
+    },
+    failures,
     mayRunAhead: (request) => entry.mayRunAhead(request),
     pipelineCounts,
     limits: () => configuration.routes?.configuration.limits ?? DEFAULT_LIMITS,
@@ -442,6 +455,7 @@
     entry,
     home,
     ownRecord,
+    failures,
     log,
     announcements: new ControlListener(
       (request) => announcementHandler.handle(request),
