Copy small parts of a body into blocks and count the memory held for it

Cause: BodyReader kept a view for each chunk, each of over 100 bytes of heap and each keeping the whole read that it was part of in memory; the memory budget counted the bytes of the chunks only. ByteAccumulator copies small parts into blocks that grow, keeps large parts as views only if they are most of their memory, and tells how much it holds; a body of a known length is copied into memory of that length as it arrives. The budget counts what is held. Chunks without extensions are read in one loop.

--- a/packages/http1/src/body-reader.ts
+++ b/packages/http1/src/body-reader.ts
@@ -1,3 +1,4 @@
+import { ByteAccumulator } from './byte-accumulator';
 import type { BodyFraming } from './message';
 
 const CHUNK_SIZE_LINE = /^([0-9A-Fa-f]{1,8})(?:[ \t]*;.*)?$/;
@@ -7,7 +8,13 @@
 const MAX_TRAILER_BYTES = 16_384;
 const CR = 13;
 const LF = 10;
-const EMPTY = Buffer.alloc(0);
+const MAX_SIZE_DIGITS = 8;
+const HEX_RADIX = 16;
+/** Value of each byte as a hexadecimal digit, -1 for other bytes. */
+const HEX_VALUES = Int8Array.from({ length: 256 }, (_, byte) => {
+  const character = String.fromCharCode(byte);
+  return /[0-9A-Fa-f]/.test(character) ? Number.parseInt(character, HEX_RADIX) : -1;
+});
 
 const ChunkStep = { size: 'size', data: 'data', dataEnd: 'dataEnd', trailer: 'trailer' } as const;
 type ChunkStepName = (typeof ChunkStep)[keyof typeof ChunkStep];
@@ -19,9 +26,7 @@
   /** Set on a framing error, after which the connection is unusable. */
   problem: string | undefined;
 
-  receivedBytes = 0;
-
-  private readonly chunks: Buffer[] = [];
+  private readonly data: ByteAccumulator;
 
   private remainingBytes: number;
 
@@ -34,6 +39,16 @@
   constructor(private readonly framing: BodyFraming) {
     this.remainingBytes = framing.kind === 'length' ? framing.bytes : 0;
     this.isComplete = framing.kind === 'length' && framing.bytes === 0;
+    this.data = new ByteAccumulator(this.remainingBytes);
+  }
+
+  get receivedBytes(): number {
+    return this.data.length;
+  }
+
+  /** Memory that is held for the received bytes. */
+  get heldBytes(): number {
+    return this.data.heldBytes;
   }
 
   /** Reads bytes from position `from` on; returns the position after the last byte of the body. */
@@ -44,7 +59,7 @@
           this.isComplete = true;
         });
       case 'untilClose':
-        this.append(bytes.subarray(from));
+        this.data.append(bytes, from, bytes.length);
         return bytes.length;
       case 'chunked':
         return this.readChunks(bytes, from);
@@ -59,20 +74,12 @@
   }
 
   body(): Buffer {
-    if (this.chunks.length === 0) return EMPTY;
-    if (this.chunks.length === 1) return this.chunks[0] ?? EMPTY;
-    return Buffer.concat(this.chunks);
-  }
-
-  private append(part: Buffer): void {
-    if (part.length === 0) return;
-    this.chunks.push(part);
-    this.receivedBytes += part.length;
+    return this.data.concat();
   }
 
   private readData(bytes: Buffer, from: number, onComplete: () => void): number {
     const end = Math.min(bytes.length, from + this.remainingBytes);
-    this.append(bytes.subarray(from, end));
+    this.data.append(bytes, from, end);
     this.remainingBytes -= end - from;
     if (this.remainingBytes === 0) onComplete();
     return end;
@@ -86,12 +93,39 @@
           this.step = ChunkStep.dataEnd;
         });
       } else {
+        if (this.step === ChunkStep.size && this.line === '')
+          position = this.readPlainChunks(bytes, position);
         position = this.readLine(bytes, position);
       }
     }
     return position;
   }
 
+  /** Reads chunks that are there in whole and have no extension, and returns where others start. */
+  private readPlainChunks(bytes: Buffer, from: number): number {
+    const limit = bytes.length;
+    let position = from;
+    while (position < limit) {
+      let size = HEX_VALUES[bytes[position] ?? 0] ?? -1;
+      if (size < 0) break;
+      let sizeEnd = position + 1;
+      while (sizeEnd < limit && bytes[sizeEnd] !== CR && sizeEnd - position < MAX_SIZE_DIGITS) {
+        const digit = HEX_VALUES[bytes[sizeEnd] ?? 0] ?? -1;
+        if (digit < 0) break;
+        size = size * HEX_RADIX + digit;
+        sizeEnd += 1;
+      }
+      const start = sizeEnd + 2;
+      const end = start + size;
+      if (size === 0 || end + 2 > limit) break;
+      if (bytes[sizeEnd] !== CR || bytes[sizeEnd + 1] !== LF) break;
+      if (bytes[end] !== CR || bytes[end + 1] !== LF) break;
+      this.data.append(bytes, start, end);
+      position = end + 2;
+    }
+    return position;
+  }
+
   private readLine(bytes: Buffer, from: number): number {
     const lineFeed = bytes.indexOf(LF, from);
     const end = lineFeed < 0 ? bytes.length : lineFeed + 1;
--- a/packages/http1/src/request-reader.ts
+++ b/packages/http1/src/request-reader.ts
@@ -38,15 +38,15 @@
 
   /** Bytes buffered for requests that have not been read. */
   get bufferedBytes(): number {
-    return this.input.length + (this.body?.receivedBytes ?? 0);
+    return this.input.length + (this.body?.heldBytes ?? 0);
   }
 
   /**
-   * Bytes of the body of the request that is arriving: its announced length, or what has arrived if
-   * it has none.
+   * Memory for the body of the request that is arriving: its announced length, or what is held for
+   * it if that is more.
    */
   get expectedBodyBytes(): number {
-    return Math.max(this.announcedBodyBytes, this.body?.receivedBytes ?? 0);
+    return Math.max(this.announcedBodyBytes, this.body?.heldBytes ?? 0);
   }
 
   next(limits: RequestLimits): RequestReadResult {
--- a/packages/http1/src/response-reader.ts
+++ b/packages/http1/src/response-reader.ts
@@ -44,7 +44,7 @@
   }
 
   get bufferedBytes(): number {
-    return this.input.length + (this.body?.receivedBytes ?? 0);
+    return this.input.length + (this.body?.heldBytes ?? 0);
   }
 
   /** Called when the server closed the connection without an error. */
@@ -84,7 +84,7 @@
     if (!this.mayHold(announcedBytes)) return BODY_TOO_LONG;
     if (!body.isComplete) this.input.consume((bytes) => body.read(bytes, 0));
     if (body.problem !== undefined) return syntaxProblem(body.problem);
-    if (!this.mayHold(Math.max(announcedBytes, body.receivedBytes))) return BODY_TOO_LONG;
+    if (!this.mayHold(Math.max(announcedBytes, body.heldBytes))) return BODY_TOO_LONG;
     if (!body.isComplete) return INCOMPLETE;
     this.head = undefined;
     this.body = undefined;
--- a/packages/peering/src/incoming-bodies.ts
+++ b/packages/peering/src/incoming-bodies.ts
@@ -1,8 +1,10 @@
+import { ByteAccumulator } from '@daisyferry/http1/byte-accumulator';
+
 /** Bytes taken before the sender is told; a quarter of its window. */
 const CREDIT_BYTES = 65_536;
 
 interface IncomingBody {
-  readonly parts: Buffer[];
+  readonly data: ByteAccumulator;
   missingBytes: number;
   readonly onComplete: (body: Buffer) => void;
 }
@@ -27,7 +29,7 @@
    */
   expect(stream: number, bytes: number, onComplete: (body: Buffer) => void): boolean {
     if (this.bodies.has(stream)) return false;
-    this.bodies.set(stream, { parts: [], missingBytes: bytes, onComplete });
+    this.bodies.set(stream, { data: new ByteAccumulator(bytes), missingBytes: bytes, onComplete });
     return true;
   }
 
@@ -50,12 +52,11 @@
     const incoming = this.bodies.get(stream);
     if (incoming === undefined) return true;
     if (part.length > incoming.missingBytes) return false;
-    // A part is a view of the bytes that were read with it, which would stay in memory otherwise.
-    incoming.parts.push(Buffer.from(part));
+    incoming.data.append(part, 0, part.length);
     incoming.missingBytes -= part.length;
     if (incoming.missingBytes > 0) return true;
     this.bodies.delete(stream);
-    incoming.onComplete(Buffer.concat(incoming.parts));
+    incoming.onComplete(incoming.data.concat());
     return true;
   }
 
--- a/packages/sidecar/src/control-listener.ts
+++ b/packages/sidecar/src/control-listener.ts
@@ -1,3 +1,4 @@
+import { ByteAccumulator } from '@daisyferry/http1/byte-accumulator';
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import type { SocketAddress } from './daemon-environment';
 
@@ -43,18 +44,16 @@
   }
 
   private receive(request: IncomingMessage, response: ServerResponse): void {
-    const chunks: Buffer[] = [];
-    let receivedBytes = 0;
+    const data = new ByteAccumulator();
     request.on('data', (chunk: Buffer) => {
-      receivedBytes += chunk.length;
-      if (receivedBytes > MAX_BODY_BYTES) request.destroy();
-      else chunks.push(chunk);
+      data.append(chunk, 0, chunk.length);
+      if (data.length > MAX_BODY_BYTES) request.destroy();
     });
     request.on('end', () => {
       const { status, contentType, text } = this.handle({
         method: request.method ?? '',
         path: request.url ?? '',
-        text: Buffer.concat(chunks).toString('utf8'),
+        text: data.concat().toString('utf8'),
       });
       response.writeHead(status, {
         'Content-Type': contentType ?? 'application/json',
