Read partial heads and frames in time that grows with their length

A few unread bytes kept the whole read that they were part of in memory.

Unread bytes are now added to memory that doubles, the search continues where it ended, and few unread bytes are copied out of large memory.

--- a/packages/peering/src/frame.ts
+++ b/packages/peering/src/frame.ts
@@ -1,3 +1,5 @@
+import { InputBuffer } from '@daisyferry/http1/input-buffer';
+
 /** Kinds of frames between two daemons; the numbers are part of the protocol. */
 export const FrameKind = {
   hello: 1,
@@ -65,8 +67,8 @@
 /** Size of the fields before the head: length of the rest, kind, stream, length of the head. */
 const PREFIX_BYTES = 13;
 const LENGTH_BYTES = 4;
-/** Maximum size of a frame: the largest body plus its head. */
-const MAX_FRAME_BYTES = 128 * 1024 * 1024;
+/** Maximum size of a frame; the largest ones have the records of all daemons. */
+const MAX_FRAME_BYTES = 32 * 1024 * 1024;
 const EMPTY: Buffer = Buffer.alloc(0);
 
 export function encodeFrame(
@@ -93,30 +95,30 @@
 
 /** Parses the frames in the byte stream of a connection. */
 export class FrameReader {
-  private partialFrame: Buffer = EMPTY;
+  private readonly input = new InputBuffer();
 
   /** Returns false on a malformed frame, after which the connection is unusable. */
   push(chunk: Buffer, onFrame: (frame: Frame) => void): boolean {
-    const bytes =
-      this.partialFrame.length === 0 ? chunk : Buffer.concat([this.partialFrame, chunk]);
-    let position = 0;
-    while (bytes.length - position >= PREFIX_BYTES) {
-      const length = bytes.readUInt32BE(position);
-      if (length > MAX_FRAME_BYTES || length < PREFIX_BYTES - LENGTH_BYTES) return false;
-      const end = position + LENGTH_BYTES + length;
-      if (end > bytes.length) break;
-      const headStart = position + PREFIX_BYTES;
-      const headEnd = headStart + bytes.readUInt32BE(position + 9);
-      if (headEnd > end) return false;
-      onFrame({
-        kind: bytes.readUInt8(position + 4),
-        stream: bytes.readUInt32BE(position + 5),
-        head: bytes.toString('utf8', headStart, headEnd),
-        body: bytes.subarray(headEnd, end),
-      });
-      position = end;
-    }
-    this.partialFrame = position === bytes.length ? EMPTY : bytes.subarray(position);
-    return true;
+    this.input.push(chunk);
+    let isWellFormed = true;
+    this.input.consume((bytes) => {
+      let position = 0;
+      while (bytes.length - position >= PREFIX_BYTES) {
+        const end = position + LENGTH_BYTES + bytes.readUInt32BE(position);
+        const headStart = position + PREFIX_BYTES;
+        const headEnd = headStart + bytes.readUInt32BE(position + 9);
+        isWellFormed = end - position <= MAX_FRAME_BYTES && headEnd <= end;
+        if (!isWellFormed || end > bytes.length) break;
+        onFrame({
+          kind: bytes.readUInt8(position + 4),
+          stream: bytes.readUInt32BE(position + 5),
+          head: bytes.toString('utf8', headStart, headEnd),
+          body: bytes.subarray(headEnd, end),
+        });
+        position = end;
+      }
+      return position;
+    });
+    return isWellFormed;
   }
 }
--- a/packages/peering/tests/frame.test.ts
+++ b/packages/peering/tests/frame.test.ts
@@ -8,6 +8,9 @@
 import { encodeFrame, FrameKind, FrameReader, type Frame } from '@daisyferry/peering/frame';
 import { describe, expect, it } from 'vitest';
 
+const PART_BYTES = 1_000;
+const SMALL_FRAME_BYTES = 500_000;
+
 describe('FrameReader', () => {
   const bytes = Buffer.concat([
     encodeFrame(FrameKind.call, 7, '["grüße"]', Buffer.from('body')),
@@ -29,6 +32,27 @@
     expect(frames[0]?.body.toString()).toBe('body');
   });
 
+  it('parses a frame that arrives in small parts in time that grows with its length', () => {
+    const readUs = (frameBytes: number) => {
+      const parts = frameBytes / PART_BYTES;
+      const frame = encodeFrame(FrameKind.configuration, 0, 'x'.repeat(frameBytes));
+      const reader = new FrameReader();
+      const frames: Frame[] = [];
+      const startUs = process.cpuUsage().user;
+      for (let part = 0; part <= parts; part += 1) {
+        const chunk = frame.subarray(part * PART_BYTES, (part + 1) * PART_BYTES);
+        reader.push(chunk, (read) => frames.push(read));
+      }
+      expect(frames.length).toBe(1);
+      return process.cpuUsage().user - startUs;
+    };
+    readUs(SMALL_FRAME_BYTES);
+    const smallUs = Math.min(...Array.from({ length: 5 }, () => readUs(SMALL_FRAME_BYTES)));
+    const largeUs = Math.min(...Array.from({ length: 3 }, () => readUs(8 * SMALL_FRAME_BYTES)));
+    // The time of a quadratic parser grows by 64.
+    expect(largeUs).toBeLessThan(24 * smallUs);
+  });
+
   it.each([
     ['a length past the limit', Buffer.from('ffffffff00000000000000000000', 'hex')],
     ['a head longer than its frame', Buffer.from('000000090100000000000000ff', 'hex')],
