--- a/packages/sidecar/src/target-connection.ts
+++ b/packages/sidecar/src/target-connection.ts
@@ -262,6 +262,11 @@
   }
 
   private handleEnd(): void {
+    // A reset that arrives together with bytes is reported as an end, but has no peer any more.
+    if (this.socket.remoteAddress === undefined) {
+      this.failExchange('connection reset by the target');
+      return;
+    }
     this.reader.endOfInput();
     this.readResponses();
     this.failExchange('connection closed by the target');
