Never send a request on a connection that carried its id before

Cause: a connection to the target knew the ids of its last 16 requests. A request that was refused, and sent again by its caller after 16 others on the same connection, got a second copy of the old refusal as its response. A connection now knows the ids of all its requests and carries 128 at most; the cost is one connection for 128 requests.

The test of the attribution that asserted that r0 is forgotten after 100 requests stated the fault; it now asserts that all ids are known and that the number of requests is bounded.

--- a/packages/sidecar/src/response-attribution.ts
+++ b/packages/sidecar/src/response-attribution.ts
@@ -12,8 +12,8 @@
   /** It cannot be told what the response answers, nor where the next one starts. */
   | { readonly kind: 'unattributable'; readonly reason: DiscardReasonName };
 
-/** Number of the last requests whose second responses may still arrive. */
-const MAX_RECENT_IDS = 16;
+/** Requests of one connection, whose ids are all known: a second response may come at any time. */
+const MAX_REQUESTS = 128;
 /** Maximum number of responses to other requests on one connection. */
 const MAX_FOREIGN_RESPONSES = 8;
 const OWN: Attribution = { kind: 'own' };
@@ -30,7 +30,7 @@
 export class ResponseAttribution {
   private readonly markerNames: ReadonlySet<string>;
 
-  private readonly recentIds = new Set<string>();
+  private readonly carriedIds = new Set<string>();
 
   private requestCount = 0;
 
@@ -45,17 +45,19 @@
     return this.requestCount > 1;
   }
 
-  /** True if a late response to an earlier request would be taken for that to this one. */
-  hasRecentRequest(requestId: string): boolean {
-    return this.recentIds.has(requestId);
+  /** True once the connection must carry no further request. */
+  get isExhausted(): boolean {
+    return this.requestCount >= MAX_REQUESTS;
+  }
+
+  /** True if a second response to an earlier request would be taken for that to this one. */
+  hasCarried(requestId: string): boolean {
+    return this.carriedIds.has(requestId);
   }
 
   recordRequest(requestId: string): void {
     this.requestCount += 1;
-    this.recentIds.add(requestId);
-    if (this.recentIds.size <= MAX_RECENT_IDS) return;
-    const [oldestId = ''] = this.recentIds;
-    this.recentIds.delete(oldestId);
+    this.carriedIds.add(requestId);
   }
 
   /**
--- a/packages/sidecar/src/target-connection.ts
+++ b/packages/sidecar/src/target-connection.ts
@@ -109,12 +109,12 @@
   }
 
   /**
-   * True while the connection is idle, the target is not about to close it, and no recent request
-   * on it had this id.
+   * True while the connection is idle, the target is not about to close it, and no request on it had
+   * this id.
    */
   isUsable(requestId: string, nowMs: number): boolean {
     if (this.isRetired || this.socket.destroyed || this.idleSinceMs === undefined) return false;
-    if (this.attribution.hasRecentRequest(requestId)) return false;
+    if (this.attribution.hasCarried(requestId)) return false;
     return nowMs - this.idleSinceMs < this.keepAliveMs - KEEP_ALIVE_MARGIN_MS;
   }
 
@@ -128,7 +128,7 @@
     this.attribution.recordRequest(requestId);
     this.lastRequestId = requestId;
     // A second response to a request without an id could be taken for that to the next one.
-    if (requestId === '') this.isRetired = true;
+    if (requestId === '' || this.attribution.isExhausted) this.isRetired = true;
     this.idleSinceMs = undefined;
     if (this.isConnected) writeBuffers(this.socket, message);
   }
--- a/packages/sidecar/tests/response-attribution.test.ts
+++ b/packages/sidecar/tests/response-attribution.test.ts
@@ -65,10 +65,13 @@
     expect(attribution).toEqual({ kind: 'unattributable', reason });
   });
 
-  it('remembers the ids of recent requests in bounded memory', () => {
+  it('remembers the ids of all requests of a connection, which carries a bounded number', () => {
     const attribution = attributionAfter(100);
-    expect(attribution.hasRecentRequest('r99')).toBe(true);
-    expect(attribution.hasRecentRequest('r0')).toBe(false);
+    expect(attribution.isExhausted).toBe(false);
+    expect(attribution.hasCarried('r99')).toBe(true);
+    expect(attribution.hasCarried('r0')).toBe(true);
+    expect(attribution.hasCarried('r100')).toBe(false);
+    expect(attributionAfter(128).isExhausted).toBe(true);
   });
 
   it('ends the wait for the response behind too many to other requests', () => {
