Keep only the ids of a call in its execution record, and count retained replies whole

A record is kept for a minute and held the whole call with its header fields, of up to 16 KB; the memory limit of retained replies counted only their bodies, so that heads of up to 64 KB were held without a limit for 5 s. A record now has the two ids; a reply is counted with its head and an overhead, against 16 MB instead of 8 as more of it is counted.

Tests: a WeakRef of the call is cleared after a garbage collection; of 1,000 replies with heads of 60 KB, under 300 are retained. Both failed before (the call remained; 1,000 were retained).

--- a/packages/mesh/src/execution-record-registry.ts
+++ b/packages/mesh/src/execution-record-registry.ts
@@ -16,8 +16,19 @@
 const RECORD_RETENTION_MS = 60_000;
 /** Retention of replies, for entries that reconnect after their connection broke. */
 const REPLY_RETENTION_MS = 5_000;
-/** Memory limit for retained replies: some hundred responses of common size. */
-const MAX_RETAINED_REPLY_BYTES = 8 * 1024 * 1024;
+/** Memory limit for retained replies: some thousand responses of common size. */
+const MAX_RETAINED_REPLY_BYTES = 16 * 1024 * 1024;
+/** Memory of a retained reply beside its body and the characters of its header fields. */
+const REPLY_OVERHEAD_BYTES = 256;
+const FIELD_OVERHEAD_BYTES = 32;
+
+/** Approximate memory of a reply. */
+function sizeOf({ outcome }: CallReply): number {
+  if (outcome.kind !== 'answered') return REPLY_OVERHEAD_BYTES;
+  let bytes = REPLY_OVERHEAD_BYTES + outcome.body.length;
+  for (const text of outcome.fields) bytes += FIELD_OVERHEAD_BYTES + text.length;
+  return bytes;
+}
 
 /**
  * Execution records of the attempts that a home has received. An attempt is sent to the target at
@@ -59,7 +70,7 @@
   /** Settles a record and sends its reply over the connection that waits for it. */
   settle(record: ExecutionRecord, event: AttemptEvent, reply: CallReply, nowMs: number): void {
     if (!record.transition(event)) return;
-    const bytes = reply.outcome.kind === 'answered' ? reply.outcome.body.length : 0;
+    const bytes = sizeOf(reply);
     this.retainedReplies.push({ record, atMs: nowMs, bytes });
     this.retainedBytes += bytes;
     record.deliverReply(reply);
--- a/packages/mesh/src/execution-record.ts
+++ b/packages/mesh/src/execution-record.ts
@@ -14,12 +14,17 @@
   /** The final reply, while it is retained for an entry whose connection broke. */
   reply: CallReply | undefined;
 
+  private readonly attempt: Attempt;
+
   constructor(
-    private readonly attempt: Attempt,
+    { requestId, attemptKey }: Attempt,
     readonly openedAtMs: number,
     /** Sends the reply over the connection that sent the attempt or, later, last queried it. */
     private deliver?: (reply: CallReply) => void,
-  ) {}
+  ) {
+    // Not the call itself, whose header fields would stay in memory as long as the record.
+    this.attempt = { requestId, attemptKey };
+  }
 
   /** False for another attempt with the same id. */
   isOf({ requestId, attemptKey }: Attempt): boolean {
--- a/packages/mesh/tests/execution-record-registry.test.ts
+++ b/packages/mesh/tests/execution-record-registry.test.ts
@@ -1,5 +1,8 @@
 import { ExecutionRecordRegistry } from '@daisyferry/mesh/execution-record-registry';
 import type { Attempt, CallReply } from '@daisyferry/mesh/forwarded-call';
+import { setImmediate } from 'node:timers/promises';
+import { setFlagsFromString } from 'node:v8';
+import { runInNewContext } from 'node:vm';
 import { describe, expect, it } from 'vitest';
 
 const REPLY: CallReply = {
@@ -69,4 +72,35 @@
     registry.sweep(60_000);
     expect(registry.size).toBe(1);
   });
+
+  it('keeps no call in memory for as long as its record', async () => {
+    setFlagsFromString('--expose-gc');
+    const collectGarbage = runInNewContext('gc') as () => void;
+    const registry = new ExecutionRecordRegistry();
+    const open = () => {
+      const call = { ...attempt('r'), fields: ['Cookie', 'c'] };
+      registry.settle(registry.open(call, ignoreReply, 0).record, 'REFUSE', REPLY, 0);
+      return new WeakRef(call);
+    };
+    const call = open();
+    await setImmediate();
+    collectGarbage();
+    expect(registry.size).toBe(1);
+    expect(call.deref()).toBeUndefined();
+  });
+
+  it('bounds the memory of retained replies with their header fields', () => {
+    const registry = new ExecutionRecordRegistry();
+    const fields = ['X-Large', 'x'.repeat(60_000)];
+    const outcome = { ...REPLY.outcome, fields } as CallReply['outcome'];
+    const records = Array.from({ length: 1_000 }, (_, index) => {
+      const { record } = registry.open(attempt(`r${index}`), ignoreReply, 0);
+      record.transition('HAND_OVER');
+      registry.settle(record, 'ANSWER', { ...REPLY, outcome }, 0);
+      return record;
+    });
+    const retained = records.filter(({ reply }) => reply !== undefined);
+    expect(retained.length).toBeGreaterThan(100);
+    expect(retained.length).toBeLessThan(300);
+  });
 });
