--- a/packages/bench/src/breakable-proxy.ts
+++ b/packages/bench/src/breakable-proxy.ts
@@ -36,9 +36,11 @@
     return { ip, port: (this.server.address() as AddressInfo).port };
   }
 
-  breakConnections(): void {
+  /** @param lastWords Bytes that the accepting side sends before its end. */
+  breakConnections(lastWords?: string): void {
     for (const { inbound, outbound } of this.connections) {
-      inbound.destroy();
+      if (lastWords === undefined) inbound.destroy();
+      else inbound.end(lastWords, () => inbound.destroy());
       outbound.destroy();
     }
   }
--- a/packages/bench/src/started-process.ts
+++ b/packages/bench/src/started-process.ts
@@ -1,4 +1,5 @@
 import type { ChildProcess } from 'node:child_process';
+import { createWriteStream } from 'node:fs';
 import { createInterface } from 'node:readline';
 import { ProcessStartError } from './process-start-error';
 
@@ -53,6 +54,23 @@
     return this.stderrTail;
   }
 
+  get exitCode(): number | null {
+    return this.child.exitCode;
+  }
+
+  /** The signal that ended the process, if one did. */
+  get exitSignal(): NodeJS.Signals | null {
+    return this.child.signalCode;
+  }
+
+  /** Appends all output of the process to a file. */
+  logTo(file: string): void {
+    const log = createWriteStream(file, { flags: 'a' });
+    this.child.stdout?.pipe(log, { end: false });
+    this.child.stderr?.pipe(log, { end: false });
+    this.child.once('close', () => log.end());
+  }
+
   onLine(listener: (line: string) => void): void {
     this.lineListeners.push(listener);
   }
