Keep what a daemon acknowledged about its target over a restart of its process

Cause: AnnouncedTarget held the ended incarnations in the memory of the process alone. The new process took the late heartbeat for a new target and told all daemons so. Change: the daemon's record lists the incarnations that no longer serve. A new process reads its own record once (not a stale read) before it writes another one, and each peer that connects sends it the last record it knows, also of a daemon that has announced its departure. Until then its target does not serve; after 2.5 s without the store it does. The record of a target that was deregistered states that it leaves, so that entries do not choose that incarnation again whatever its home believes. A new incarnation serves with its first announcement.

--- a/packages/mesh/src/announced-target.ts
+++ b/packages/mesh/src/announced-target.ts
@@ -1,4 +1,4 @@
-import type { TargetAnnouncement } from './daemon-record';
+import type { EndedTarget, TargetAnnouncement } from './daemon-record';
 import type { TargetIncarnation } from './target-notice';
 
 export type AnnouncementResult =
@@ -12,6 +12,11 @@
 
 /** Number of ended incarnations that are recorded, so that their late announcements are ignored. */
 const MAX_ENDED_INCARNATIONS = 64;
+/**
+ * Time for which an ended incarnation without a known start counts after it was learned from an
+ * earlier process: longer than an announcement is late, as a new one under its id looks the same.
+ */
+const UNKNOWN_START_RETENTION_MS = 60_000;
 
 /**
  * Announcements, and time between the first and the last of them, after which an incarnation that
@@ -27,6 +32,10 @@
   readonly count: number;
 }
 
+interface EndedIncarnation extends EndedTarget {
+  readonly untilMs: number;
+}
+
 /** Compares start times only if both are known; otherwise the target id alone decides. */
 function isSameIncarnation(left: TargetIncarnation, right: TargetIncarnation): boolean {
   if (left.targetId !== right.targetId) return false;
@@ -59,7 +68,12 @@
 
   private earlierClaim: EarlierClaim | undefined;
 
-  private readonly endedIncarnations: TargetIncarnation[] = [];
+  private readonly endedIncarnations: EndedIncarnation[] = [];
+
+  private recordedCount = 0;
+
+  /** Without `isConfirmed`, the target serves once `confirm` was called. */
+  constructor(private isConfirmed = true) {}
 
   get announcement(): TargetAnnouncement | undefined {
     return this.present;
@@ -68,6 +82,7 @@
   /** True while new requests may be sent to the target. */
   get isServing(): boolean {
     return (
+      this.isConfirmed &&
       this.present !== undefined &&
       !this.present.isDraining &&
       !this.isDeregistered &&
@@ -76,9 +91,56 @@
     );
   }
 
-  /** True once the present incarnation has stated in an answer that it leaves. */
+  /** True once the present incarnation has left for good, or stated in an answer that it leaves. */
   get isLeaving(): boolean {
-    return this.hasStatedLeaving;
+    // Without a known start, the departure would also count for a later incarnation of this id.
+    const hasLeft = this.isDeregistered && this.present?.bornUnixMs !== undefined;
+    return hasLeft || this.hasStatedLeaving;
+  }
+
+  /** Changes whenever an incarnation other than the present one is known to have ended. */
+  get otherEndedCount(): number {
+    return this.recordedCount;
+  }
+
+  /** The incarnations that no longer serve, for later processes of this daemon. */
+  endedTargets(nowMs: number): EndedTarget[] {
+    const ended: EndedTarget[] = this.endedIncarnations
+      .filter(({ untilMs }) => nowMs < untilMs)
+      .map(({ untilMs: _untilMs, ...target }) => target);
+    if (this.present !== undefined && this.isEndExpected) {
+      const { targetId, bornUnixMs, sequence } = this.present;
+      const isFinal = this.isDeregistered || this.hasStatedLeaving;
+      ended.push({ targetId, bornUnixMs, drainingSequence: isFinal ? undefined : sequence });
+    }
+    return ended;
+  }
+
+  /**
+   * Lets the target serve, as what earlier processes knew of it was learned or cannot be. Returns
+   * true if it serves now.
+   */
+  confirm(): boolean {
+    if (this.isConfirmed) return false;
+    this.isConfirmed = true;
+    return this.isServing;
+  }
+
+  /**
+   * Records the incarnations that ended while an earlier process of this daemon ran. Returns true if
+   * the present one is among them and was serving.
+   */
+  restoreEnded(targets: readonly EndedTarget[], nowMs: number): boolean {
+    const wasServing = this.isServing;
+    for (const target of targets) {
+      const hasUnknownStart = target.bornUnixMs === undefined;
+      this.recordEndedIncarnation(
+        target,
+        hasUnknownStart ? nowMs + UNKNOWN_START_RETENTION_MS : Number.POSITIVE_INFINITY,
+      );
+      this.endPresent(target);
+    }
+    return wasServing && !this.isServing;
   }
 
   /** True once the present incarnation has announced that it drains or leaves. */
@@ -103,7 +165,10 @@
     const wasServing = this.isServing;
     const isNewIncarnation = present === undefined || !isSameIncarnation(present, announcement);
     if (isNewIncarnation) {
-      if (present !== undefined) this.recordEndedIncarnation(present);
+      if (present !== undefined) {
+        const { targetId, bornUnixMs } = present;
+        this.recordEndedIncarnation({ targetId, bornUnixMs }, Number.POSITIVE_INFINITY);
+      }
       this.isDeregistered = false;
       this.hasStatedLeaving = false;
     }
@@ -126,7 +191,7 @@
   deregister(targetId: string, bornUnixMs: number | undefined): boolean {
     const { present } = this;
     if (present === undefined || present.targetId !== targetId) {
-      this.recordEndedIncarnation({ targetId, bornUnixMs });
+      this.recordEndedIncarnation({ targetId, bornUnixMs }, Number.POSITIVE_INFINITY);
       return false;
     }
     if (bornUnixMs !== undefined && present.bornUnixMs !== undefined) {
@@ -164,7 +229,7 @@
   }
 
   private findStaleReason(announcement: TargetAnnouncement, nowMs: number): string | undefined {
-    if (this.endedIncarnations.some((ended) => isSameIncarnation(ended, announcement))) {
+    if (this.endedIncarnations.some((ended) => this.endedBefore(ended, announcement, nowMs))) {
       return 'incarnation has ended';
     }
     const { present } = this;
@@ -195,8 +260,37 @@
     return count >= MIN_CLAIM_ANNOUNCEMENTS && nowMs - claim.sinceMs >= MIN_CLAIM_MS;
   }
 
-  private recordEndedIncarnation(ended: TargetIncarnation): void {
-    this.endedIncarnations.push({ targetId: ended.targetId, bornUnixMs: ended.bornUnixMs });
+  /** True if the announcement was sent before the incarnation ended, or before it drained. */
+  private endedBefore(
+    ended: EndedIncarnation,
+    announcement: TargetAnnouncement,
+    nowMs: number,
+  ): boolean {
+    if (nowMs >= ended.untilMs || !isSameIncarnation(ended, announcement)) return false;
+    return ended.drainingSequence === undefined || announcement.sequence <= ended.drainingSequence;
+  }
+
+  /** Ends the serving of the present incarnation if it is the one that ended or drained. */
+  private endPresent(ended: EndedTarget): void {
+    const { present } = this;
+    if (present === undefined || !isSameIncarnation(present, ended)) return;
+    const { drainingSequence } = ended;
+    if (drainingSequence === undefined) this.isDeregistered = true;
+    else if (present.sequence <= drainingSequence)
+      this.present = { ...present, isDraining: true, sequence: drainingSequence };
+  }
+
+  private recordEndedIncarnation(ended: EndedTarget, untilMs: number): void {
+    const { targetId, bornUnixMs, drainingSequence } = ended;
+    const isKnown = this.endedIncarnations.some(
+      (known) =>
+        known.targetId === targetId &&
+        known.bornUnixMs === bornUnixMs &&
+        known.drainingSequence === drainingSequence,
+    );
+    if (isKnown) return;
+    this.endedIncarnations.push({ targetId, bornUnixMs, drainingSequence, untilMs });
+    this.recordedCount += 1;
     if (this.endedIncarnations.length > MAX_ENDED_INCARNATIONS) this.endedIncarnations.shift();
   }
 }
--- a/packages/mesh/src/daemon-record.ts
+++ b/packages/mesh/src/daemon-record.ts
@@ -1,3 +1,5 @@
+import type { TargetIncarnation } from './target-notice';
+
 /** A target's announcement of its own state. */
 export interface TargetAnnouncement {
   readonly targetId: string;
@@ -31,6 +33,14 @@
   /** True once the daemon is about to stop: no new calls are sent to it. */
   readonly isLeaving: boolean;
   readonly target: ServingTarget | undefined;
+  /** Incarnations whose end the daemon has acknowledged or seen; undefined without any. */
+  readonly endedTargets?: readonly EndedTarget[] | undefined;
+}
+
+/** An incarnation of a daemon's local target that no longer serves. */
+export interface EndedTarget extends TargetIncarnation {
+  /** Sequence number of the announcement that it drains; undefined once it has ended for good. */
+  readonly drainingSequence?: number | undefined;
 }
 
 export interface ServingTarget {
--- a/packages/mesh/src/fleet-directory.ts
+++ b/packages/mesh/src/fleet-directory.ts
@@ -76,6 +76,11 @@
     return this.entries.get(daemonId)?.record;
   }
 
+  /** The last record of a daemon, also after it has announced its departure. */
+  lastRecordOf(daemonId: string): DaemonRecord | undefined {
+    return this.recordOf(daemonId) ?? this.departures.get(daemonId)?.record;
+  }
+
   allRecords(): DaemonRecord[] {
     return [...this.entries.values()].map(({ record }) => record);
   }
--- a/packages/mesh/tests/announced-target.test.ts
+++ b/packages/mesh/tests/announced-target.test.ts
@@ -121,6 +121,71 @@
     expect([target.coldMs(100), target.coldMs(300), target.coldMs(900)]).toEqual([300, 100, 0]);
   });
 
+  describe('in a process that was started again', () => {
+    /** A target of a new process that has learned what an earlier one knew at its end. */
+    function restarted(earlier: AnnouncedTarget, nowMs = 0): AnnouncedTarget {
+      const target = new AnnouncedTarget(false);
+      target.restoreEnded(earlier.endedTargets(nowMs), nowMs);
+      target.confirm();
+      return target;
+    }
+
+    it('serves only once it is known which incarnations have ended', () => {
+      const target = new AnnouncedTarget(false);
+      target.applyAnnouncement(announcement(), 0);
+      expect([target.isServing, target.confirm(), target.isServing]).toEqual([false, true, true]);
+      expect(target.confirm()).toBe(false);
+    });
+
+    it.each([
+      ['has left', (target: AnnouncedTarget) => target.deregister('i-1', undefined)],
+      ['states that it leaves', (target: AnnouncedTarget) => target.markLeaving()],
+      [
+        'was replaced',
+        (target: AnnouncedTarget) =>
+          target.applyAnnouncement(announcement({ targetId: 'i-2', bornUnixMs: 2_000 }), 1),
+      ],
+    ])('ignores late announcements of a target that %s, after two restarts', (_name, end) => {
+      const earlier = new AnnouncedTarget();
+      earlier.applyAnnouncement(announcement(), 0);
+      end(earlier);
+      const target = restarted(restarted(earlier));
+      expect(target.applyAnnouncement(announcement({ sequence: 99 }), 1).kind).toBe('stale');
+      target.applyAnnouncement(announcement({ sequence: 1, bornUnixMs: 3_000 }), 2);
+      expect(target.isServing).toBe(true);
+    });
+
+    it('ignores the announcements of a draining target that were sent before', () => {
+      const earlier = new AnnouncedTarget();
+      earlier.applyAnnouncement(announcement({ sequence: 7, isDraining: true }), 0);
+      const target = restarted(earlier);
+      expect(target.applyAnnouncement(announcement({ sequence: 6 }), 1).kind).toBe('stale');
+      target.applyAnnouncement(announcement({ sequence: 8, isDraining: true }), 2);
+      expect([target.isServing, target.isEndExpected]).toEqual([false, true]);
+    });
+
+    it('stops serving an incarnation of which it learns late that it has left', () => {
+      const earlier = new AnnouncedTarget();
+      earlier.applyAnnouncement(announcement(), 0);
+      earlier.deregister('i-1', undefined);
+      const target = new AnnouncedTarget();
+      target.applyAnnouncement(announcement(), 0);
+      expect(target.restoreEnded(earlier.endedTargets(0), 1)).toBe(true);
+      expect([target.isServing, target.isLeaving]).toEqual([false, true]);
+    });
+
+    it('takes an id whose start is unknown again after a minute', () => {
+      const earlier = new AnnouncedTarget();
+      earlier.applyAnnouncement(announcement({ bornUnixMs: undefined }), 0);
+      earlier.deregister('i-1', undefined);
+      const target = restarted(earlier);
+      const anew = announcement({ sequence: 1, bornUnixMs: undefined });
+      expect(target.applyAnnouncement(anew, 59_999).kind).toBe('stale');
+      expect(target.endedTargets(60_000)).toEqual([]);
+      expect(target.applyAnnouncement(anew, 60_000).kind).toBe('accepted');
+    });
+  });
+
   describe('after the time of day was set back', () => {
     const stepped = (sequence: number) =>
       announcement({ targetId: 'i-2', bornUnixMs: 400, sequence });
--- a/packages/peering/src/control-codec.ts
+++ b/packages/peering/src/control-codec.ts
@@ -1,5 +1,5 @@
 import type { CrashReport } from '@daisyferry/mesh/crash-suspects';
-import type { DaemonRecord, ServingTarget } from '@daisyferry/mesh/daemon-record';
+import type { DaemonRecord, EndedTarget, ServingTarget } from '@daisyferry/mesh/daemon-record';
 import type { Attempt } from '@daisyferry/mesh/forwarded-call';
 import type { ServiceShortage } from '@daisyferry/mesh/shortage-news';
 import type { Hello } from './hello';
@@ -37,10 +37,22 @@
   return hasTexts && isNumber(slots) && typeof isServing === 'boolean' && isNumber(coldMs);
 }
 
+function isEndedTarget(value: unknown): value is EndedTarget {
+  const { targetId, bornUnixMs, drainingSequence } = fieldsOf<EndedTarget>(value);
+  const hasNumbers = [bornUnixMs, drainingSequence].every(
+    (field) => field === undefined || isNumber(field),
+  );
+  return typeof targetId === 'string' && hasNumbers;
+}
+
 function isDaemonRecord(value: unknown): value is DaemonRecord {
   const record = fieldsOf<DaemonRecord>(value);
-  const { target } = record;
+  const { target, endedTargets } = record;
+  const hasEndedTargets =
+    endedTargets === undefined ||
+    (Array.isArray(endedTargets) && endedTargets.every(isEndedTarget));
   return (
+    hasEndedTargets &&
     typeof record.daemonId === 'string' &&
     isNumber(record.incarnation) &&
     isNumber(record.revision) &&
--- a/packages/sidecar/src/announcement-handler.ts
+++ b/packages/sidecar/src/announcement-handler.ts
@@ -18,6 +18,8 @@
   readonly onChange: (isServing: boolean) => void;
   /** Called when another incarnation of the target has taken the place of the present one. */
   readonly onReplaced: (wasEndExpected: boolean) => void;
+  /** Resolves once another process knows the target's state, or cannot be told soon. */
+  readonly whenSpread: () => Promise<void>;
   readonly log: EventLog;
   readonly clock: () => number;
 }
@@ -32,7 +34,16 @@
 export class AnnouncementHandler {
   constructor(private readonly parts: AnnouncementHandlerParts) {}
 
-  handle(request: ControlRequest): ControlResponse {
+  /** Acknowledges the end of a target once another process knows it, so that a restart keeps it. */
+  handle(request: ControlRequest): ControlResponse | Promise<ControlResponse> {
+    const { target, whenSpread } = this.parts;
+    const { otherEndedCount } = target;
+    const response = this.apply(request);
+    const tellsEnd = target.isEndExpected || target.otherEndedCount !== otherEndedCount;
+    return tellsEnd ? whenSpread().then(() => response) : response;
+  }
+
+  private apply(request: ControlRequest): ControlResponse {
     const targetId = this.parts.decoder.targetIdOfPath(request.path);
     if (targetId === undefined) return errorResponse(404, 'path: not known here');
     try {
@@ -74,9 +85,12 @@
 
   private deregister(targetId: string, text: string): ControlResponse {
     const { target, decoder, onChange, log } = this.parts;
+    const { isEndExpected, otherEndedCount } = target;
     const isChange = target.deregister(targetId, decoder.decodeDeregistrationBornUnixMs(text));
     log.stateChange('target deregistered', { targetId, isChange });
-    if (isChange) onChange(false);
+    const isNews =
+      target.isEndExpected !== isEndExpected || target.otherEndedCount !== otherEndedCount;
+    if (isChange || isNews) onChange(target.isServing);
     return OK;
   }
 }
--- a/packages/sidecar/src/control-listener.ts
+++ b/packages/sidecar/src/control-listener.ts
@@ -26,7 +26,11 @@
 export class ControlListener {
   private readonly server: Server;
 
-  constructor(private readonly handle: (request: ControlRequest) => ControlResponse) {
+  constructor(
+    private readonly handle: (
+      request: ControlRequest,
+    ) => ControlResponse | Promise<ControlResponse>,
+  ) {
     this.server = createServer((request, response) => this.receive(request, response));
   }
 
@@ -51,16 +55,18 @@
       else chunks.push(chunk);
     });
     request.on('end', () => {
-      const { status, contentType, text } = this.handle({
-        method: request.method ?? '',
-        path: request.url ?? '',
-        text: Buffer.concat(chunks).toString('utf8'),
-      });
-      response.writeHead(status, {
-        'Content-Type': contentType ?? 'application/json',
-        'Content-Length': Buffer.byteLength(text ?? ''),
-      });
-      response.end(text);
+      const text = Buffer.concat(chunks).toString('utf8');
+      const { method = '', url: path = '' } = request;
+      this.respond({ method, path, text }, response).catch(() => response.destroy());
     });
   }
+
+  private async respond(request: ControlRequest, response: ServerResponse): Promise<void> {
+    const { status, contentType, text } = await this.handle(request);
+    response.writeHead(status, {
+      'Content-Type': contentType ?? 'application/json',
+      'Content-Length': Buffer.byteLength(text ?? ''),
+    });
+    response.end(text);
+  }
 }
--- a/packages/sidecar/src/own-record.ts
+++ b/packages/sidecar/src/own-record.ts
@@ -11,6 +11,8 @@
 
   private readonly changes = new Emitter<DaemonRecord>();
 
+  private readonly targetEnds = new Emitter<undefined>();
+
   constructor(
     private readonly environment: DaemonEnvironment,
     private readonly target: AnnouncedTarget,
@@ -32,6 +34,8 @@
     const { daemonId, zone, listen } = this.environment;
     const address = this.environment.peerAddress ?? listen.peers;
     const { announcement } = this.target;
+    const nowMs = this.clock();
+    const endedTargets = this.target.endedTargets(nowMs);
     return {
       daemonId,
       incarnation: this.incarnation,
@@ -46,8 +50,9 @@
         slots: announcement.slots,
         isServing: this.target.isServing,
         isLeaving: this.target.isLeaving || undefined,
-        coldMs: Math.round(this.target.coldMs(this.clock())),
+        coldMs: Math.round(this.target.coldMs(nowMs)),
       },
+      endedTargets: endedTargets.length === 0 ? undefined : endedTargets,
     };
   }
 
@@ -55,6 +60,11 @@
     this.changes.subscribe(listener);
   }
 
+  /** `listener` is called when an earlier process's record shows that the serving target has ended. */
+  subscribeTargetEnds(listener: () => void): void {
+    this.targetEnds.subscribe(listener);
+  }
+
   /** Publishes a new revision, as the state of the daemon or of its target has changed. */
   publish(): void {
     this.revision += 1;
@@ -67,10 +77,13 @@
   }
 
   /**
-   * Raises the incarnation above that of an earlier process's record, which is the greater one if
-   * the clock was set back in between.
+   * Takes over which targets have ended from an earlier process's record. Raises the incarnation
+   * above that of the record, which is the greater one if the clock was set back in between.
    */
   supersede(record: DaemonRecord): void {
+    if (record.incarnation === this.incarnation) return;
+    if (this.target.restoreEnded(record.endedTargets ?? [], this.clock()))
+      this.targetEnds.emit(undefined);
     if (record.incarnation <= this.incarnation) return;
     this.incarnation = record.incarnation + 1;
     this.publish();
--- a/packages/sidecar/src/peer-connections.ts
+++ b/packages/sidecar/src/peer-connections.ts
@@ -52,6 +52,8 @@
   readonly onLinkChange: (daemonId: string, change: LinkChange) => void;
   /** Called when a daemon that follows the store reports that this one's record is missing. */
   readonly onRecordMissing: () => void;
+  /** Called when a peer has sent the last record of an earlier process of this daemon. */
+  readonly onEarlierRecord: () => void;
 }
 
 /** Handles a frame of one kind; `daemonId` is that of the sender. */
@@ -116,7 +118,7 @@
   private plannedAtMs = Number.NEGATIVE_INFINITY;
 
   constructor(private readonly parts: PeerConnectionsParts) {
-    const { directory, ownRecord, log, clock, isReading, onRecordMissing } = parts;
+    const { directory, ownRecord, log, clock, isReading, onRecordMissing, onEarlierRecord } = parts;
     this.configurations = new ConfigurationExchange(parts.configuration, this, clock);
     const { suspects, random } = parts;
     this.crashes = new CrashExchange({ suspects, peers: this, random, log, clock });
@@ -129,6 +131,7 @@
       clock,
       isReading,
       onRecordMissing,
+      onEarlierRecord,
       onRecordApplied: (record) => this.updateLink(record),
     });
     this.server = new PeerServer(
@@ -164,6 +167,11 @@
     return [...this.links.values()].filter((link) => link.isUp).length;
   }
 
+  /** True while a connection to a peer is up, whichever of both has opened it. */
+  get hasConnectedPeer(): boolean {
+    return this.connectedPeers()[Symbol.iterator]().next().done === false;
+  }
+
   /** True while replies to the calls of peers are not sent whole. */
   get hasUnsentReplies(): boolean {
     return this.server.hasUnsentBytes;
@@ -347,7 +355,7 @@
     this.daemonIds.set(peer, daemonId);
     this.crashes.sendAll(peer);
     this.records.setReading({ daemonId, isReading: hello.isReading });
-    this.records.applyRecord(hello.record, 'direct');
+    this.records.greet(hello.record, peer);
     this.configurations.handleVersion(hello.configurationVersion, this.isLocal(peer), peer);
     if (hello.wantsView) this.records.sendView(peer);
     const isReportedTo = this.parts.isReading() && this.isLocal(peer) && !hello.isReading;
--- a/packages/sidecar/src/record-exchange.ts
+++ b/packages/sidecar/src/record-exchange.ts
@@ -27,6 +27,8 @@
   readonly onRecordApplied: (record: DaemonRecord) => void;
   /** Called when a daemon that follows the store reports that this one's record is missing. */
   readonly onRecordMissing: () => void;
+  /** Called when a peer has sent the last record of an earlier process of this daemon. */
+  readonly onEarlierRecord: () => void;
 }
 
 /** Time without a view after which one is requested, and between two requests. */
@@ -85,6 +87,17 @@
     onRecordApplied(record);
   }
 
+  /**
+   * Applies the record that a daemon states when it connects. If an earlier process of it was known,
+   * its last record is sent back, as the new one holds nothing of before.
+   */
+  greet(record: DaemonRecord, sender: ControlFrameSender): void {
+    const earlier = this.parts.directory.lastRecordOf(record.daemonId);
+    this.applyRecord(record, 'direct');
+    if (earlier !== undefined && earlier.incarnation !== record.incarnation)
+      sender.sendControl(FrameKind.record, JSON.stringify(earlier));
+  }
+
   /** Notes that this daemon has read all records from the store. */
   markViewComplete(): void {
     this.hasView = true;
@@ -197,8 +210,15 @@
   }
 
   private applyPeerRecord(record: DaemonRecord | undefined): void {
-    if (record !== undefined) this.applyRecord(record, 'direct');
-    else this.parts.log.warn('malformed daemon record ignored', { source: 'peer' });
+    const { ownRecord, onEarlierRecord, log } = this.parts;
+    if (record === undefined) {
+      log.warn('malformed daemon record ignored', { source: 'peer' });
+    } else if (record.daemonId === ownRecord.daemonId) {
+      ownRecord.supersede(record);
+      onEarlierRecord();
+    } else {
+      this.applyRecord(record, 'direct');
+    }
   }
 
   /** Applies the stored records, as reported by a daemon that follows the store. */
--- a/packages/sidecar/src/registration.ts
+++ b/packages/sidecar/src/registration.ts
@@ -30,12 +30,22 @@
 /** Longest delay after repeated failures: a store that refuses this machine is not pressed. */
 const MAX_RETRY_DELAY_MS = 1_600;
 const CALL_TIMEOUT_MS = 1_200;
+/**
+ * Time after the start from which a store that does not tell the record of the earlier process holds
+ * the target up no longer.
+ */
+const MAX_EARLIER_RECORD_WAIT_MS = 2_500;
 
 export interface RegistrationParts {
   readonly store: KeyValueStore;
   /** Shortest lease that the store grants. */
   readonly minLeaseMs: number;
   readonly ownRecord: () => DaemonRecord;
+  /**
+   * Called with the record of the earlier process, if the store has one, or when it has not told for
+   * some seconds; it may be called again.
+   */
+  readonly onEarlierRecord: (text: string | undefined) => void;
   /** Called when a call had no response, as connections to the store may be unresponsive. */
   readonly onUnresponsiveStore: () => void;
   readonly log: EventLog;
@@ -49,6 +59,9 @@
 
   private storedRevision = -1;
 
+  /** True once the record of the earlier process was read, which the first write replaces. */
+  private hasReadEarlier = false;
+
   private timer: NodeJS.Timeout | undefined;
 
   private isRunning = false;
@@ -69,13 +82,30 @@
     this.startedAtMs = parts.clock();
   }
 
+  /** Reads the record of the earlier process; this daemon's own is written after that. */
+  start(): void {
+    this.schedule(0);
+  }
+
   /** Schedules a write of the record, as it has changed. */
   scheduleWrite(): void {
+    if (!this.hasReadEarlier) return;
     this.schedule(this.writeDelayMs());
   }
 
+  /** True while the store has the present record, as far as is known. */
+  get isStored(): boolean {
+    return this.storedRevision === this.parts.ownRecord().revision;
+  }
+
+  /** Writes the record without further delay. */
+  writeNow(): void {
+    if (this.hasReadEarlier) this.schedule(0);
+  }
+
   /** Schedules a new write of the record, as it was removed from the store or its lease expired. */
   scheduleRewrite(): void {
+    if (!this.hasReadEarlier) return;
     if (this.parts.clock() - this.lastWriteAtMs < MIN_WRITE_INTERVAL_MS) return;
     this.storedRevision = -1;
     this.leaseId = undefined;
@@ -87,6 +117,7 @@
    * hold an older record, and a lease that it grants again to another daemon.
    */
   renewAfterRestore(): void {
+    if (!this.hasReadEarlier) return;
     this.storedRevision = -1;
     this.leaseId = undefined;
     this.lastWriteAtMs = Number.NEGATIVE_INFINITY;
@@ -139,9 +170,8 @@
     const isRegistered = await this.renewOrWrite();
     this.isRunning = false;
     this.updateReachability(isRegistered);
-    const isCurrent = this.storedRevision === this.parts.ownRecord().revision;
     if (!isRegistered) this.schedule(this.retryDelayMs());
-    else this.schedule(isCurrent ? this.renewalDelayMs() : this.writeDelayMs());
+    else this.schedule(this.isStored ? this.renewalDelayMs() : this.writeDelayMs());
   }
 
   private retryDelayMs(): number {
@@ -150,6 +180,7 @@
   }
 
   private async renewOrWrite(): Promise<boolean> {
+    if (!this.hasReadEarlier) return this.readEarlier();
     const { store, ownRecord, onUnresponsiveStore, log } = this.parts;
     if (this.leaseId !== undefined && this.storedRevision === ownRecord().revision) {
       const renewed = await store.renewLease(this.leaseId, CALL_TIMEOUT_MS);
@@ -164,6 +195,22 @@
     return (await this.ensureLease()) && this.writeRecord();
   }
 
+  private async readEarlier(): Promise<boolean> {
+    const { store, ownRecord, onEarlierRecord, clock, log } = this.parts;
+    const key = `${DAEMON_PREFIX}${ownRecord().daemonId}`;
+    const read = await store.range({ key }, CALL_TIMEOUT_MS);
+    if (!read.ok) {
+      const isOverdue = clock() - this.startedAtMs >= MAX_EARLIER_RECORD_WAIT_MS;
+      if (isOverdue) onEarlierRecord(undefined);
+      return false;
+    }
+    this.hasReadEarlier = true;
+    const text = read.value.values[0]?.value;
+    log.stateChange('record of the earlier process read', { isPresent: text !== undefined });
+    onEarlierRecord(text);
+    return true;
+  }
+
   private async ensureLease(): Promise<boolean> {
     if (this.leaseId !== undefined) return true;
     const leaseMs = Math.max(LEASE_MS, this.parts.minLeaseMs);
--- a/packages/sidecar/src/sidecar-lifecycle.ts
+++ b/packages/sidecar/src/sidecar-lifecycle.ts
@@ -64,6 +64,7 @@
       readiness.listen(listen.readiness),
     ]);
     this.parts.ownRecord.publish();
+    this.parts.registration.start();
     this.parts.storeSync.start();
     this.parts.freshnessKeeper.start();
     this.flushTimer = setInterval(() => log.flush(), this.parts.logFlushIntervalMs);
--- a/packages/sidecar/src/wire-sidecar.ts
+++ b/packages/sidecar/src/wire-sidecar.ts
@@ -33,7 +33,7 @@
 import { SuspectGate } from '@daisyferry/mesh/suspect-gate';
 import { TreeAdmission } from '@daisyferry/mesh/tree-admission';
 import { TargetChooser } from '@daisyferry/mesh/target-chooser';
-import { decodeShortage, encodeShortage } from '@daisyferry/peering/control-codec';
+import { decodeRecord, decodeShortage, encodeShortage } from '@daisyferry/peering/control-codec';
 import { FrameKind } from '@daisyferry/peering/frame';
 import type { KeyValueStore } from '@daisyferry/store/key-value-store';
 import { AnnouncementHandler, type AnnouncementDecoder } from './announcement-handler';
@@ -56,6 +56,7 @@
 import { PipelineCounts } from './pipeline-counts';
 import { QuotaExchange } from './quota-exchange';
 import { ReadyState } from './ready-state';
+import { RecordSpread } from './record-spread';
 import { Registration } from './registration';
 import { RetryBudget } from './retry-budget';
 import { CurrentBounds } from './settings-reload';
@@ -116,7 +117,7 @@
   const now = () => ({ monotonicMs: clock(), unixMs: Date.now() });
   const { store, headerNames } = platform;
   const log = new EventLog({ node: environment.daemonId }, clock);
-  const target = new AnnouncedTarget();
+  const target = new AnnouncedTarget(false);
   const bounds = new CurrentBounds(environment.bounds);
   const fleetSize = new RecentMaximum(FLEET_SIZE_WINDOW_MS);
   const bufferBudget = new BufferBudget(environment.memoryLimitBytes * BUFFER_SHARE_OF_MEMORY);
@@ -216,6 +217,17 @@
     onShedLevel: (level) => levelChanges.emit(level),
     onShortages: (shortages) => shortageNews.emit(shortages),
   });
+  const publishTarget = (isServing: boolean) => {
+    const slots = target.announcement?.slots;
+    if (slots !== undefined) capacity.setSlots(slots);
+    queue.setLimit(capacity.limit, clock());
+    if (!isServing) queue.refuseAll(CallRefusalReason.leaving);
+    ownRecord.publish();
+  };
+  const confirmTarget = () => {
+    if (target.confirm()) publishTarget(true);
+  };
+  ownRecord.subscribeTargetEnds(() => publishTarget(false));
   const linkChanges = new Emitter<readonly [daemonId: string, change: LinkChange]>();
   const peerConnections = new PeerConnections({
     directory,
@@ -245,6 +257,7 @@
     onDaemonRemoved: (daemonId) => chooser.remove(daemonId),
     onLinkChange: (daemonId, change) => linkChanges.emit([daemonId, change]),
     onRecordMissing: () => recordMissing.emit(undefined),
+    onEarlierRecord: confirmTarget,
   });
   const quotas = new QuotaExchange({
     ownDaemonId: environment.daemonId,
@@ -260,6 +273,11 @@
     store,
     minLeaseMs: environment.store.minLeaseMs,
     ownRecord: () => ownRecord.record(),
+    onEarlierRecord: (text) => {
+      const earlier = text === undefined ? undefined : decodeRecord(text);
+      if (earlier !== undefined) ownRecord.supersede(earlier);
+      confirmTarget();
+    },
     onUnresponsiveStore: platform.resetStoreConnections,
     log,
     random: Math.random,
@@ -353,6 +371,12 @@
       log.decision('second response to a request of a caller dropped', { status }),
     clock,
   });
+  const recordSpread = new RecordSpread({
+    isPeerConnected: () => peerConnections.hasConnectedPeer,
+    isStored: () => registration.isStored,
+    writeNow: () => registration.writeNow(),
+    clock,
+  });
   const announcementHandler = new AnnouncementHandler({
     target,
     decoder: platform.announcements,
@@ -360,13 +384,8 @@
       service === environment.service ||
       configuration.routes?.configuration.services.some(({ name }) => name === service) === true,
     onReplaced: (wasEndExpected) => home.forgetTarget(wasEndExpected),
-    onChange: (isServing) => {
-      const slots = target.announcement?.slots;
-      if (slots !== undefined) capacity.setSlots(slots);
-      queue.setLimit(capacity.limit, clock());
-      if (!isServing) queue.refuseAll(CallRefusalReason.leaving);
-      ownRecord.publish();
-    },
+    onChange: publishTarget,
+    whenSpread: () => recordSpread.wait(),
     log,
     clock,
   });
--- a/packages/sidecar/tests/record-exchange.test.ts
+++ b/packages/sidecar/tests/record-exchange.test.ts
@@ -19,6 +19,10 @@
 
   missingReports = 0;
 
+  earlierReports = 0;
+
+  readonly superseded: DaemonRecord[] = [];
+
   readonly sent: { readonly to: string; readonly kind: FrameKindNumber }[] = [];
 
   readonly directory = new FleetDirectory();
@@ -34,7 +38,7 @@
     ownRecord: {
       daemonId: 'own',
       record: () => record('own'),
-      supersede: () => undefined,
+      supersede: (earlier: DaemonRecord) => this.superseded.push(earlier),
     } as unknown as OwnRecord,
     peers: { connectedPeers: () => this.peers, dataCentrePeers: () => this.peers },
     log: { stateChange: () => undefined, warn: () => undefined } as unknown as EventLog,
@@ -44,6 +48,9 @@
     onRecordMissing: () => {
       this.missingReports += 1;
     },
+    onEarlierRecord: () => {
+      this.earlierReports += 1;
+    },
   });
 
   receive(kind: FrameKindNumber, content: unknown): void {
@@ -93,6 +100,29 @@
     expect(exchange.missingReports).toBe(3);
   });
 
+  it.each([
+    ['known', () => undefined],
+    ['gone', (directory: FleetDirectory) => directory.removeExpired(60_000)],
+  ])('sends a daemon that was started again its last record, which is %s', (_name, expire) => {
+    const exchange = new Exchange();
+    const endedTargets = [{ targetId: 'i-1', bornUnixMs: 5 }];
+    const earlier = record('a', { isLeaving: true, endedTargets });
+    const heads: string[] = [];
+    const sender = { sendControl: (_kind: FrameKindNumber, head: string) => heads.push(head) };
+    exchange.records.greet(earlier, sender);
+    expire(exchange.directory);
+    exchange.records.greet(record('a', { incarnation: 2 }), sender);
+    exchange.records.greet(record('a', { incarnation: 2, revision: 2 }), sender);
+    expect(heads.map((head) => JSON.parse(head) as unknown)).toEqual([earlier]);
+  });
+
+  it('takes over what an earlier process knew from a peer', () => {
+    const exchange = new Exchange();
+    exchange.receive(FrameKind.record, record('own', { incarnation: 0 }));
+    exchange.receive(FrameKind.record, { ...record('own'), endedTargets: [{ targetId: 7 }] });
+    expect([exchange.superseded.length, exchange.earlierReports]).toEqual([1, 1]);
+  });
+
   it('relies on its own view while it follows the store', () => {
     const exchange = new Exchange();
     exchange.isReading = true;
