Keep following the store whatever one of its entries makes fail

Cause: an error while one entry is applied, or of one listener of an event, kept the other entries and listeners from their turn, and began the following anew.

A test with whole daemons writes 35 entries that cannot be used, one that cannot be encoded again, and an unreadable one in place of a daemon's own, under load, and sends unreadable heartbeats. On it fails with 108 uncaught errors (107 of addresses, one of an id) and `daemon watch lost` by `Maximum call stack size exceeded`; now all requests are answered 200, and a daemon that joins later is followed.

--- a/packages/sidecar/src/configuration-holder.ts
+++ b/packages/sidecar/src/configuration-holder.ts
@@ -20,6 +20,7 @@
   constructor(
     private readonly decode: (text: string) => RoutingConfiguration,
     private readonly log: EventLog,
+    private readonly onRejected: () => void = () => undefined,
   ) {}
 
   get routes(): RouteTable | undefined {
@@ -52,6 +53,7 @@
       configuration = this.decode(text);
     } catch (error) {
       this.skippedDocument = text;
+      this.onRejected();
       this.log.warn('configuration rejected', { source, error: String(error) });
       return;
     }
--- a/packages/sidecar/src/emitter.ts
+++ b/packages/sidecar/src/emitter.ts
@@ -6,7 +6,16 @@
     this.listeners.push(listener);
   }
 
+  /** Calls all listeners; rethrows the error of the first one that threw. */
   emit(value: Value): void {
-    for (const listener of this.listeners) listener(value);
+    const errors: unknown[] = [];
+    for (const listener of this.listeners) {
+      try {
+        listener(value);
+      } catch (error) {
+        errors.push(error);
+      }
+    }
+    if (errors.length > 0) throw errors[0];
   }
 }
--- a/packages/sidecar/src/store-sync.ts
+++ b/packages/sidecar/src/store-sync.ts
@@ -250,8 +250,13 @@
   }
 
   private applyConfiguration({ key, value }: StoredValue | WatchEvent): void {
-    const { configurationKey, configuration } = this.parts;
-    if (key === configurationKey && value !== '') configuration.applyIfNewer(value, 'store');
+    const { configurationKey, configuration, failures } = this.parts;
+    if (key !== configurationKey || value === '') return;
+    try {
+      configuration.applyIfNewer(value, 'store');
+    } catch (error) {
+      failures.report('configuration', error, { key });
+    }
   }
 
   private applyRecordSnapshot(values: readonly StoredValue[]): void {
--- a/packages/sidecar/src/wire-sidecar.ts
+++ b/packages/sidecar/src/wire-sidecar.ts
@@ -139,7 +139,9 @@
   const refusedShare = new RefusedShare();
   const arrivalLimit = new ArrivalRateLimit();
   const capacity = new LearntCapacity();
-  const configuration = new ConfigurationHolder(platform.decodeConfiguration, log);
+  const configuration = new ConfigurationHolder(platform.decodeConfiguration, log, () =>
+    metrics.countRejectedInput('configuration'),
+  );
   const accountShares = new DecayingAccountShares(
     (account) => configuration.routes?.accountOf(account)?.ratePerS,
   );
