Check the texts of a call or a reply by one look at its JSON

JSON without escapes and beyond Latin-1 has no character that leaves its line, and the names of fields are few.

--- a/packages/peering/src/call-codec.ts
+++ b/packages/peering/src/call-codec.ts
@@ -10,6 +10,7 @@
 import type { CrashEvidence } from '@daisyferry/mesh/crash-suspects';
 import type { TargetNotice } from '@daisyferry/mesh/target-notice';
 import { parseJson } from './control-codec';
+import { HeaderTexts } from './header-texts';
 
 // Calls and replies are encoded as JSON arrays: as objects, field names would be a third of their
 // bytes.
@@ -104,14 +105,6 @@
   return Number.isSafeInteger(value) && (value as number) >= 0;
 }
 
-/** A text that stays within its line of a message; characters beyond are sent as others. */
-const HEADER_TEXT = /^[^\r\n\0\u0100-\uffff]*$/;
-const FIELD_NAME = /^[!#$%&'*+\-.^_`|~0-9A-Za-z]+$/;
-const METHOD = FIELD_NAME;
-const REQUEST_TARGET = /^\/[^\s\u0100-\uffff]*$/;
-/** Fields that are set when a message is written. */
-const FRAMING_FIELDS = new Set(['content-length', 'transfer-encoding']);
-
 /** Types of the items of an encoded call before its header fields. */
 const CALL_ITEM_TYPES = [
   ...['string', 'string', 'string', 'string', 'string'],
@@ -127,39 +120,18 @@
 const ACCOUNT_INDEX = 17;
 const REPEAT_SHARE_INDEX = 18;
 
-/** Positions of the texts of an encoded call that are sent in header fields. */
-const HEADER_TEXT_INDEXES = [0, 2, 3, ATTEMPT_KEY_INDEX, ACCOUNT_INDEX];
-const METHOD_INDEX = 9;
-const PATH_INDEX = 10;
-const FIELDS_INDEX = 11;
 /** Longest time that a caller is kept waiting. */
 const MAX_CALL_MS = 3_600_000;
 const MAX_RATE_PER_S = 1e9;
 const MAX_PRIORITY = 1e9;
 
-function isHeaderText(value: unknown): boolean {
-  return value === undefined || (typeof value === 'string' && HEADER_TEXT.test(value));
-}
-
-/** True if a message with these fields has the fields that a receiver reads, and no others. */
-function areHeaderFields(fields: readonly string[]): boolean {
-  return (
-    fields.length % 2 === 0 &&
-    fields.every((text, index) =>
-      index % 2 === 0
-        ? FIELD_NAME.test(text) && !FRAMING_FIELDS.has(text.toLowerCase())
-        : HEADER_TEXT.test(text),
-    )
-  );
-}
-
 /** True if a request with the texts of the call has the parts that its target is to read. */
-function canBeSent(items: EncodedCall): boolean {
+function canBeSent(call: ForwardedCall, texts: HeaderTexts): boolean {
+  const { requestId, attemptKey, targetId, callerService, account } = call;
   return (
-    METHOD.test(items[METHOD_INDEX]) &&
-    REQUEST_TARGET.test(items[PATH_INDEX]) &&
-    HEADER_TEXT_INDEXES.every((index) => isHeaderText(items[index])) &&
-    areHeaderFields(items[FIELDS_INDEX])
+    texts.isRequestLine(call.method, call.path) &&
+    texts.areLineTexts([requestId, attemptKey, targetId, callerService, account]) &&
+    texts.areFields(call.fields)
   );
 }
 
@@ -233,8 +205,10 @@
 /** Decodes a call encoded by `encodeCall`; returns undefined if it cannot be read. */
 export function decodeCall(text: string): DecodedCall | undefined {
   const encoded = parseJson(text);
-  if (!isEncodedCall(encoded) || !canBeSent(encoded)) return undefined;
-  return { call: toCall(encoded), bodyBytes: encoded[BODY_BYTES_INDEX] ?? 0 };
+  if (!isEncodedCall(encoded)) return undefined;
+  const call = toCall(encoded);
+  if (!canBeSent(call, new HeaderTexts(text))) return undefined;
+  return { call, bodyBytes: encoded[BODY_BYTES_INDEX] ?? 0 };
 }
 
 /** Share of refused calls below which none is reported, to save bytes. */
@@ -378,11 +352,16 @@
   return REFUSAL_REASONS.has(value);
 }
 
-function decodeOutcome(items: readonly unknown[], body: Buffer): CallReply['outcome'] | undefined {
+function decodeOutcome(
+  text: string,
+  items: readonly unknown[],
+  body: Buffer,
+): CallReply['outcome'] | undefined {
   const [kind, , first, second, third, fourth] = items;
   if (kind === 'answered') {
     const isReadable = isFinalStatus(first) && typeof second === 'string' && isStringList(third);
-    if (!isReadable || !HEADER_TEXT.test(second) || !areHeaderFields(third)) return undefined;
+    const texts = new HeaderTexts(text);
+    if (!isReadable || !texts.areLineTexts([second]) || !texts.areFields(third)) return undefined;
     const [status, reason, fields] = [first, second, third];
     return { kind, status, reason, fields, body, endsWithConnection: fourth === true };
   }
@@ -427,6 +406,6 @@
   }
   return {
     bodyBytes,
-    withBody: (body) => ({ outcome: decodeOutcome(items, body) ?? unreadable, load, needs }),
+    withBody: (body) => ({ outcome: decodeOutcome(text, items, body) ?? unreadable, load, needs }),
   };
 }
