--- a/packages/peering/src/frame.ts
+++ b/packages/peering/src/frame.ts
@@ -93,37 +93,18 @@
 
 /** Parses the frames in the byte stream of a connection. */
 export class FrameReader {
-  /** The bytes of a frame that is arriving are the first `heldBytes` of this buffer. */
-  private held: Buffer = EMPTY;
-
-  private heldBytes = 0;
-
-  /** Bytes from which on the frame that is arriving can be read further. */
-  private neededBytes = 0;
+  private partialFrame: Buffer = EMPTY;
 
   /** Returns false on a malformed frame, after which the connection is unusable. */
   push(chunk: Buffer, onFrame: (frame: Frame) => void): boolean {
-    if (this.heldBytes === 0) return this.read(chunk, onFrame);
-    this.hold(chunk);
-    if (this.heldBytes < this.neededBytes) return true;
-    const bytes = this.held.subarray(0, this.heldBytes);
-    // Bodies of frames are views of these bytes.
-    this.held = EMPTY;
-    this.heldBytes = 0;
-    return this.read(bytes, onFrame);
-  }
-
-  private read(bytes: Buffer, onFrame: (frame: Frame) => void): boolean {
-    this.neededBytes = PREFIX_BYTES;
+    const bytes =
+      this.partialFrame.length === 0 ? chunk : Buffer.concat([this.partialFrame, chunk]);
     let position = 0;
     while (bytes.length - position >= PREFIX_BYTES) {
       const length = bytes.readUInt32BE(position);
       if (length > MAX_FRAME_BYTES || length < PREFIX_BYTES - LENGTH_BYTES) return false;
       const end = position + LENGTH_BYTES + length;
-      if (end > bytes.length) {
-        this.neededBytes = end - position;
-        break;
-      }
+      if (end > bytes.length) break;
       const headStart = position + PREFIX_BYTES;
       const headEnd = headStart + bytes.readUInt32BE(position + 9);
       if (headEnd > end) return false;
@@ -135,19 +116,7 @@
       });
       position = end;
     }
-    if (position < bytes.length) this.hold(bytes.subarray(position));
+    this.partialFrame = position === bytes.length ? EMPTY : bytes.subarray(position);
     return true;
   }
-
-  /** Copies the bytes into a buffer that grows by doubling, as they may arrive one by one. */
-  private hold(bytes: Buffer): void {
-    const length = this.heldBytes + bytes.length;
-    if (length > this.held.length) {
-      const grown = Buffer.allocUnsafe(Math.max(length, Math.min(this.neededBytes, 2 * length)));
-      this.held.copy(grown, 0, 0, this.heldBytes);
-      this.held = grown;
-    }
-    bytes.copy(this.held, this.heldBytes);
-    this.heldBytes = length;
-  }
 }
