Copy the ids of requests out of their heads

What callers see at high rates of unsafe requests: a daemon that ends at its heap limit, and requests in progress without an answer (LOST).

Cause: a text that is cut out of a longer one keeps the longer one in memory. The entry and the call to the target now copy the id.

--- a/packages/sidecar/src/entry.ts
+++ b/packages/sidecar/src/entry.ts
@@ -1,4 +1,5 @@
 import type { QuotaGate } from '@daisyferry/accounts/quota-gate';
+import { detachedText } from '@daisyferry/http1/detached-text';
 import type { ResponseParts } from '@daisyferry/http1/message-writer';
 import { endToEndFields } from '@daisyferry/http1/message-writer';
 import type { HeaderFields, RequestMessage } from '@daisyferry/http1/message';
@@ -159,7 +160,10 @@
     const nowMs = clock();
     const attemptKey = this.nextAttemptKey();
     const { account } = identity;
-    const callerId = fieldValue(head.fields, headerNames.requestId.toLowerCase()) ?? '';
+    // Execution records and connections to targets remember the id.
+    const callerId = detachedText(
+      fieldValue(head.fields, headerNames.requestId.toLowerCase()) ?? '',
+    );
     const origin = this.parts.originOf(callerId);
     const priority =
       origin === undefined
--- a/packages/sidecar/src/target-call.ts
+++ b/packages/sidecar/src/target-call.ts
@@ -1,3 +1,4 @@
+import { detachedText } from '@daisyferry/http1/detached-text';
 import { fieldValue } from '@daisyferry/http1/message';
 import { encodeRequest } from '@daisyferry/http1/message-writer';
 import type { AccountShares } from '@daisyferry/mesh/account-shares';
@@ -234,7 +235,7 @@
     if (call.account !== undefined) fields.push(headerNames.account, call.account);
     const message = encodeRequest(call.method, call.path, fields, this.body);
     // Empty if the caller assigned no id.
-    const echoedId = fieldValue(call.fields, responseFieldNames.requestId) ?? '';
+    const echoedId = detachedText(fieldValue(call.fields, responseFieldNames.requestId) ?? '');
     this.runningExchange = pool.send(echoedId, call.method === 'HEAD', message, (result) =>
       this.handleExchangeResult(result),
     );
