--- a/packages/mesh/src/execution-record-registry.ts
+++ b/packages/mesh/src/execution-record-registry.ts
@@ -1,5 +1,6 @@
 import type { Attempt, CallReply } from './forwarded-call';
 import { ExecutionRecord, type AttemptEvent } from './execution-record';
+import { recordKey } from './record-key';
 
 export type OpenResult =
   | { readonly kind: 'opened'; readonly record: ExecutionRecord }
@@ -47,10 +48,10 @@
   }
 
   open(attempt: Attempt, deliver: (reply: CallReply) => void, nowMs: number): OpenResult {
-    const present = this.records.get(attempt.requestId);
+    const present = this.records.get(recordKey(attempt.requestId));
     if (present !== undefined) return { kind: 'present', record: present };
     const record = new ExecutionRecord(attempt, nowMs, deliver);
-    this.records.set(attempt.requestId, record);
+    this.records.set(record.key, record);
     return { kind: 'opened', record };
   }
 
@@ -59,11 +60,11 @@
    * found may be that of another attempt with the same id.
    */
   resolve(attempt: Attempt, nowMs: number): ExecutionRecord {
-    const present = this.records.get(attempt.requestId);
+    const present = this.records.get(recordKey(attempt.requestId));
     if (present !== undefined) return present;
     const record = new ExecutionRecord(attempt, nowMs);
     record.transition('REFUSE');
-    this.records.set(attempt.requestId, record);
+    this.records.set(record.key, record);
     return record;
   }
 
@@ -80,9 +81,9 @@
   /** Removes records and replies that no entry can query any longer. */
   sweep(nowMs: number): void {
     this.evictReplies(nowMs);
-    for (const [requestId, record] of this.records) {
+    for (const [key, record] of this.records) {
       if (nowMs - record.openedAtMs < RECORD_RETENTION_MS) return;
-      if (!record.isOpen) this.records.delete(requestId);
+      if (!record.isOpen) this.records.delete(key);
     }
   }
 
--- a/packages/mesh/src/execution-record.ts
+++ b/packages/mesh/src/execution-record.ts
@@ -1,6 +1,7 @@
 import attemptChart from '@daisyferry/charts/attempt.chart.json';
 import { Chart } from '@daisyferry/charts/chart';
 import type { Attempt, CallReply } from './forwarded-call';
+import { recordKey } from './record-key';
 
 export type AttemptState = 'waiting' | 'running' | 'barred' | 'finished' | 'unknown';
 export type AttemptEvent = 'HAND_OVER' | 'REFUSE' | 'ANSWER' | 'SHED' | 'LOSE';
@@ -14,7 +15,10 @@
   /** The final reply, while it is retained for an entry whose connection broke. */
   reply: CallReply | undefined;
 
-  private readonly attempt: Attempt;
+  /** Key of the request, which the attempts of a caller that uses an id again have in common. */
+  readonly key: string;
+
+  private readonly attemptKey: string | undefined;
 
   constructor(
     { requestId, attemptKey }: Attempt,
@@ -23,17 +27,15 @@
     private deliver?: (reply: CallReply) => void,
   ) {
     // Not the call itself, whose header fields would stay in memory as long as the record.
-    this.attempt = { requestId, attemptKey };
+    this.key = recordKey(requestId);
+    this.attemptKey = attemptKey;
   }
 
   /** False for another attempt with the same id. */
   isOf({ requestId, attemptKey }: Attempt): boolean {
-    const present = this.attempt;
     const isSameKey =
-      attemptKey === undefined ||
-      present.attemptKey === undefined ||
-      attemptKey === present.attemptKey;
-    return isSameKey && requestId === present.requestId;
+      attemptKey === undefined || this.attemptKey === undefined || attemptKey === this.attemptKey;
+    return isSameKey && recordKey(requestId) === this.key;
   }
 
   get state(): AttemptState {
--- a/packages/mesh/tests/execution-record-registry.test.ts
+++ b/packages/mesh/tests/execution-record-registry.test.ts
@@ -89,6 +89,17 @@
     expect(call.deref()).toBeUndefined();
   });
 
+  it('remembers long ids by digests of a bounded length', () => {
+    const registry = new ExecutionRecordRegistry();
+    const long = 'x'.repeat(16_000);
+    const { record } = registry.open(attempt(long), ignoreReply, 0);
+    expect(record.key.length).toBeLessThan(129);
+    expect(record.isOf(attempt(long))).toBe(true);
+    expect(record.isOf(attempt(`${long}y`))).toBe(false);
+    expect(registry.open(attempt(long), ignoreReply, 0).kind).toBe('present');
+    expect(registry.open(attempt(`${long}y`), ignoreReply, 0).kind).toBe('opened');
+  });
+
   it('bounds the memory of retained replies with their header fields', () => {
     const registry = new ExecutionRecordRegistry();
     const fields = ['X-Large', 'x'.repeat(60_000)];
--- a/packages/sidecar/src/response-attribution.ts
+++ b/packages/sidecar/src/response-attribution.ts
@@ -14,6 +14,8 @@
 
 /** Requests of one connection, whose ids are all known: a second response may come at any time. */
 const MAX_REQUESTS = 128;
+/** A connection carries no request behind one with a longer id. */
+const MAX_ID_LENGTH = 128;
 /** Maximum number of responses to other requests on one connection. */
 const MAX_FOREIGN_RESPONSES = 8;
 const OWN: Attribution = { kind: 'own' };
@@ -34,6 +36,9 @@
 
   private requestCount = 0;
 
+  /** Remembering many ids of any length would exceed the memory for connections. */
+  private hasLongId = false;
+
   private foreignCount = 0;
 
   constructor(private readonly fieldNames: ResponseFieldNames) {
@@ -47,7 +52,7 @@
 
   /** True once the connection must carry no further request. */
   get isExhausted(): boolean {
-    return this.requestCount >= MAX_REQUESTS;
+    return this.requestCount >= MAX_REQUESTS || this.hasLongId;
   }
 
   /** True if a second response to an earlier request would be taken for that to this one. */
@@ -57,6 +62,7 @@
 
   recordRequest(requestId: string): void {
     this.requestCount += 1;
+    this.hasLongId ||= requestId.length > MAX_ID_LENGTH;
     this.carriedIds.add(requestId);
   }
 
--- a/packages/sidecar/tests/response-attribution.test.ts
+++ b/packages/sidecar/tests/response-attribution.test.ts
@@ -72,6 +72,8 @@
     expect(attribution.hasCarried('r0')).toBe(true);
     expect(attribution.hasCarried('r100')).toBe(false);
     expect(attributionAfter(128).isExhausted).toBe(true);
+    attribution.recordRequest('x'.repeat(16_000));
+    expect(attribution.isExhausted).toBe(true);
   });
 
   it('ends the wait for the response behind too many to other requests', () => {
