--- a/packages/sidecar/src/caller-connection.ts
+++ b/packages/sidecar/src/caller-connection.ts
@@ -140,8 +140,12 @@
     this.advance();
   }
 
-  /** True while a request has partly arrived. */
-  get hasPartialRequest(): boolean {
+  /** True while a request has arrived, in part or whole, and is not answered. */
+  get hasUnanswered(): boolean {
+    return this.hasPartialRequest || !this.pipeline.isEmpty;
+  }
+
+  private get hasPartialRequest(): boolean {
     return !this.hasEnded && this.reader.hasPartialRequest;
   }
 
@@ -174,7 +178,7 @@
     }
     const { idleTimeoutMs, headerTimeoutMs } = this.listener.parts.limits();
     if (this.partialSinceMs !== undefined) {
-      if (nowMs - this.partialSinceMs > headerTimeoutMs && this.mayRead) {
+      if (nowMs - this.partialSinceMs > headerTimeoutMs && this.pipeline.mayRead) {
         this.reject(408, 'request arrives too slowly');
         this.advance();
       }
@@ -183,10 +187,6 @@
     }
   }
 
-  private get mayRead(): boolean {
-    return this.pipeline.mayRead(this.listener.isClosing);
-  }
-
   private receive(chunk: Buffer): void {
     if (this.hasEnded) return;
     this.reader.push(chunk);
@@ -208,7 +208,7 @@
   }
 
   private controlFlow(): void {
-    const isFull = this.reader.bufferedBytes > MAX_PIPELINED_BYTES && !this.mayRead;
+    const isFull = this.reader.bufferedBytes > MAX_PIPELINED_BYTES && !this.pipeline.mayRead;
     if (isFull && !this.hasEnded) this.socket.pause();
     else if (this.socket.isPaused()) this.socket.resume();
   }
@@ -216,7 +216,9 @@
   /** Writes the response whose turn it is. Returns false if it is not there. */
   private writeNext(): boolean {
     const nowMs = this.listener.parts.clock();
-    const next = this.pipeline.nextToWrite(this.listener.isClosing, nowMs);
+    // What has arrived behind it is answered, too, before the connection closes.
+    const isClosing = this.listener.isClosing && !this.reader.hasPartialRequest;
+    const next = this.pipeline.nextToWrite(isClosing, nowMs);
     if (next === undefined) return false;
     const { entry, response, closesConnection } = next;
     const isHead = entry.input.request?.head.method === 'HEAD';
@@ -243,7 +245,7 @@
 
   /** Reads a request. Returns false if none may be read or none is there. */
   private readNext(): boolean {
-    if (!this.reader.hasPartialRequest || !this.mayRead) return false;
+    if (!this.reader.hasPartialRequest || !this.pipeline.mayRead) return false;
     const { parts } = this.listener;
     const read = this.reader.next(parts.limits());
     switch (read.kind) {
--- a/packages/sidecar/src/caller-listener.ts
+++ b/packages/sidecar/src/caller-listener.ts
@@ -40,9 +40,9 @@
     return false;
   }
 
-  /** Connections on which a request has partly arrived. */
-  get arrivingCount(): number {
-    return [...this.connections].filter(({ hasPartialRequest }) => hasPartialRequest).length;
+  /** Connections on which a request is not answered, also one that has partly arrived. */
+  get unansweredCount(): number {
+    return [...this.connections].filter(({ hasUnanswered }) => hasUnanswered).length;
   }
 
   listen({ ip, port }: SocketAddress): Promise<void> {
--- a/packages/sidecar/src/request-pipeline.ts
+++ b/packages/sidecar/src/request-pipeline.ts
@@ -57,14 +57,10 @@
     return this.entries[this.startedCount]?.isStarted === false;
   }
 
-  /** `isClosing` tells that the connection closes after the requests that are started. */
-  mayRead(isClosing: boolean): boolean {
+  get mayRead(): boolean {
     if (this.isEmpty) return !this.isSealed;
     return (
-      !this.isSealed &&
-      !isClosing &&
-      this.entries.length < MAX_REQUESTS &&
-      this.requestBytes < MAX_REQUEST_BYTES
+      !this.isSealed && this.entries.length < MAX_REQUESTS && this.requestBytes < MAX_REQUEST_BYTES
     );
   }
 
@@ -84,7 +80,10 @@
     this.recordResponse(entry, response, undefined, nowMs);
   }
 
-  /** Returns the request to start now, if any, and counts it as started. */
+  /**
+   * Returns the request to start now, if any, and counts it as started. While the connection closes,
+   * requests run one after the other.
+   */
   nextToStart(
     isClosing: boolean,
     unsentBytes: number,
@@ -118,14 +117,16 @@
     if (response.endsWithConnection === true) this.dropFrom(this.entries.indexOf(entry) + 1);
   }
 
-  /** Returns the response whose turn it is, if it is there, and removes its request. */
+  /**
+   * Returns the response whose turn it is, if it is there, and removes its request. With `isClosing`,
+   * the connection closes once all requests that were read are answered.
+   */
   nextToWrite(isClosing: boolean, nowMs: number): ResponseToWrite | undefined {
     const entry = this.entries[0];
     if (entry?.response === undefined) return undefined;
     const { responseBytes, bodyBytes, answeredMs } = entry;
     const response = entry.takeResponse() as ResponseParts;
-    const isLastStarted = this.entries[1]?.isStarted !== true;
-    const closesConnection = this.isSealed ? this.entries.length === 1 : isClosing && isLastStarted;
+    const closesConnection = (this.isSealed || isClosing) && this.entries.length === 1;
     this.entries.shift();
     this.startedCount = Math.max(0, this.startedCount - 1);
     this.requestBytes -= bodyBytes;
--- a/packages/sidecar/src/sidecar-lifecycle.ts
+++ b/packages/sidecar/src/sidecar-lifecycle.ts
@@ -170,6 +170,9 @@
         }
       }
     }
+    // Requests that waited behind those calls on their connections are refused.
+    await receivePending();
+    callers.closeConnections();
     await Promise.race([registration.stop(), delay(stopPlan.removalTimeoutMs(clock()))]);
     this.parts.announcements.close();
     this.parts.readiness.close();
@@ -185,7 +188,7 @@
     return (
       entry.activeCount > 0 ||
       home.activeCount > 0 ||
-      callers.arrivingCount > 0 ||
+      callers.unansweredCount > 0 ||
       callers.hasUnsentBytes ||
       peerConnections.hasUnsentReplies
     );
@@ -213,23 +216,21 @@
         home.breakOff();
         return;
       case StopPhase.ended:
-        this.closeConnections();
+        this.stopListeners();
         return;
       default:
         phase satisfies never;
     }
   }
 
-  /** Closes all connections at the same moment, so that nothing is accepted that cannot be answered. */
-  private closeConnections(): void {
+  /** Ends all that could still accept something; calls at other daemons get their outcome. */
+  private stopListeners(): void {
     const { callers, home, peerConnections, storeSync, freshnessKeeper } = this.parts;
     home.close();
     callers.close();
     storeSync.stop();
     freshnessKeeper.stop();
-    // Calls at other daemons get their outcome, which is passed on to their callers.
     peerConnections.stop();
-    callers.closeConnections();
   }
 
   private setState(state: LifecycleStateName): void {
@@ -246,7 +247,7 @@
       activeEntry: entry.activeCount,
       activeHome: home.activeCount,
       waitingHome: home.waitingCount,
-      arrivingRequests: callers.arrivingCount,
+      unansweredConnections: callers.unansweredCount,
       hasUnsentResponses: callers.hasUnsentBytes,
       hasUnsentReplies: peerConnections.hasUnsentReplies,
     });
--- a/packages/sidecar/tests/pipelined-requests.test.ts
+++ b/packages/sidecar/tests/pipelined-requests.test.ts
@@ -240,7 +240,7 @@
     expect(hasEnded).toBe(false);
   });
 
-  it('that have started are answered on a stop, and the last of them says that it closes', async () => {
+  it('that were read before a stop are all answered, and the last says that it closes', async () => {
     await send(get('/a') + get('/b') + get('/once/c') + get('/d') + get('/e'), ['/a', '/b']);
     host.isClosing = true;
     caller.write(get('/f'));
@@ -248,17 +248,33 @@
     answer('/a');
     await vi.waitFor(() => expect(bodies()).toEqual(['</a>']));
     answer('/b');
+    for (const path of ['/once/c', '/d', '/e', '/f']) {
+      await vi.waitFor(() => expect(paths().at(-1)).toBe(path));
+      answer(path);
+    }
     await expectEnd();
-    expect(paths()).toEqual(['/a', '/b']);
-    expect(seen()).toEqual(['HTTP/1.1 200', '</a>', 'HTTP/1.1 200', 'Connection: close', '</b>']);
+    expect(paths()).toEqual(['/a', '/b', '/once/c', '/d', '/e', '/f']);
+    const rest = ['</b>', '</once/c>', '</d>', '</e>'].flatMap((body) => ['HTTP/1.1 200', body]);
+    expect(seen()).toEqual([
+      ...['HTTP/1.1 200', '</a>', ...rest],
+      ...['HTTP/1.1 200', 'Connection: close', '</f>'],
+    ]);
   });
 
-  it('of a first request during a stop are not read', async () => {
+  it('that arrive during a stop run one after the other and are all answered', async () => {
     host.isClosing = true;
-    await send(get('/a') + get('/b'), ['/a']);
+    await send(get('/a') + get('/b') + get('/c').slice(0, 12), ['/a']);
+    await sleep(20);
+    expect(paths()).toEqual(['/a']);
     answer('/a');
+    await vi.waitFor(() => expect(paths()).toEqual(['/a', '/b']));
+    answer('/b');
+    await vi.waitFor(() => expect(bodies()).toEqual(['</a>', '</b>']));
+    expect(hasEnded).toBe(false);
+    await send(get('/c').slice(12), ['/a', '/b', '/c']);
+    answer('/c');
     await expectEnd();
-    expect(paths()).toEqual(['/a']);
+    expect(seen().slice(-3)).toEqual(['HTTP/1.1 200', 'Connection: close', '</c>']);
   });
 
   it('behind a request that closes the connection are not read', async () => {
--- a/packages/sidecar/tests/request-pipeline.test.ts
+++ b/packages/sidecar/tests/request-pipeline.test.ts
@@ -55,7 +55,7 @@
         };
         const actions: Readonly<Record<string, (item: StepInput) => void>> = {
           read: ({ safe = false }) => {
-            if (!pipeline.mayRead(isStopping)) return;
+            if (!pipeline.mayRead) return;
             const target = `${safe ? 'safe' : 'once'}-${read.length}`;
             read.push(target);
             pipeline.add({ request: requestOf(target), readMs: 0, bodyReservation: undefined });
@@ -92,7 +92,8 @@
         }
         expect(written).toEqual(read.slice(0, written.length));
         if (hasClosed) {
-          expect(pipeline.mayRead(false)).toBe(false);
+          if (!isEndKnown) expect(written).toEqual(read);
+          expect(pipeline.mayRead).toBe(false);
           expect(pipeline.nextToStart(false, 0, 0)).toBeUndefined();
         }
       }),
--- a/packages/sidecar/tests/sidecar-lifecycle.test.ts
+++ b/packages/sidecar/tests/sidecar-lifecycle.test.ts
@@ -64,7 +64,7 @@
         get hasUnsentBytes() {
           return hasUnsentBytes();
         },
-        get arrivingCount() {
+        get unansweredCount() {
           return arrivingRequests();
         },
       },
@@ -170,7 +170,7 @@
     await vi.advanceTimersByTimeAsync(GRACE_MS);
     await stopped;
     expect(recorder.atMs('caller connections closed') - recorder.atMs('home closed')).toBeLessThan(
-      1,
+      20,
     );
   });
 
