--- a/packages/peering/src/peer-server.ts
+++ b/packages/peering/src/peer-server.ts
@@ -36,7 +36,8 @@
 
   listen(address: PeerAddress): Promise<void> {
     return new Promise((resolve, reject) => {
-      this.server.once('error', reject);
+      // Stays, as a connection that cannot be accepted is an error without a handler otherwise.
+      this.server.on('error', reject);
       this.server.listen(address.port, address.ip, () => resolve());
     });
   }
--- a/packages/sidecar/src/control-listener.ts
+++ b/packages/sidecar/src/control-listener.ts
@@ -32,7 +32,8 @@
 
   listen({ ip, port }: SocketAddress): Promise<void> {
     return new Promise((resolve, reject) => {
-      this.server.once('error', reject);
+      // Stays, as a connection that cannot be accepted is an error without a handler otherwise.
+      this.server.on('error', reject);
       this.server.listen(port, ip, () => resolve());
     });
   }
