--- a/packages/sidecar/src/peer-connections.ts
+++ b/packages/sidecar/src/peer-connections.ts
@@ -389,7 +389,11 @@
   private handleControlFrame(frame: Frame, peer: ControlFrameSender): void {
     if (KINDS_ABOUT_SENDER.has(frame.kind)) {
       const daemonId = this.daemonIds.get(peer);
-      if (daemonId === undefined || decodeSubjectId(frame.head) !== daemonId) {
+      const subjectId = decodeSubjectId(frame.head);
+      // A peer also sends this daemon the last record of its earlier process.
+      const isOwnRecord =
+        frame.kind === FrameKind.record && subjectId === this.parts.ownRecord.daemonId;
+      if (daemonId === undefined || (subjectId !== daemonId && !isOwnRecord)) {
         this.parts.log.decision('report on another daemon ignored', {
           kind: frame.kind,
           peerId: daemonId,
