Send a response whole to a caller that reads slowly but steadily

What callers saw: a response that takes a caller longer than ten seconds to read was cut off by a reset, although the caller went on reading (LOST; requests pipelined behind it went unanswered). Cause: the time without reading counted from the last write to the socket, and a response is one write. Change: it counts from the last progress, which the bytes that the system has not taken show. Node.js has no public measure of them; without the internal one, it counts as before.

--- a/packages/sidecar/src/caller-connection.ts
+++ b/packages/sidecar/src/caller-connection.ts
@@ -56,6 +56,10 @@
 };
 /** Retry-after of a request for whose body there is no memory. */
 const NO_MEMORY_RETRY_AFTER_S = '0.5';
+interface SocketInternals extends Socket {
+  readonly _handle?: { readonly writeQueueSize?: number } | null;
+}
+
 /** Size from which a body counts in the memory budget. */
 const MIN_COUNTED_BODY_BYTES = 65_536;
 /**
@@ -63,7 +67,7 @@
  * unread bytes would reset it, and the caller might lose the response.
  */
 const ENDED_READ_MS = 2_000;
-/** Time after which a response that the caller does not read closes the connection. */
+/** Time without progress after which a response that the caller does not read closes the connection. */
 const UNREAD_RESPONSE_TIMEOUT_MS = 10_000;
 /** Bytes that are buffered while no further request is read. */
 const MAX_PIPELINED_BYTES = 65_536;
@@ -72,6 +76,12 @@
 const NOTHING = Buffer.alloc(0);
 const CONTINUE_RESPONSE = Buffer.from('HTTP/1.1 100 Continue\r\n\r\n');
 
+/** Bytes that the system has not taken. Node.js has no public measure of the progress of a write. */
+function queuedBytesOf(socket: Socket): number {
+  const { _handle: handle } = socket as SocketInternals;
+  return handle?.writeQueueSize ?? socket.writableLength;
+}
+
 /** One connection of a caller. Its responses are sent in the order of its requests. */
 export class CallerConnection {
   private readonly reader = new RequestReader();
@@ -99,6 +109,9 @@
 
   private lastActivityAtMs: number;
 
+  /** Bytes that the system had not taken at the last check. */
+  private queuedBytes = 0;
+
   constructor(
     private readonly socket: Socket,
     private readonly listener: CallerConnectionHost,
@@ -138,6 +151,7 @@
   }
 
   checkTimeouts(nowMs: number): void {
+    this.recordProgress(nowMs);
     const idleMs = nowMs - this.lastActivityAtMs;
     if (this.hasUnsentBytes) {
       if (idleMs > UNREAD_RESPONSE_TIMEOUT_MS) this.close();
@@ -158,6 +172,14 @@
     }
   }
 
+  /** A caller that goes on reading is active, however long a response takes. */
+  private recordProgress(nowMs: number): void {
+    const queuedBytes = queuedBytesOf(this.socket);
+    if (queuedBytes === this.queuedBytes) return;
+    this.queuedBytes = queuedBytes;
+    this.lastActivityAtMs = nowMs;
+  }
+
   private get mayRead(): boolean {
     return this.pipeline.mayRead(this.listener.isClosing);
   }
