Refuse requests of a starting daemon until it is known whether there are client accounts

What callers saw: daemons that were started again soon after the first client accounts came into force served requests without a key (200 in place of 401), and passed on an account that the caller claimed. Cause: a daemon starts with a read of the configuration that may be seconds old. If that is one from before there were accounts, the knowledge needed no proof, and the daemon was ready at once. Change: where the settings bind withdrawals, a daemon is not ready, and answers 503, until a read that may not be stale or a peer has proven its configuration once, of whatever age. Without that setting, and after the first proof, nothing changes.

--- a/packages/sidecar/src/caller-identification.ts
+++ b/packages/sidecar/src/caller-identification.ts
@@ -18,7 +18,7 @@
 import type { SidecarMetrics } from './sidecar-metrics';
 
 export interface CallerIdentificationParts {
-  readonly freshness: Pick<FreshnessKeeper, 'ageMs' | 'isProven'>;
+  readonly freshness: Pick<FreshnessKeeper, 'ageMs' | 'awaitsFirstProof' | 'isProven'>;
   readonly headerNames: HeaderNames;
   readonly random: RandomSource;
   readonly log: EventLog;
@@ -53,7 +53,11 @@
     fields: HeaderFields,
     remainingMs: number,
   ): CallerIdentity {
-    if (!routes.hasAccounts) return WITHOUT_ACCOUNT;
+    if (!routes.hasAccounts) {
+      if (!this.parts.freshness.awaitsFirstProof()) return WITHOUT_ACCOUNT;
+      const { unprovenConfiguration } = IdentificationProblem;
+      return this.refuse(unprovenConfiguration, routes, route, fields, remainingMs);
+    }
     const identification = identifyRequest(
       {
         isPublicRoute: route.isPublic,
--- a/packages/sidecar/src/freshness-keeper.ts
+++ b/packages/sidecar/src/freshness-keeper.ts
@@ -127,9 +127,19 @@
     if (schedule.shouldAsk(need, nowMs)) this.ask(need);
   }
 
+  /**
+   * True until anything has proven the configuration, which may be one from before there were
+   * accounts. False where withdrawals have no bound.
+   */
+  awaitsFirstProof(): boolean {
+    const { withdrawalMs, freshness } = this.parts;
+    return withdrawalMs() !== undefined && freshness.source === undefined;
+  }
+
   private withdrawalBoundMs(): number | undefined {
     const { withdrawalMs, configuration } = this.parts;
-    return configuration.routes?.hasAccounts === true ? withdrawalMs() : undefined;
+    const mayHaveAccounts = configuration.routes?.hasAccounts === true || this.awaitsFirstProof();
+    return mayHaveAccounts ? withdrawalMs() : undefined;
   }
 
   private boundMs(): number {
--- a/packages/sidecar/tests/entry-accounts.test.ts
+++ b/packages/sidecar/tests/entry-accounts.test.ts
@@ -62,6 +62,8 @@
 
   isProven = true;
 
+  awaitsFirstProof = false;
+
   readonly calls: ForwardedCall[] = [];
 
   readonly logged: string[] = [];
@@ -102,7 +104,11 @@
     this.entry = new Entry(
       parts,
       new CallerIdentification({
-        freshness: { isProven: () => this.isProven, ageMs: () => 6_000 },
+        freshness: {
+          isProven: () => this.isProven,
+          awaitsFirstProof: () => this.awaitsFirstProof,
+          ageMs: () => 6_000,
+        },
         headerNames: HEADERS,
         random,
         log,
@@ -228,6 +234,14 @@
 });
 
 describe('an entry of a configuration without client accounts', () => {
+  it('passes nothing on until it is proven that there are no accounts by now', () => {
+    const entry = new TestEntry();
+    entry.configure([]);
+    entry.awaitsFirstProof = true;
+    const statuses = ['/read/a', '/tile/a'].map((path) => entry.request(path, [])[0]?.status);
+    expect([statuses, entry.calls]).toEqual([[503, 503], []]);
+  });
+
   it('passes on credentials and account fields as any other', () => {
     const entry = new TestEntry();
     entry.configure([]);
