Test which responses are complete when their connection ends

Operators of similar systems reported successes with an empty or short body, framed as whole, after a target had stopped in the middle of its response's head. Not reproduced here: such a response is never read as complete, nor are those cut before their length or within a chunk, and those with an unknown coding or two lengths are invalid. Only one without a length is complete by an orderly end. Eight cases, which pass on the present code.

--- a/packages/http1/tests/response-reader.test.ts
+++ b/packages/http1/tests/response-reader.test.ts
@@ -120,3 +120,29 @@
     expect(new Set(heldBytes)).toEqual(new Set([90_000]));
   });
 });
+
+describe('a response whose connection ends', () => {
+  const OK = 'HTTP/1.1 200 OK\r\n';
+
+  function readAtEnd(text: string): string {
+    const reader = new ResponseReader(() => true);
+    reader.push(Buffer.from(text));
+    const read = reader.next(false);
+    if (read.kind !== 'incomplete') return read.kind;
+    reader.endOfInput();
+    return reader.next(false).kind;
+  }
+
+  it.each([
+    ['in its head', `${OK}X-Sig`, 'incomplete'],
+    ['behind a line of its head', `${OK}X-Signature: s\r\n`, 'incomplete'],
+    ['before its length', `${OK}Content-Length: 5\r\n\r\nxx`, 'incomplete'],
+    ['within a chunk', `${OK}Transfer-Encoding: chunked\r\n\r\n5\r\nxx`, 'incomplete'],
+    ['with an unknown coding', `${OK}Transfer-Encoding: gzip\r\n\r\nxx`, 'invalid'],
+    ['with two lengths', `${OK}Content-Length: 1\r\nContent-Length: 2\r\n\r\nxx`, 'invalid'],
+    ['without a length', `${OK}\r\nxx`, 'response'],
+    ['without a length, of HTTP/1.0', 'HTTP/1.0 200 OK\r\n\r\nxx', 'response'],
+  ])('%s is complete only by the protocol', (_name, text, kind) => {
+    expect(readAtEnd(text)).toBe(kind);
+  });
+});
