--- a/packages/sidecar/src/caller-connection.ts
+++ b/packages/sidecar/src/caller-connection.ts
@@ -64,6 +64,11 @@
 const NO_MEMORY_RETRY_AFTER_S = '0.5';
 /** Retry-after of a request that arrives too slowly for a stop: time until another process serves. */
 const STOPPING_RETRY_AFTER_S = '1.5';
+
+interface SocketInternals extends Socket {
+  readonly _handle?: { readonly writeQueueSize?: number } | null;
+}
+
 /** Size from which a body counts in the memory budget. */
 const MIN_COUNTED_BODY_BYTES = 65_536;
 /**
@@ -71,7 +76,7 @@
  * unread bytes would reset it, and the caller might lose the response.
  */
 const ENDED_READ_MS = 2_000;
-/** Time after which a response that the caller does not read closes the connection. */
+/** Time without progress after which a response that the caller does not read closes the connection. */
 const UNREAD_RESPONSE_TIMEOUT_MS = 10_000;
 /** Bytes that are buffered while no further request is read. */
 const MAX_PIPELINED_BYTES = 65_536;
@@ -80,6 +85,12 @@
 const NOTHING = Buffer.alloc(0);
 const CONTINUE_RESPONSE = Buffer.from('HTTP/1.1 100 Continue\r\n\r\n');
 
+/** Bytes that the system has not taken. Node.js has no public measure of the progress of a write. */
+function queuedBytesOf(socket: Socket): number {
+  const { _handle: handle } = socket as SocketInternals;
+  return handle?.writeQueueSize ?? socket.writableLength;
+}
+
 /** One connection of a caller. Its responses are sent in the order of its requests. */
 export class CallerConnection {
   private readonly reader = new RequestReader();
@@ -113,6 +124,9 @@
   /** Why this side closed the connection; undefined if the caller did. */
   private closeReason: CutReasonName | undefined;
 
+  /** Bytes that the system had not taken at the last check. */
+  private queuedBytes = 0;
+
   constructor(
     private readonly socket: Socket,
     private readonly listener: CallerConnectionHost,
@@ -179,6 +193,7 @@
   }
 
   private closeIfTimedOut(nowMs: number): void {
+    this.recordProgress(nowMs);
     const idleMs = nowMs - this.lastActivityAtMs;
     if (this.hasUnsentBytes) {
       if (idleMs > UNREAD_RESPONSE_TIMEOUT_MS) this.close(CutReason.unread);
@@ -205,10 +220,18 @@
       handle();
     } catch (error) {
       this.listener.parts.failures.report('caller', error);
-      this.close();
+      this.close(CutReason.failure);
     }
   }
 
+  /** A caller that goes on reading is active, however long a response takes. */
+  private recordProgress(nowMs: number): void {
+    const queuedBytes = queuedBytesOf(this.socket);
+    if (queuedBytes === this.queuedBytes) return;
+    this.queuedBytes = queuedBytes;
+    this.lastActivityAtMs = nowMs;
+  }
+
   private receive(chunk: Buffer): void {
     if (this.hasEnded) return;
     this.reader.push(chunk);
--- a/packages/sidecar/src/cut-requests.ts
+++ b/packages/sidecar/src/cut-requests.ts
@@ -13,6 +13,8 @@
   behindClose: 'behindClose',
   /** The caller did not read the response. */
   unread: 'unread',
+  /** Handling what arrived on the connection failed. */
+  failure: 'failure',
 } as const;
 
 export type CutReasonName = (typeof CutReason)[keyof typeof CutReason];
--- a/packages/sidecar/tests/retained-ids.test.ts
+++ b/packages/sidecar/tests/retained-ids.test.ts
@@ -90,7 +90,7 @@
       metrics,
     },
   );
-  const freshness = { isProven: () => true, ageMs: () => 0 };
+  const freshness = { isProven: () => true, awaitsFirstProof: () => false, ageMs: () => 0 };
   const entry = new Entry(
     parts,
     new CallerIdentification({ freshness, headerNames: HEADERS, random, log, metrics }),
