--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -12,6 +12,6 @@
 vitest run --reporter=default --reporter=json --outputFile.json=results/vitest.json
 # A short soak test of the platform's daemons; the network is random as runs may be concurrent.
 node scripts/build-platform.mjs --play
-node target/daisyferry-soak.mjs --seed 1 --seconds 8 --machines 4 --rate 40 --min-served 0 \
+node target/daisyferry-soak.mjs --seed 1 --seconds 20 --machines 4 --rate 40 --min-served 0 \
   --network $((20 + RANDOM % 200))
 node scripts/verdict.mjs
