--- a/packages/sidecar/src/sidecar-metrics.ts
+++ b/packages/sidecar/src/sidecar-metrics.ts
@@ -1,15 +1,12 @@
-import type { Histogram } from 'hdr-histogram-js';
-import { build } from 'hdr-histogram-js';
+import { RouteSeriesTable } from './route-series-table';
 
-/** Durations above this are recorded as this value. */
-const MAX_RECORDED_MS = 120_000;
 const QUANTILES = [50, 90, 99, 99.9];
 
 /** Counters and latency histograms of one daemon, in the Prometheus text format. */
 export class SidecarMetrics {
   private readonly counters = new Map<string, number>();
 
-  private readonly durations = new Map<string, Histogram>();
+  private readonly routes = new RouteSeriesTable();
 
   private readonly gauges = new Map<string, () => number>();
 
@@ -17,8 +14,7 @@
 
   /** Records a caller's request that has received its response or was cancelled. */
   recordRequest(route: string, outcome: string, durationMs: number): void {
-    this.increment(`daisyferry_requests_total{route="${route}",outcome="${outcome}"}`);
-    this.histogram(route).recordValue(Math.min(MAX_RECORDED_MS, Math.round(durationMs)));
+    this.routes.record(route, outcome, durationMs);
   }
 
   /** Counts a call to the platform's store by its cause. */
@@ -54,10 +50,12 @@
     const lines: string[] = this.sources.flatMap((read) => [...read()]);
     for (const [name, value] of this.counters) lines.push(`${name} ${value}`);
     for (const [name, read] of this.gauges) lines.push(`${name} ${read()}`);
-    for (const [route, histogram] of this.durations) {
+    for (const [route, { outcomes, durations }] of this.routes.entries()) {
+      for (const [outcome, count] of outcomes)
+        lines.push(`daisyferry_requests_total{route="${route}",outcome="${outcome}"} ${count}`);
       for (const quantile of QUANTILES) {
         const label = `route="${route}",quantile="${quantile / 100}"`;
-        const valueMs = histogram.getValueAtPercentile(quantile);
+        const valueMs = durations.getValueAtPercentile(quantile);
         lines.push(`daisyferry_request_duration_ms{${label}} ${valueMs}`);
       }
     }
@@ -67,17 +65,4 @@
   private increment(name: string): void {
     this.counters.set(name, (this.counters.get(name) ?? 0) + 1);
   }
-
-  private histogram(route: string): Histogram {
-    const present = this.durations.get(route);
-    if (present !== undefined) return present;
-    const histogram = build({
-      bitBucketSize: 32,
-      lowestDiscernibleValue: 1,
-      highestTrackableValue: MAX_RECORDED_MS,
-      numberOfSignificantValueDigits: 2,
-    });
-    this.durations.set(route, histogram);
-    return histogram;
-  }
 }
