--- a/packages/sidecar/tests/pipelined-requests.test.ts
+++ b/packages/sidecar/tests/pipelined-requests.test.ts
@@ -1,5 +1,6 @@
 import { BufferBudget } from '@daisyferry/mesh/buffer-budget';
 import { CallerConnection } from '@daisyferry/sidecar/caller-connection';
+import type { CutRequest } from '@daisyferry/sidecar/cut-requests';
 import type { Respond } from '@daisyferry/sidecar/entry';
 import { PipelineCounts } from '@daisyferry/sidecar/pipeline-counts';
 import {
@@ -31,6 +32,7 @@
 describe('pipelined requests of a caller', () => {
   let passedOn: PassedOn[];
   let counts: PipelineCounts;
+  let cuts: string[];
   let surplusCount: number;
   let nowMs: number;
   let host: { isClosing: boolean };
@@ -64,6 +66,7 @@
   beforeEach(async () => {
     passedOn = [];
     counts = new PipelineCounts();
+    cuts = [];
     surplusCount = 0;
     nowMs = 0;
     received = '';
@@ -94,6 +97,9 @@
       onSurplusResponse: () => {
         surplusCount += 1;
       },
+      onCut: ({ request, reason, phase, ageMs }: CutRequest) => {
+        cuts.push(`${request.head.target} ${reason} ${phase} ${ageMs}`);
+      },
       clock: () => nowMs,
     };
     server = createServer((socket) => {
@@ -185,6 +191,23 @@
     expect(surplusCount).toBe(0);
   });
 
+  it.each([
+    { reason: 'callerLeft', act: () => caller.destroy() },
+    { reason: 'stop', act: () => connection.close() },
+  ])('are reported with their progress if they are cut by $reason', async ({ reason, act }) => {
+    await send(get('/a') + get('/b') + get('/once/c'), ['/a', '/b']);
+    answer('/b');
+    nowMs = 40;
+    act();
+    await vi.waitFor(() => {
+      expect(cuts).toEqual([
+        `/a ${reason} passedOn 40`,
+        `/b ${reason} answered 40`,
+        `/once/c ${reason} notStarted 40`,
+      ]);
+    });
+  });
+
   it('are all cancelled when the caller closes its side', async () => {
     await send(get('/a') + get('/b'), ['/a', '/b']);
     caller.end();
@@ -290,6 +313,7 @@
     await send(get('/a') + get('/b') + get('/c'), ['/a', '/b', '/c']);
     answer('/b', { ...responseOf('</b>'), endsWithConnection: true });
     expect(cancelled()).toEqual(['/c']);
+    expect(cuts).toEqual(['/c behindClose passedOn 0']);
     caller.write(get('/d'));
     await sleep(20);
     answer('/c');
