--- a/packages/sidecar/tests/support/entry-parts.ts
+++ b/packages/sidecar/tests/support/entry-parts.ts
@@ -31,7 +31,14 @@
   const directory = new FleetDirectory();
   for (const daemonId of daemonIds) {
     const target = { targetId: daemonId, service: 's', slots: 10, isServing: true, coldMs: 0 };
-    const record = { daemonId, incarnation: 1, revision: 1, address: new SocketAddress('10.0.0.1', 1), zone: 'z', target };
+    const record = {
+      daemonId,
+      incarnation: 1,
+      revision: 1,
+      address: new SocketAddress('10.0.0.1', 1),
+      zone: 'z',
+      target,
+    };
     directory.applyRecord({ ...record, isLeaving: false }, 'stored', 0);
   }
   const random = () => randomNumber;
