Take a record that was removed in the same response of a watch as removed

What could be seen: a daemon that had left stayed in the directories of those that follow the store. Cause: records were applied after all events of a response, also one whose key a later event of it had removed; read in the review of the boundaries, not seen in a run. Only the last event of each key counts now. The test of latestEvents describes new code; there is no older one of it.

--- a/packages/sidecar/src/store-sync.ts
+++ b/packages/sidecar/src/store-sync.ts
@@ -12,6 +12,7 @@
 import type { KeyValueStore, StoredValue, WatchEvent } from '@daisyferry/store/key-value-store';
 import type { ConfigurationHolder } from './configuration-holder';
 import type { EventLog } from './event-log';
+import { latestEvents } from './latest-events';
 import type { PeerConnections } from './peer-connections';
 import type { FailureReport } from './failure-report';
 import { PrefixFollower } from './prefix-follower';
@@ -276,7 +277,7 @@
     const { peerConnections, log, unreadableEntries } = this.parts;
     const records: DaemonRecord[] = [];
     const removedIds: string[] = [];
-    for (const event of events) {
+    for (const event of latestEvents(events)) {
       const daemonId = event.key.slice(DAEMON_PREFIX.length);
       const record = event.kind === 'put' ? this.readRecord(event) : undefined;
       if (record !== undefined) {
