Go on registering after a call to the store fails with an error

`Registration.renewAndReschedule` marked itself as running, and neither cleared the mark nor scheduled the next call if `renewOrWrite` threw: an error of the store client, or of a listener of what the earlier process's record says (`supersede`, which tells the queue, the peers and the home). One such error ended the registration of a daemon for good: its lease expired, nothing was written again, and the daemon went on saying that it was ready. Since errors at the top no longer end the process, and since the first call reads another's text, no restart healed this.

The next call is scheduled whatever this one does.

The new test failed before: range was called once in 12 s instead of twice.

--- a/packages/sidecar/src/registration.ts
+++ b/packages/sidecar/src/registration.ts
@@ -167,11 +167,15 @@
   private async renewAndReschedule(): Promise<void> {
     if (this.isRunning || this.isStopped) return;
     this.isRunning = true;
-    const isRegistered = await this.renewOrWrite();
-    this.isRunning = false;
-    this.updateReachability(isRegistered);
-    if (!isRegistered) this.schedule(this.retryDelayMs());
-    else this.schedule(this.isStored ? this.renewalDelayMs() : this.writeDelayMs());
+    let isRegistered = false;
+    try {
+      isRegistered = await this.renewOrWrite();
+    } finally {
+      this.isRunning = false;
+      this.updateReachability(isRegistered);
+      if (!isRegistered) this.schedule(this.retryDelayMs());
+      else this.schedule(this.isStored ? this.renewalDelayMs() : this.writeDelayMs());
+    }
   }
 
   private retryDelayMs(): number {
--- a/packages/sidecar/tests/registration.test.ts
+++ b/packages/sidecar/tests/registration.test.ts
@@ -63,3 +63,19 @@
   expect(transact).toHaveBeenCalledTimes(1);
   await registration.stop();
 });
+
+it('goes on renewing its lease after a call to the store, or what it reads there, fails', async () => {
+  const range = vi.spyOn(store, 'range');
+  const transact = vi.spyOn(store, 'transact');
+  const renewLease = vi.spyOn(store, 'renewLease');
+  range.mockRejectedValueOnce(new Error('read failed'));
+  transact.mockRejectedValueOnce(new Error('write failed'));
+  const registration = registrationOf();
+  registration.start();
+  await vi.advanceTimersByTimeAsync(12_000);
+  expect(range).toHaveBeenCalledTimes(2);
+  expect(transact).toHaveBeenCalledTimes(2);
+  expect(renewLease).toHaveBeenCalled();
+  expect(registration.isStored).toBe(true);
+  await registration.stop();
+});
