--- a/packages/sidecar/src/caller-listener.ts
+++ b/packages/sidecar/src/caller-listener.ts
@@ -15,6 +15,9 @@
   /** True while the daemon stops: responses close their connections, so that callers move on. */
   isClosing = false;
 
+  /** Connections that were accepted since the start. */
+  acceptedCount = 0;
+
   private readonly connections = new Set<CallerConnection>();
 
   private readonly server: Server;
@@ -23,6 +26,7 @@
 
   constructor(readonly parts: CallerListenerParts) {
     this.server = createServer((socket) => {
+      this.acceptedCount += 1;
       this.connections.add(new CallerConnection(socket, this));
     });
     this.timer = setInterval(() => {
--- a/packages/sidecar/src/sidecar-lifecycle.ts
+++ b/packages/sidecar/src/sidecar-lifecycle.ts
@@ -40,6 +40,8 @@
 
 /** Turns of the event loop in which a connection is accepted, read, and its request passed on. */
 const RECEIVE_TURNS = 3;
+/** Longest time for which further connections are accepted, one in a turn. */
+const MAX_RECEIVE_MS = 200;
 
 function delay(ms: number): Promise<void> {
   return new Promise((resolve) => {
@@ -57,13 +59,10 @@
 
 type LifecycleStateName = (typeof LifecycleState)[keyof typeof LifecycleState];
 
-/** Lets the event loop accept connections and read what has arrived on them. */
-async function receivePending(): Promise<void> {
-  for (let turn = 0; turn < RECEIVE_TURNS; turn += 1) {
-    await new Promise((resolve) => {
-      setImmediate(resolve);
-    });
-  }
+function nextTurn(): Promise<void> {
+  return new Promise((resolve) => {
+    setImmediate(resolve);
+  });
 }
 
 /** Starts one daemon and stops it gracefully. */
@@ -171,7 +170,7 @@
         if (phase === StopPhase.finishing) callers.closeIdle();
       } else {
         // After a pause of the process, timers come before what has arrived meanwhile.
-        await receivePending();
+        await this.receivePending();
         if (stopPlan.phaseAfter(phase, this.hasWork, clock()) === next) {
           phase = next;
           this.enterPhase(phase);
@@ -179,7 +178,7 @@
       }
     }
     // Requests that waited behind those calls on their connections are refused.
-    await receivePending();
+    await this.receivePending();
     callers.closeConnections();
     await Promise.race([registration.stop(), delay(stopPlan.removalTimeoutMs(clock()))]);
     this.parts.announcements.close();
@@ -190,6 +189,20 @@
     this.parts.log.flushSync();
   }
 
+  /** Lets the event loop accept the connections that wait and read what has arrived on them. */
+  private async receivePending(): Promise<void> {
+    const { callers, clock } = this.parts;
+    const untilMs = clock() + MAX_RECEIVE_MS;
+    let { acceptedCount } = callers;
+    for (let turn = 0; turn < RECEIVE_TURNS; turn += 1) {
+      await nextTurn();
+      if (callers.acceptedCount !== acceptedCount && clock() < untilMs) {
+        acceptedCount = callers.acceptedCount;
+        turn = -1;
+      }
+    }
+  }
+
   /** True while something that was accepted has no answer that is sent whole. */
   private get hasWork(): boolean {
     const { entry, home, callers, peerConnections } = this.parts;
--- a/packages/sidecar/tests/sidecar-lifecycle.test.ts
+++ b/packages/sidecar/tests/sidecar-lifecycle.test.ts
@@ -22,6 +22,13 @@
 
   isStoreSilent = false;
 
+  /** Connections that wait to be accepted; the event loop accepts one in a turn. */
+  waitingConnections = 0;
+
+  waitingAtStop: number | undefined;
+
+  private acceptedConnections = 0;
+
   private readonly startMs = performance.now();
 
   recordStep(step: string): void {
@@ -40,6 +47,13 @@
     const hasUnsentBytes = () => this.hasUnsentBytes;
     const arrivingRequests = () => this.arrivingRequests;
     const hasUnsentReplies = () => this.hasUnsentReplies;
+    const acceptedCount = () => {
+      if (this.waitingConnections > 0) {
+        this.waitingConnections -= 1;
+        this.acceptedConnections += 1;
+      }
+      return this.acceptedConnections;
+    };
     return {
       bounds: new CurrentBounds({
         graceMs: GRACE_MS,
@@ -56,9 +70,15 @@
       },
       callers: {
         isClosing: false,
+        get acceptedCount() {
+          return acceptedCount();
+        },
         closeIdle: () => undefined,
         refuseArriving: () => undefined,
-        stopListening: record('listening stopped'),
+        stopListening: () => {
+          this.recordStep('listening stopped');
+          this.waitingAtStop = this.waitingConnections;
+        },
         close: record('callers closed'),
         closeConnections: record('caller connections closed'),
         get hasUnsentBytes() {
@@ -145,6 +165,16 @@
     expect(recorder.atMs('home closed')).toBeLessThan(4_100);
   });
 
+  it('accepts the connections that wait before it stops listening', async () => {
+    const recorder = new StopRecorder();
+    const stopped = new SidecarLifecycle(recorder.parts()).stop();
+    await vi.advanceTimersByTimeAsync(2_590);
+    recorder.waitingConnections = 40;
+    await vi.advanceTimersByTimeAsync(GRACE_MS);
+    await stopped;
+    expect(recorder.waitingAtStop).toBe(0);
+  });
+
   it('is not shortened by a second request to stop, which ends with the first', async () => {
     const recorder = new StopRecorder();
     recorder.activeHomeCalls = 1;
