Read stored records of daemons however long the ids of their ended targets are

A record names up to 64 targets that have ended, with ids of up to 200 characters, of which quotation marks and backslashes take two in JSON: such a record has 28,000 characters, and was left out by the readers of the store, which accepted 16,384. Its daemon then counted as removed, and wrote the same record again and again. Messages about 64 such targets to one daemon are enough, as an id need not be known to be recorded as ended. The limit is now above the longest record that a daemon writes.

The new test failed before.

--- a/packages/peering/src/record-codec.ts
+++ b/packages/peering/src/record-codec.ts
@@ -9,8 +9,8 @@
   | { readonly ok: true; readonly record: DaemonRecord }
   | { readonly ok: false; readonly problem: string };
 
-/** Maximum length of a record as text; one is a few hundred characters long. */
-const MAX_TEXT_LENGTH = 16_384;
+/** Maximum length of a record as text; one with many ended targets of long ids has half of it. */
+const MAX_TEXT_LENGTH = 65_536;
 /** Ids are sent in header fields and are a part of the store's keys, of 200 bytes at most. */
 const ID_PATTERN = /^[!-~]{1,200}$/;
 /** A name has no control characters, which would break lines of metrics and logs. */
