Close a caller's connection whenever handling what it has sent fails

The steps of a connection that run in a later turn (after 16 requests were read at once, or once all responses are sent), and the refusal of what has partly arrived in a stop, were outside of `attempt`. An error in one of them reached the top, where the process goes on: the connection stayed open, marked as advancing, and neither read nor answered anything any more.

The new test failed before: with 16 requests in one write, of which handling the third throws, the connection was still open after 1 s and the error had no owner.

--- a/packages/sidecar/src/caller-connection.ts
+++ b/packages/sidecar/src/caller-connection.ts
@@ -158,8 +158,10 @@
   /** Refuses the request that has partly arrived, if any, as the daemon stops. */
   refuseArriving(): void {
     if (!this.hasPartialRequest) return;
-    this.reject(503, 'the daemon stops', ['Retry-After', STOPPING_RETRY_AFTER_S]);
-    this.advance();
+    this.attempt(() => {
+      this.reject(503, 'the daemon stops', ['Retry-After', STOPPING_RETRY_AFTER_S]);
+      this.advance();
+    });
   }
 
   /** True while a request has arrived, in part or whole, and is not answered. */
@@ -248,7 +250,7 @@
       else if (!this.writeNext() && !this.startNext()) break;
     }
     this.isAdvancing = false;
-    if (readCount === MAX_READS_AT_ONCE) setImmediate(() => this.advance());
+    if (readCount === MAX_READS_AT_ONCE) setImmediate(() => this.attempt(() => this.advance()));
     else this.controlFlow();
   }
 
@@ -289,7 +291,7 @@
     this.isAwaitingSent = true;
     this.socket.write(NOTHING, () => {
       this.isAwaitingSent = false;
-      this.advance();
+      this.attempt(() => this.advance());
     });
   }
 
--- a/packages/sidecar/tests/pipelined-requests.test.ts
+++ b/packages/sidecar/tests/pipelined-requests.test.ts
@@ -37,6 +37,8 @@
   let nowMs: number;
   let host: { isClosing: boolean };
   let connection: CallerConnection;
+  let failingPath: string | undefined;
+  let failures: string[];
   let budget: BufferBudget;
   let server: Server;
   let caller: Socket;
@@ -64,6 +66,8 @@
   }
 
   beforeEach(async () => {
+    failingPath = undefined;
+    failures = [];
     passedOn = [];
     counts = new PipelineCounts();
     cuts = [];
@@ -75,6 +79,7 @@
     budget = new BufferBudget(64_000_000);
     const parts = {
       handle: (request: { head: { target: string } }, respond: Respond, readMs: number) => {
+        if (request.head.target === failingPath) throw new Error(failingPath);
         const entry = { path: request.head.target, readMs, respond, isCancelled: false };
         passedOn.push(entry);
         return {
@@ -95,8 +100,9 @@
       bufferBudget: budget,
       onProblem: () => undefined,
       failures: {
-        report: (_origin: string, error: unknown) => {
-          throw error;
+        report: (origin: string, error: unknown) => {
+          if (failingPath === undefined) throw error;
+          failures.push(origin);
         },
       },
       onSurplusResponse: () => {
@@ -305,6 +311,14 @@
     expect(seen().slice(-3)).toEqual(['HTTP/1.1 200', 'Connection: close', '</c>']);
   });
 
+  it('do not wait forever if handling one of as many as are read at once fails', async () => {
+    failingPath = '/3';
+    const paths16 = Array.from({ length: 16 }, (_, index) => `/${index + 1}`);
+    caller.write(paths16.map((path) => get(path)).join(''));
+    await vi.waitFor(() => expect(caller.closed).toBe(true));
+    expect(failures).toEqual(['caller']);
+  });
+
   it('behind a request that closes the connection are not read', async () => {
     await send(get('/a') + get('/b', 'Connection: close\r\n') + get('/c'), ['/a', '/b']);
     answer('/b');
