Go on with a planned stop after one of its steps fails

An error of a step of the stop (telling the peers, refusing what waits, closing idle connections) rejected the promise of the stop, upon which the process ended at once with exit code 1, and cut all requests in progress within the grace time: the opposite of what an error does at any other time. Such an error is now reported with the origin `stop`, and the stop goes on.

The new test failed before: the stop was rejected 2.3 s after its begin, with a call in progress.

--- a/packages/sidecar/src/sidecar-lifecycle.ts
+++ b/packages/sidecar/src/sidecar-lifecycle.ts
@@ -167,13 +167,13 @@
       const next = stopPlan.phaseAfter(phase, this.hasWork, clock());
       if (next === phase) {
         await delay(STOP_CHECK_INTERVAL_MS);
-        if (phase === StopPhase.finishing) callers.closeIdle();
+        if (phase === StopPhase.finishing) this.attempt(phase, () => callers.closeIdle());
       } else {
         // After a pause of the process, timers come before what has arrived meanwhile.
         await this.receivePending();
         if (stopPlan.phaseAfter(phase, this.hasWork, clock()) === next) {
           phase = next;
-          this.enterPhase(phase);
+          this.attempt(next, () => this.enterPhase(next));
         }
       }
     }
@@ -215,6 +215,15 @@
     );
   }
 
+  /** A step that fails does not end a stop, and with it what is in progress. */
+  private attempt(phase: StopPhaseName, step: () => void): void {
+    try {
+      step();
+    } catch (error) {
+      this.parts.failures.report('stop', error, { phase });
+    }
+  }
+
   private enterPhase(phase: StopPhaseName): void {
     const { callers, ownRecord, entry, home, clock } = this.parts;
     this.logStop('stop phase', phase);
--- a/packages/sidecar/tests/sidecar-lifecycle.test.ts
+++ b/packages/sidecar/tests/sidecar-lifecycle.test.ts
@@ -175,6 +175,27 @@
     expect(recorder.waitingAtStop).toBe(0);
   });
 
+  it('goes on after a step that fails, so that calls in progress are finished', async () => {
+    const recorder = new StopRecorder();
+    recorder.activeHomeCalls = 1;
+    const parts = recorder.parts();
+    const report = vi.fn();
+    const publishLeaving = () => {
+      throw new Error('not told');
+    };
+    Object.assign(parts, { failures: { report }, ownRecord: { publishLeaving } });
+    const stopped = new SidecarLifecycle(parts).stop();
+    await vi.advanceTimersByTimeAsync(4_000);
+    expect(recorder.atMs('home closed')).toBeNaN();
+    recorder.activeHomeCalls = 0;
+    await vi.advanceTimersByTimeAsync(100);
+    await stopped;
+    expect(recorder.atMs('home closed')).toBeLessThan(4_100);
+    expect(report).toHaveBeenCalledExactlyOnceWith('stop', expect.any(Error), {
+      phase: 'peerNotice',
+    });
+  });
+
   it('is not shortened by a second request to stop, which ends with the first', async () => {
     const recorder = new StopRecorder();
     recorder.activeHomeCalls = 1;
