--- a/packages/sidecar/src/caller-connection.ts
+++ b/packages/sidecar/src/caller-connection.ts
@@ -155,10 +155,15 @@
     if (!this.reader.hasPartialRequest) this.close();
   }
 
-  /** Refuses the request that has partly arrived, if any, as the daemon stops. */
+  /**
+   * Refuses the request that has partly arrived, if any, as the daemon stops. Whole ones that wait to
+   * be read are answered before.
+   */
   refuseArriving(): void {
     if (!this.hasPartialRequest) return;
     this.attempt(() => {
+      this.advance();
+      if (this.partialSinceMs === undefined || !this.pipeline.mayRead) return;
       this.reject(503, 'the daemon stops', ['Retry-After', STOPPING_RETRY_AFTER_S]);
       this.advance();
     });
--- a/packages/sidecar/src/sidecar-lifecycle.ts
+++ b/packages/sidecar/src/sidecar-lifecycle.ts
@@ -167,7 +167,7 @@
       const next = stopPlan.phaseAfter(phase, this.hasWork, clock());
       if (next === phase) {
         await delay(STOP_CHECK_INTERVAL_MS);
-        if (phase === StopPhase.finishing) this.attempt(phase, () => callers.closeIdle());
+        this.endConnections(phase);
       } else {
         // After a pause of the process, timers come before what has arrived meanwhile.
         await this.receivePending();
@@ -235,12 +235,12 @@
         return;
       case StopPhase.finishing:
         callers.stopListening();
-        callers.closeIdle();
+        this.endConnections(phase);
         return;
       case StopPhase.refusing:
         home.refuseWaiting();
         entry.refuseUnsent(clock());
-        callers.refuseArriving();
+        this.endConnections(phase);
         return;
       case StopPhase.breaking:
         home.breakOff();
@@ -253,6 +253,15 @@
     }
   }
 
+  /** Closes the connections of callers that are idle, and refuses late what arrives slowly. */
+  private endConnections(phase: StopPhaseName): void {
+    const { callers } = this.parts;
+    this.attempt(phase, () => {
+      if (phase === StopPhase.finishing) callers.closeIdle();
+      if (phase === StopPhase.refusing || phase === StopPhase.breaking) callers.refuseArriving();
+    });
+  }
+
   /** Ends all that could still accept something; calls at other daemons get their outcome. */
   private stopListeners(): void {
     const { callers, home, peerConnections, storeSync, freshnessKeeper } = this.parts;
--- a/packages/sidecar/tests/pipelined-requests.test.ts
+++ b/packages/sidecar/tests/pipelined-requests.test.ts
@@ -311,6 +311,23 @@
     expect(seen().slice(-3)).toEqual(['HTTP/1.1 200', 'Connection: close', '</c>']);
   });
 
+  it('that wait to be read are answered before a stop refuses what has partly arrived', async () => {
+    const all = Array.from({ length: 20 }, (_, index) => `/once/${index + 1}`);
+    host.isClosing = true;
+    await send(`${all.map((path) => get(path)).join('')}${get('/rest').slice(0, 12)}`, ['/once/1']);
+    connection.refuseArriving();
+    for (const path of all) {
+      await vi.waitFor(() => expect(paths().at(-1)).toBe(path));
+      connection.refuseArriving();
+      answer(path);
+    }
+    await vi.waitFor(() => expect(bodies()).toEqual(all.map((path) => `<${path}>`)));
+    connection.refuseArriving();
+    await expectEnd();
+    expect(paths()).toEqual(all);
+    expect(seen().slice(-3)).toEqual([`<${all.at(-1)}>`, ...['HTTP/1.1 503', 'Connection: close']]);
+  });
+
   it('do not wait forever if handling one of as many as are read at once fails', async () => {
     failingPath = '/3';
     const paths16 = Array.from({ length: 16 }, (_, index) => `/${index + 1}`);
