--- a/packages/sidecar/src/sidecar-lifecycle.ts
+++ b/packages/sidecar/src/sidecar-lifecycle.ts
@@ -167,7 +167,7 @@
       const next = stopPlan.phaseAfter(phase, this.hasWork, clock());
       if (next === phase) {
         await delay(STOP_CHECK_INTERVAL_MS);
-        this.attempt(phase, () => this.endConnections(phase));
+        this.endConnections(phase);
       } else {
         // After a pause of the process, timers come before what has arrived meanwhile.
         await this.receivePending();
@@ -256,8 +256,10 @@
   /** Closes the connections of callers that are idle, and refuses late what arrives slowly. */
   private endConnections(phase: StopPhaseName): void {
     const { callers } = this.parts;
-    if (phase === StopPhase.finishing) callers.closeIdle();
-    if (phase === StopPhase.refusing || phase === StopPhase.breaking) callers.refuseArriving();
+    this.attempt(phase, () => {
+      if (phase === StopPhase.finishing) callers.closeIdle();
+      if (phase === StopPhase.refusing || phase === StopPhase.breaking) callers.refuseArriving();
+    });
   }
 
   /** Ends all that could still accept something; calls at other daemons get their outcome. */
