Go on following the store after the follower's listener has failed

PrefixFollower told its listener of an interruption before it set the timer of the next attempt: an error of the listener ended the following for good.

--- a/packages/sidecar/src/prefix-follower.ts
+++ b/packages/sidecar/src/prefix-follower.ts
@@ -104,8 +104,9 @@
 
   private scheduleRetry(generation: number, detail: string): void {
     if (generation !== this.generation) return;
-    this.listener.onInterrupted(detail);
+    // First, as an error of the listener must not end the following.
     this.timer = setTimeout(() => this.attempt(), this.backoffMs);
     this.backoffMs = Math.min(MAX_BACKOFF_MS, this.backoffMs * 2);
+    this.listener.onInterrupted(detail);
   }
 }
