--- a/packages/sidecar/src/caller-connection.ts
+++ b/packages/sidecar/src/caller-connection.ts
@@ -11,6 +11,7 @@
 import type { FailureReport } from './failure-report';
 import type { PipelineCounts } from './pipeline-counts';
 import type { PipelinedRequest } from './pipelined-request';
+import { queuedBytesOf } from './queued-bytes';
 import { RequestPipeline } from './request-pipeline';
 import { writeBuffers } from './write-buffers';
 
@@ -65,10 +66,6 @@
 /** Retry-after of a request that arrives too slowly for a stop: time until another process serves. */
 const STOPPING_RETRY_AFTER_S = '1.5';
 
-interface SocketInternals extends Socket {
-  readonly _handle?: { readonly writeQueueSize?: number } | null;
-}
-
 /** Size from which a body counts in the memory budget. */
 const MIN_COUNTED_BODY_BYTES = 65_536;
 /**
@@ -85,12 +82,6 @@
 const NOTHING = Buffer.alloc(0);
 const CONTINUE_RESPONSE = Buffer.from('HTTP/1.1 100 Continue\r\n\r\n');
 
-/** Bytes that the system has not taken. Node.js has no public measure of the progress of a write. */
-function queuedBytesOf(socket: Socket): number {
-  const { _handle: handle } = socket as SocketInternals;
-  return handle?.writeQueueSize ?? socket.writableLength;
-}
-
 /** One connection of a caller. Its responses are sent in the order of its requests. */
 export class CallerConnection {
   private readonly reader = new RequestReader();
