Keep connections to the target that could carry more requests

Cause: since a connection remembers the ids of all its requests, 128 at most, and closes after 128 requests, or behind one whose id is long; with the most recently used connection taken first, nearly all requests are on few connections. Besides, an idle connection that had carried the id of a request was closed in place of being passed over, as happens with each request that is sent again to the target that turned it away.

--- a/packages/sidecar/src/response-attribution.ts
+++ b/packages/sidecar/src/response-attribution.ts
@@ -1,6 +1,7 @@
 import { containsResponseHead, containsStatusLine } from '@daisyferry/http1/embedded-response';
 import type { ResponseMessage } from '@daisyferry/http1/message';
 import { fieldValues } from '@daisyferry/http1/message';
+import { CarriedIds } from './carried-ids';
 import type { ResponseFieldNames } from './classify-target-response';
 import { DiscardReason, type DiscardReasonName } from './discarded-response';
 
@@ -12,10 +13,6 @@
   /** It cannot be told what the response answers, nor where the next one starts. */
   | { readonly kind: 'unattributable'; readonly reason: DiscardReasonName };
 
-/** Requests of one connection, whose ids are all known: a second response may come at any time. */
-const MAX_REQUESTS = 128;
-/** A connection carries no request behind one with a longer id. */
-const MAX_ID_LENGTH = 128;
 /** Maximum number of responses to other requests on one connection. */
 const MAX_FOREIGN_RESPONSES = 8;
 const OWN: Attribution = { kind: 'own' };
@@ -32,13 +29,11 @@
 export class ResponseAttribution {
   private readonly markerNames: ReadonlySet<string>;
 
-  private readonly carriedIds = new Set<string>();
+  /** Ids of all requests of the connection: a second response may come at any time. */
+  private readonly carriedIds = new CarriedIds();
 
   private requestCount = 0;
 
-  /** Remembering many ids of any length would exceed the memory for connections. */
-  private hasLongId = false;
-
   private foreignCount = 0;
 
   constructor(private readonly fieldNames: ResponseFieldNames) {
@@ -52,7 +47,7 @@
 
   /** True once the connection must carry no further request. */
   get isExhausted(): boolean {
-    return this.requestCount >= MAX_REQUESTS || this.hasLongId;
+    return this.requestCount >= CarriedIds.MAX_IDS;
   }
 
   /** True if a second response to an earlier request would be taken for that to this one. */
@@ -62,7 +57,6 @@
 
   recordRequest(requestId: string): void {
     this.requestCount += 1;
-    this.hasLongId ||= requestId.length > MAX_ID_LENGTH;
     this.carriedIds.add(requestId);
   }
 
--- a/packages/sidecar/src/target-connection-pool.ts
+++ b/packages/sidecar/src/target-connection-pool.ts
@@ -65,12 +65,17 @@
   }
 
   private takeIdle(requestId: string, nowMs: number): TargetConnection | undefined {
-    for (;;) {
-      const connection = this.idle.pop();
-      if (connection === undefined) return undefined;
-      if (connection.isUsable(requestId, nowMs)) return connection;
-      connection.destroy();
+    for (let index = this.idle.length - 1; index >= 0; index -= 1) {
+      const connection = this.idle[index] as TargetConnection;
+      if (!connection.isUsable(nowMs)) {
+        this.idle.splice(index, 1);
+        connection.destroy();
+      } else if (!connection.hasCarried(requestId)) {
+        this.idle.splice(index, 1);
+        return connection;
+      }
     }
+    return undefined;
   }
 
   private connect(firstEvent?: {
--- a/packages/sidecar/src/target-connection.ts
+++ b/packages/sidecar/src/target-connection.ts
@@ -108,13 +108,14 @@
     });
   }
 
-  /**
-   * True while the connection is idle, the target is not about to close it, and no request on it had
-   * this id.
-   */
-  isUsable(requestId: string, nowMs: number): boolean {
+  /** True if a request on the connection had this id, so that it must not carry another one. */
+  hasCarried(requestId: string): boolean {
+    return this.attribution.hasCarried(requestId);
+  }
+
+  /** True while the connection is idle and the target is not about to close it. */
+  isUsable(nowMs: number): boolean {
     if (this.isRetired || this.socket.destroyed || this.idleSinceMs === undefined) return false;
-    if (this.attribution.hasCarried(requestId)) return false;
     return nowMs - this.idleSinceMs < this.keepAliveMs - KEEP_ALIVE_MARGIN_MS;
   }
 
