--- a/packages/daemon/src/body-reader.ts
+++ b/packages/daemon/src/body-reader.ts
@@ -1,4 +1,5 @@
 import type { CallBody } from '@daisyferry/callpath/call-message';
+import { ByteAccumulator } from '@daisyferry/http1/byte-accumulator';
 import type { IncomingMessage } from 'node:http';
 
 export type BodyReadResult =
@@ -19,20 +20,11 @@
   lengthBytes: number,
 ): Promise<BodyReadResult> {
   return new Promise((resolve) => {
-    const chunks: Buffer[] = [];
-    let receivedBytes = 0;
-    message.on('data', (chunk: Buffer) => {
-      chunks.push(chunk);
-      receivedBytes += chunk.length;
-    });
+    const received = new ByteAccumulator(lengthBytes);
+    message.on('data', (chunk: Buffer) => received.append(chunk, 0, chunk.length));
     message.on('end', () => {
-      if (receivedBytes !== lengthBytes) {
-        resolve({ kind: 'truncated' });
-        return;
-      }
-      const bytes =
-        chunks.length === 1 && chunks[0] !== undefined ? chunks[0] : Buffer.concat(chunks);
-      resolve({ kind: 'body', body: { kind: 'buffered', bytes } });
+      if (received.length !== lengthBytes) resolve({ kind: 'truncated' });
+      else resolve({ kind: 'body', body: { kind: 'buffered', bytes: received.concat() } });
     });
     message.on('close', () => resolve({ kind: 'truncated' }));
     message.on('error', () => resolve({ kind: 'truncated' }));
--- a/packages/daemon/src/exchange-handler.ts
+++ b/packages/daemon/src/exchange-handler.ts
@@ -1,4 +1,5 @@
 import type { Cancellation } from '@daisyferry/callpath/cancellation';
+import { ByteAccumulator } from '@daisyferry/http1/byte-accumulator';
 import type { IncomingHttpHeaders } from 'node:http';
 import { Readable } from 'node:stream';
 import type { Dispatcher } from 'undici';
@@ -35,9 +36,8 @@
 
   private rawHeaders: readonly string[] = [];
 
-  private chunks: Buffer[] | undefined;
-
-  private bufferedBytes = 0;
+  /** The body as far as it has arrived; undefined once it is streamed. */
+  private buffered: ByteAccumulator | undefined;
 
   private stream: Readable | undefined;
 
@@ -69,30 +69,30 @@
     this.statusCode = statusCode;
     this.rawHeaders = flattenHeaders(headers);
     if (this.shouldBuffer(headers['content-length'])) {
-      this.chunks = [];
+      this.buffered = new ByteAccumulator();
       return;
     }
     this.openStream(controller);
   }
 
   onResponseData(controller: Controller, chunk: Buffer): void {
-    if (this.chunks === undefined) {
+    const { buffered } = this;
+    if (buffered === undefined) {
       if (this.stream?.push(chunk) === false) controller.pause();
       return;
     }
-    this.chunks.push(chunk);
-    this.bufferedBytes += chunk.length;
-    if (this.bufferedBytes > this.limits.maxBufferedBytes) this.switchToStream(controller);
+    buffered.append(chunk, 0, chunk.length);
+    if (buffered.length > this.limits.maxBufferedBytes) this.switchToStream(controller, buffered);
   }
 
   onResponseEnd(): void {
     this.removeCancelListener();
-    if (this.chunks !== undefined) {
+    if (this.buffered !== undefined) {
       this.resolveOnce({
         kind: 'response',
         statusCode: this.statusCode,
         rawHeaders: this.rawHeaders,
-        body: { kind: 'buffered', bytes: Buffer.concat(this.chunks) },
+        body: { kind: 'buffered', bytes: this.buffered.concat() },
         ended: Promise.resolve('complete'),
       });
       return;
@@ -147,11 +147,10 @@
     });
   }
 
-  private switchToStream(controller: Controller): void {
-    const chunks = this.chunks ?? [];
-    this.chunks = undefined;
+  private switchToStream(controller: Controller, buffered: ByteAccumulator): void {
+    this.buffered = undefined;
     this.openStream(controller);
-    for (const chunk of chunks) this.stream?.push(chunk);
+    this.stream?.push(buffered.concat());
   }
 
   private resolveOnce(result: ExchangeResult): void {
