Take out changes of the cost of placement and call trees, which do not pay

They were a trial: costs of placement computed once for each candidate, no estimate of nested calls that are attributed, no plan of call trees where admission is off.

--- a/packages/mesh/src/call-trees.ts
+++ b/packages/mesh/src/call-trees.ts
@@ -105,7 +105,7 @@
   constructor(private readonly retryPaceOf: (service: string, nowMs: number) => number) {}
 
   recordRunStart(route: string, repeatShare: number, nowMs: number): void {
-    if (!this.areCallsAttributed) this.estimator.recordStart(route, nowMs);
+    this.estimator.recordStart(route, nowMs);
     const runs = this.runs.get(route);
     if (runs === undefined) {
       if (this.runs.size < MAX_ROUTES)
@@ -120,11 +120,11 @@
 
   /** `calls` are the calls that the run is known to have made. */
   recordRunEnd({ route, durationMs, calls, isAnswered }: EndedRun, nowMs: number): void {
-    if (!this.areCallsAttributed) this.estimator.recordEnd(route, durationMs, !isAnswered, nowMs);
+    this.estimator.recordEnd(route, durationMs, !isAnswered, nowMs);
     if (isAnswered) this.runNeeds.recordRun(route, calls);
   }
 
-  /** Records a call that is attributed to the run that makes it; estimates are of no use then. */
+  /** Records a call that is attributed to the run that makes it. */
   recordAttributedCall(): void {
     this.areCallsAttributed = true;
   }
--- a/packages/mesh/src/paced-call.ts
+++ b/packages/mesh/src/paced-call.ts
@@ -20,10 +20,7 @@
     const { usualMs, startedAtMs, countedUntilMs } = this;
     if (usualMs === undefined || nowMs <= countedUntilMs) return;
     const workMs = Math.max(0, Math.min(nowMs, startedAtMs + usualMs) - countedUntilMs);
-    const { ratios } = this;
-    // Runs for each call in progress every few ten milliseconds.
-    for (let index = 0; index < ratios.length; index += 1)
-      ratios[index]?.add(nowMs - countedUntilMs, workMs);
+    for (const ratio of this.ratios) ratio.add(nowMs - countedUntilMs, workMs);
     this.countedUntilMs = nowMs;
   }
 
--- a/packages/mesh/src/placement-cost.ts
+++ b/packages/mesh/src/placement-cost.ts
@@ -1,6 +1,6 @@
 import type { DaemonRecord } from './daemon-record';
 import { latenessProbability } from './lateness-probability';
-import { fullness, refusalCost } from './refusal-cost';
+import { fullness, refusalCost, type CallWeight } from './refusal-cost';
 import type { TargetView } from './target-view';
 
 /** Assumed round-trip time to another zone, which is another data centre. */
@@ -32,102 +32,88 @@
   readonly isConnected: (daemonId: string) => boolean;
 }
 
-/** One target that may get the call. */
-interface Candidate {
-  readonly record: DaemonRecord;
-  readonly view: TargetView;
+interface Room {
   readonly limit: number;
   readonly occupied: number;
-  readonly refusalCost: number;
 }
 
-/**
- * Costs of sending one call to each of several targets, relative to the value of a request. Targets
- * are named by their index in `records`. What costs share is computed once, as an entry compares all
- * candidates for each call.
- */
+interface RefusalCosts {
+  /** By daemon id; a target that is missing turns nothing away. */
+  readonly costs: ReadonlyMap<string, number>;
+  readonly greatest: number;
+}
+
+/** Costs of sending one call to each of several targets, relative to the value of a request. */
 export class PlacementCost {
   /** Mean service time of the route over the candidates. */
   readonly meanRouteMs: number;
 
-  private readonly candidates: readonly Candidate[];
-
-  /** Greatest cost of a refusal at any of the targets; 0 if none turns calls away. */
-  private readonly greatestRefusalCost: number;
+  private readonly refusals: RefusalCosts;
 
   constructor(
     private readonly options: PlacementOptions,
     private readonly call: PlacedCall,
-    records: readonly DaemonRecord[],
+    candidates: readonly DaemonRecord[],
     private readonly nowMs: number,
   ) {
-    const views = records.map(({ daemonId }) => options.viewOf(daemonId));
+    const views = candidates.map(({ daemonId }) => options.viewOf(daemonId));
     this.meanRouteMs = this.calculateMeanRouteMs(views);
-    let greatest = 0;
-    this.candidates = records.map((record, index) => {
-      const view = views[index] as TargetView;
-      const cost = this.calculateRefusalCost(view, records.length);
-      if (cost > greatest) greatest = cost;
-      return {
-        record,
-        view,
-        limit: view.limit(record.target?.slots ?? 1, nowMs),
-        occupied: view.occupiedSlots(nowMs),
-        refusalCost: cost,
-      };
-    });
-    this.greatestRefusalCost = greatest;
-  }
-
-  viewOf(index: number): TargetView {
-    return this.candidateAt(index).view;
+    this.refusals = this.calculateRefusals(candidates);
   }
 
   /** Time until the target is expected to answer the call. */
-  expectedMs(index: number): number {
-    const candidate = this.candidateAt(index);
-    return this.serviceMs(candidate) + this.delayBeforeStartMs(candidate);
+  expectedMs(record: DaemonRecord): number {
+    const view = this.options.viewOf(record.daemonId);
+    const { limit, occupied } = this.roomOf(record, view);
+    return this.serviceMs(view) + this.delayBeforeStartMs(record, view, occupied, limit);
   }
 
-  costOf(index: number): number {
-    const { options, nowMs, greatestRefusalCost } = this;
-    const candidate = this.candidateAt(index);
-    const { record, view, limit, occupied } = candidate;
-    const serviceMs = this.serviceMs(candidate);
-    const delayMs = this.delayBeforeStartMs(candidate);
+  costOf(record: DaemonRecord): number {
+    const { options, nowMs } = this;
+    const view = options.viewOf(record.daemonId);
+    const isLocal = record.zone === options.ownZone;
+    const { limit, occupied } = this.roomOf(record, view);
+    const serviceMs = this.serviceMs(view);
+    const delayMs = this.delayBeforeStartMs(record, view, occupied, limit);
     const usefulMs = Math.max(1, this.call.usefulMs);
     return (
       latenessProbability(serviceMs, usefulMs - delayMs) +
       (TIME_WEIGHT * (serviceMs + delayMs)) / usefulMs +
       UTILIZATION_WEIGHT * (occupied / limit) ** 2 +
       view.failureShare(nowMs) +
-      (greatestRefusalCost === 0 ? 0 : this.refusalCostOf(candidate)) +
-      (record.zone === options.ownZone ? 0 : CROSS_ZONE_COST) +
+      this.refusalCostOf(record.daemonId, occupied, limit) +
+      (isLocal ? 0 : CROSS_ZONE_COST) +
       (options.isConnected(record.daemonId) ? 0 : UNCONNECTED_COST) +
       (view.isAvoided(nowMs) ? AVOIDED_TARGET_COST : 0)
     );
   }
 
-  private candidateAt(index: number): Candidate {
-    return this.candidates[index] as Candidate;
+  private roomOf({ target }: DaemonRecord, view: TargetView): Room {
+    const { nowMs } = this;
+    return { limit: view.limit(target?.slots ?? 1, nowMs), occupied: view.occupiedSlots(nowMs) };
   }
 
-  private serviceMs({ view }: Candidate): number {
+  private serviceMs(view: TargetView): number {
     return view.expectedRouteMs(this.call.route, this.meanRouteMs, this.nowMs);
   }
 
-  private delayBeforeStartMs({ record, view, limit, occupied }: Candidate): number {
-    const waiting = occupied + 1 - limit;
-    const queueMs = waiting <= 0 ? 0 : (waiting * view.meanServiceMs(this.meanRouteMs)) / limit;
-    return queueMs + (record.zone === this.options.ownZone ? 0 : ZONE_ROUND_TRIP_MS);
+  private delayBeforeStartMs(
+    { zone }: DaemonRecord,
+    view: TargetView,
+    occupied: number,
+    limit: number,
+  ): number {
+    const waiting = Math.max(0, occupied + 1 - limit);
+    const queueMs = (waiting * view.meanServiceMs(this.meanRouteMs)) / limit;
+    return queueMs + (zone === this.options.ownZone ? 0 : ZONE_ROUND_TRIP_MS);
   }
 
   /** Mean over the targets that reported a time of the route, weighted by recency. */
   private calculateMeanRouteMs(views: readonly TargetView[]): number {
     let sumMs = 0;
     let sumWeight = 0;
-    for (let index = 0; index < views.length; index += 1) {
-      const estimate = views[index]?.routeEstimate(this.call.route, this.nowMs);
+    for (const view of views) {
+      const estimate = view.routeEstimate(this.call.route, this.nowMs);
       if (estimate !== undefined) {
         sumMs += estimate.serviceMs * estimate.weight;
         sumWeight += estimate.weight;
@@ -136,16 +122,28 @@
     return sumWeight === 0 ? INITIAL_SERVICE_MS : sumMs / sumWeight;
   }
 
-  private calculateRefusalCost(view: TargetView, targetCount: number): number {
+  private calculateRefusals(candidates: readonly DaemonRecord[]): RefusalCosts {
     const { meanRouteMs, nowMs, call } = this;
-    const share = view.refusedShare(targetCount, nowMs);
-    if (share === 0) return 0;
-    const relativeSlotTime = meanRouteMs / view.meanServiceMs(meanRouteMs);
-    return refusalCost(share, { isNested: call.isNested, relativeSlotTime });
+    const costs = new Map<string, number>();
+    let greatest = 0;
+    for (const { daemonId } of candidates) {
+      const view = this.options.viewOf(daemonId);
+      const share = view.refusedShare(candidates.length, nowMs);
+      if (share > 0) {
+        const relativeSlotTime = meanRouteMs / view.meanServiceMs(meanRouteMs);
+        const weight: CallWeight = { isNested: call.isNested, relativeSlotTime };
+        const cost = refusalCost(share, weight);
+        costs.set(daemonId, cost);
+        greatest = Math.max(greatest, cost);
+      }
+    }
+    return { costs, greatest };
   }
 
   /** A full target that turns nothing away is no better than one that does. */
-  private refusalCostOf({ occupied, limit, refusalCost: ownCost }: Candidate): number {
-    return Math.max(this.greatestRefusalCost * fullness(occupied, limit), ownCost);
+  private refusalCostOf(daemonId: string, occupied: number, limit: number): number {
+    const { costs, greatest } = this.refusals;
+    if (greatest === 0) return 0;
+    return Math.max(greatest * fullness(occupied, limit), costs.get(daemonId) ?? 0);
   }
 }
--- a/packages/mesh/src/stop-plan.ts
+++ b/packages/mesh/src/stop-plan.ts
@@ -77,10 +77,6 @@
 export class StopPlan {
   private times: StopTimes | undefined;
 
-  get hasBegun(): boolean {
-    return this.times !== undefined;
-  }
-
   /** The first call counts: neither a further signal nor other settings change a stop. */
   begin(graceMs: number, nowMs: number): void {
     this.times ??= timesOf(nowMs, graceMs);
--- a/packages/mesh/src/target-chooser.ts
+++ b/packages/mesh/src/target-chooser.ts
@@ -48,8 +48,7 @@
 }
 
 interface ScoredTarget {
-  /** Index among the candidates. */
-  readonly index: number;
+  readonly record: DaemonRecord;
   readonly cost: number;
 }
 
@@ -104,39 +103,42 @@
     const candidates = this.candidatesFor(query, nowMs);
     if (candidates.length === 0)
       return { kind: 'none', reason: 'noTarget', roomInMs: NO_TARGET_RETRY_AFTER_MS };
+    const available: ScoredTarget[] = [];
     const { route, usefulMs, excluded } = query;
     // A call that was turned away has used one of the attempts that the service's budget allows.
     const isNested = excluded.size > 0 || this.isInternal(route);
     const placement = { route, usefulMs, isNested };
     const costs = new PlacementCost(this.placementOptions, placement, candidates, nowMs);
-    const available: ScoredTarget[] = [];
     let minRetryAfterMs = Number.POSITIVE_INFINITY;
-    for (let index = 0; index < candidates.length; index += 1) {
-      const fullForMs = costs.viewOf(index).remainingFullMs(route, nowMs);
+    for (const record of candidates) {
+      const view = this.viewOf(record.daemonId);
+      const fullForMs = view.remainingFullMs(query.route, nowMs);
       if (fullForMs > 0) minRetryAfterMs = Math.min(minRetryAfterMs, fullForMs);
-      else available.push({ index, cost: costs.costOf(index) });
+      else available.push({ record, cost: costs.costOf(record) });
     }
     if (available.length === 0) return { kind: 'none', reason: 'full', roomInMs: minRetryAfterMs };
-    const chosen = this.drawByCost(available);
+    const record = this.drawByCost(available);
     return {
       kind: 'chosen',
-      record: candidates[chosen] as DaemonRecord,
-      expectedMs: costs.expectedMs(chosen),
-      maxUsefulMs: TargetChooser.maxUsefulMs(chosen, available, costs),
+      record,
+      expectedMs: costs.expectedMs(record),
+      maxUsefulMs: this.maxUsefulMs(record, available, costs.meanRouteMs),
     };
   }
 
   /** A call waits for the rate limit of a target only if all other targets limit their rate too. */
-  private static maxUsefulMs(
-    chosen: number,
+  private maxUsefulMs(
+    { daemonId }: DaemonRecord,
     available: readonly ScoredTarget[],
-    costs: PlacementCost,
+    meanRouteMs: number,
   ): number {
-    const view = costs.viewOf(chosen);
+    const view = this.viewOf(daemonId);
     if (!view.isRateLimited) return Number.POSITIVE_INFINITY;
-    const hasAlternative = available.some(({ index }) => !costs.viewOf(index).isRateLimited);
+    const hasAlternative = available.some(
+      ({ record }) => !this.viewOf(record.daemonId).isRateLimited,
+    );
     if (!hasAlternative) return Number.POSITIVE_INFINITY;
-    return MAX_WAIT_FOR_RATE_MS + view.meanServiceMs(costs.meanRouteMs);
+    return MAX_WAIT_FOR_RATE_MS + view.meanServiceMs(meanRouteMs);
   }
 
   /** Id of the home at which a request that was blocked is tried again. */
@@ -319,21 +321,17 @@
     }
   }
 
-  /** Draws a target, by its index, with a probability that decreases exponentially with its cost. */
-  private drawByCost(available: readonly ScoredTarget[]): number {
-    const [first] = available;
-    if (first === undefined) throw new Error('no target to draw from');
-    if (available.length === 1) return first.index;
-    let cheapest = first;
-    for (const target of available) if (target.cost < cheapest.cost) cheapest = target;
+  /** Draws a target with a probability that decreases exponentially with its cost. */
+  private drawByCost(available: readonly ScoredTarget[]): DaemonRecord {
+    const cheapest = available.reduce((best, next) => (next.cost < best.cost ? next : best));
     const weights = available.map(({ cost }) =>
       Math.exp((cheapest.cost - cost) / SOFTMAX_TEMPERATURE),
     );
     let remainingWeight = this.random() * weights.reduce((sum, weight) => sum + weight, 0);
     for (let index = 0; index < available.length; index += 1) {
       remainingWeight -= weights[index] ?? 0;
-      if (remainingWeight < 0) return (available[index] as ScoredTarget).index;
+      if (remainingWeight < 0) return (available[index] as ScoredTarget).record;
     }
-    return cheapest.index;
+    return cheapest.record;
   }
 }
--- a/packages/mesh/src/told-needs.ts
+++ b/packages/mesh/src/told-needs.ts
@@ -10,7 +10,6 @@
 const MAX_ROUTES = 512;
 const MAX_SERVICES = 32;
 const MAX_CALLS = 1_000;
-const NO_NEEDS: readonly ToldNeed[] = [];
 
 /** A need, with the shortage of its service. */
 export interface ToldNeed extends ToldShortage {
@@ -59,13 +58,10 @@
 
   /** Empty if nothing is known of the route. */
   needsOf(route: string, nowMs: number): readonly ToldNeed[] {
-    const known = this.routes.get(route);
-    if (known === undefined || known.size === 0) return NO_NEEDS;
-    const needs: ToldNeed[] = [];
-    for (const [service, calls] of known) {
-      const { refusedShare, retryPace, atMs } = this.shortages.of(service, nowMs);
-      needs.push({ service, calls, refusedShare, retryPace, atMs });
-    }
-    return needs;
+    return [...(this.routes.get(route) ?? [])].map(([service, calls]) => ({
+      service,
+      calls,
+      ...this.shortages.of(service, nowMs),
+    }));
   }
 }
--- a/packages/mesh/src/tree-admission.ts
+++ b/packages/mesh/src/tree-admission.ts
@@ -34,7 +34,7 @@
   readonly bounds: () => RetryBounds;
   /** Number of daemons known, this one included. */
   readonly fleetSize: () => number;
-  /** False to admit all requests, without a plan; true if it is missing. */
+  /** False to plan without refusing any request; true if it is missing. */
   readonly isEnforced?: boolean | undefined;
   /** Called when a service becomes short or recovers. */
   readonly onChange: (service: string, isShort: boolean, refusedShare: number) => void;
@@ -48,7 +48,6 @@
 const MAX_SERVICES = 256;
 const MIN_FORECAST_MS = 300;
 const MAX_FORECAST_MS = 2_000;
-const ADMITTED: TreeDecision = { kind: 'admitted' };
 
 /**
  * Admits of the root requests at this entry as many as the retries to the services below can finish,
@@ -68,16 +67,12 @@
   constructor(private readonly options: TreeAdmissionOptions) {}
 
   decide(request: RootRequest, nowMs: number): TreeDecision {
-    const demand = this.demandOf(request);
-    if (!this.isEnforced) {
-      demand.needs = request.needs;
-      return ADMITTED;
-    }
-    demand.count(request.needs, nowMs);
+    const demand = this.recordDemand(request, nowMs);
     if (nowMs >= this.nextPlanMs) this.plan(nowMs);
     const { limit, share } = demand;
     const isOutranked = limit !== undefined && requestRank(request.requestId) < 1 - share;
-    if (isOutranked && !this.isProbe(demand, limit, nowMs)) {
+    const isEnforced = this.options.isEnforced ?? true;
+    if (isEnforced && isOutranked && !this.isProbe(demand, limit, nowMs)) {
       return {
         kind: 'refused',
         ...limit,
@@ -86,19 +81,14 @@
       };
     }
     this.countAdmitted(demand, nowMs);
-    return ADMITTED;
+    return { kind: 'admitted' };
   }
 
   /** Records the end of an admitted request that ran. */
   recordEnd(route: string, arrivedMs: number, isFailure: boolean, nowMs: number): void {
-    if (!this.isEnforced) return;
-    for (const demand of this.demands.values()) {
-      if (demand.route === route) {
-        for (const { service } of demand.needs)
-          this.services.get(service)?.recordEnd(arrivedMs, isFailure, nowMs);
-        return;
-      }
-    }
+    const demand = [...this.demands.values()].find((known) => known.route === route);
+    for (const { service } of demand?.needs ?? [])
+      this.services.get(service)?.recordEnd(arrivedMs, isFailure, nowMs);
   }
 
   /** True if callers' own requests for the service are more urgent than the trees that need it. */
@@ -119,11 +109,8 @@
     return Math.min(1, ...[...this.demands.values()].map(({ share }) => share));
   }
 
-  private get isEnforced(): boolean {
-    return this.options.isEnforced ?? true;
-  }
-
-  private demandOf({ route, service, classesBelow }: RootRequest): RootDemand {
+  private recordDemand(request: RootRequest, nowMs: number): RootDemand {
+    const { route, service, classesBelow, needs } = request;
     const key = `${classesBelow} ${service} ${route}`;
     let demand = this.demands.get(key);
     if (demand === undefined) {
@@ -131,6 +118,7 @@
       demand = new RootDemand(route, service, classesBelow);
       this.demands.set(key, demand);
     }
+    demand.count(needs, nowMs);
     return demand;
   }
 
--- a/packages/sidecar/src/home.ts
+++ b/packages/sidecar/src/home.ts
@@ -295,9 +295,8 @@
     if (announcement?.targetId !== call.targetId || announcement.service !== call.service) {
       return CallRefusalReason.notHere;
     }
-    if (!target.isServing) return CallRefusalReason.leaving;
     const mayAccept =
-      !stopPlan.hasBegun || stopPlan.mayAcceptCall(this.expectedMs(call, nowMs), nowMs);
+      target.isServing && stopPlan.mayAcceptCall(this.expectedMs(call, nowMs), nowMs);
     return mayAccept ? undefined : CallRefusalReason.leaving;
   }
 
