--- a/packages/sidecar/src/sidecar-lifecycle.ts
+++ b/packages/sidecar/src/sidecar-lifecycle.ts
@@ -45,7 +45,7 @@
   StopPhase.notice,
   StopPhase.peerNotice,
 ]);
-/** Longest time for which further connections are accepted, one in a turn. */
+/** Longest time for which further connections are accepted, one in a turn, or data is read. */
 const MAX_RECEIVE_MS = 200;
 
 function delay(ms: number): Promise<void> {
@@ -177,7 +177,7 @@
         this.endConnections(phase);
       } else {
         // After a pause of the process, timers come before what has arrived meanwhile.
-        await this.receivePending(PHASES_THAT_LISTEN.has(phase) ? RECEIVE_TURNS : 1);
+        await this.receivePending(PHASES_THAT_LISTEN.has(phase));
         if (stopPlan.phaseAfter(phase, this.hasWork, clock()) === next) {
           phase = next;
           this.attempt(next, () => this.enterPhase(next));
@@ -185,7 +185,7 @@
       }
     }
     // Requests that waited behind those calls on their connections are refused.
-    await this.receivePending(1);
+    await this.receivePending(false);
     callers.closeConnections();
     const removed = registration.stop();
     const removalTimeoutMs = stopPlan.removalTimeoutMs(clock());
@@ -200,15 +200,16 @@
   }
 
   /**
-   * Lets the event loop read what has arrived, for a number of its turns, which may be long. Connections
-   * that wait are accepted in one turn and read in a later one.
+   * Lets the event loop read what has arrived. Connections that wait are accepted in one turn and read in
+   * a later one; without them, turns that are long are few, as the grace ends.
    */
-  private async receivePending(turns: number): Promise<void> {
+  private async receivePending(mayAccept: boolean): Promise<void> {
     const { callers, clock } = this.parts;
     const untilMs = clock() + MAX_RECEIVE_MS;
     let { acceptedCount } = callers;
-    for (let turn = 0; turn < turns; turn += 1) {
+    for (let turn = 0; turn < RECEIVE_TURNS; turn += 1) {
       await nextTurn();
+      if (!mayAccept && clock() >= untilMs) return;
       if (callers.acceptedCount !== acceptedCount && clock() < untilMs) {
         acceptedCount = callers.acceptedCount;
         turn = -1;
