--- a/review/lib-2/target.mjs
+++ b/review/lib-2/target.mjs
@@ -12,6 +12,9 @@
 
   running = 0;
 
+  /** Called with the id of each request that arrives; returns true to reject it. */
+  onArrival = () => false;
+
   /** Answers a request that may run; replaced by cases. */
   respond = (run, response) => {
     const timer = setTimeout(() => this.finish(run, response), this.workMs);
@@ -61,11 +64,11 @@
       reject(421);
       return;
     }
-    if (this.running >= this.slots) {
+    if (this.onArrival(id) || this.running >= this.slots) {
       reject(503);
       return;
     }
-    const run = { id, method, url, body, atMs: performance.now(), target: this.id, headers };
+    const run = { id, method, url, body, atMs: performance.now(), headers };
     this.runs.push(run);
     this.running += 1;
     response.on('close', () => {
