--- a/review/6/case.mjs
+++ b/review/6/case.mjs
@@ -1,4 +1,6 @@
 import { dirname } from 'node:path';
+import { performance } from 'node:perf_hooks';
+import { clearInterval, setInterval } from 'node:timers';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { fileURLToPath } from 'node:url';
 import { configuration, rule } from '../lib-2/documents.mjs';
@@ -34,7 +36,11 @@
     const client = clients[count % clients.length];
     const isPayout = count % 3 === 0;
     client
-      .send(isPayout ? { method: 'POST', path: `/payout/${count}`, body: 'amount=1' } : { path: `/history/${count}` })
+      .send(
+        isPayout
+          ? { method: 'POST', path: `/payout/${count}`, body: 'amount=1' }
+          : { path: `/history/${count}` },
+      )
       .catch(() => undefined);
   }, SEND_INTERVAL_MS);
   await sleep(BEFORE_MS);
@@ -43,7 +49,10 @@
   const { target } = machine;
   target.stopHeartbeats();
   const lateBeat = target.nextBeat();
-  fleet.note('heartbeat sent, under way for some seconds', { target: target.id, sequence: lateBeat.sequence });
+  fleet.note('heartbeat sent, under way for some seconds', {
+    target: target.id,
+    sequence: lateBeat.sequence,
+  });
   const status = await target.send('DELETE', { born: target.born });
   const acknowledgedAtMs = performance.now();
   fleet.note('departure acknowledged', { target: target.id, status });
@@ -57,7 +66,11 @@
   }
   await sleep(acknowledgedAtMs + LATE_HEARTBEAT_MS - performance.now());
   const lateStatus = await target.send('PUT', lateBeat);
-  fleet.note('late heartbeat arrived', { target: target.id, sequence: lateBeat.sequence, status: lateStatus });
+  fleet.note('late heartbeat arrived', {
+    target: target.id,
+    sequence: lateBeat.sequence,
+    status: lateStatus,
+  });
   await sleep(acknowledgedAtMs + STAY_MS - performance.now());
   clearInterval(traffic);
   target.close();
@@ -68,7 +81,9 @@
   const startedAtMs = Math.max(...fleet.machines.map(({ starts }) => starts.at(-1)));
   const fromMs = Math.max(acknowledgedAtMs + DRAIN_MS, startedAtMs + STABLE_WINDOW_MS);
   const sentAt = new Map(clients.flatMap(({ sent }) => sent).map((each) => [each.id, each]));
-  const late = target.runs.filter(({ id, atMs }) => atMs > fromMs && sentAt.get(id)?.sentAtMs > fromMs);
+  const late = target.runs.filter(
+    ({ id, atMs }) => atMs > fromMs && sentAt.get(id)?.sentAtMs > fromMs,
+  );
   for (const { id, method, url, atMs } of late) {
     const { machine: entry, status: answer } = sentAt.get(id);
     fleet.note('ran at the target that had left', {
--- a/review/7/case.mjs
+++ b/review/7/case.mjs
@@ -1,4 +1,6 @@
 import { dirname } from 'node:path';
+import { performance } from 'node:perf_hooks';
+import { clearInterval, setInterval } from 'node:timers';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { fileURLToPath } from 'node:url';
 import { configuration, rule } from '../lib-2/documents.mjs';
@@ -39,7 +41,7 @@
   const below = (limit) => {
     let [low, high] = [0, times.length];
     while (low < high) {
-      const middle = (low + high) >> 1;
+      const middle = Math.floor((low + high) / 2);
       if (times[middle] < limit) low = middle + 1;
       else high = middle;
     }
@@ -53,7 +55,11 @@
   const rulesWith = (tableService) => [
     rule('r-check', '/kyc/', 'teller'),
     rule('r-table', '/karat/', tableService, { targetLatency: '300ms', timeout: '700ms' }),
-    rule('r-quote', '/quote/', 'pricing', { targetLatency: '100ms', timeout: '400ms', priority: 1 }),
+    rule('r-quote', '/quote/', 'pricing', {
+      targetLatency: '100ms',
+      timeout: '400ms',
+      priority: 1,
+    }),
   ];
   await fleet.start(layout, configuration('0000000c', SERVICES, rulesWith('pricing')));
 
@@ -61,8 +67,7 @@
   const requestTimes = [];
   const repeatTimes = [];
   const arrivedIds = new Set();
-  let isRejecting = false;
-  let rejections = 0;
+  const state = { isRejecting: false, rejections: 0 };
   let isTableAtPricing = true;
   const sendQuote = (client, path) => {
     requestTimes.push(performance.now());
@@ -78,8 +83,8 @@
       if (service !== 'pricing') return false;
       if (arrivedIds.has(id)) repeatTimes.push(performance.now());
       else arrivedIds.add(id);
-      const isRejected = isRejecting && Math.random() < REJECTED_SHARE;
-      if (isRejected) rejections += 1;
+      const isRejected = state.isRejecting && Math.random() < REJECTED_SHARE;
+      if (isRejected) state.rejections += 1;
       return isRejected;
     };
     if (service === 'teller') {
@@ -98,22 +103,29 @@
     sendQuote(pick(count), `/quote/${count}`).then((record) => quotes.push(record));
   });
   const stopChecks = startTraffic(CHECKS_PER_S, (count) => {
-    pick(count).send({ path: `/kyc/${count}`, deadlineMs: 2_000 }).catch(() => undefined);
+    pick(count)
+      .send({ path: `/kyc/${count}`, deadlineMs: 2_000 })
+      .catch(() => undefined);
   });
   await sleep(BEFORE_MOVE_MS);
-  fleet.store.put('op/config', JSON.stringify(configuration('0000000f', SERVICES, rulesWith('archive'))));
-  fleet.note('route of the price tables moved to another service', { requestsForPricing: requestTimes.length });
+  fleet.store.put(
+    'op/config',
+    JSON.stringify(configuration('0000000f', SERVICES, rulesWith('archive'))),
+  );
+  fleet.note('route of the price tables moved to another service', {
+    requestsForPricing: requestTimes.length,
+  });
   await sleep(CONFIG_APPLY_MS);
   isTableAtPricing = false;
   await sleep(AFTER_MOVE_MS);
   const rejectingFromMs = performance.now();
   if (hasTrouble) {
     fleet.note('all pricing targets reject a part of their requests', { share: REJECTED_SHARE });
-    isRejecting = true;
+    state.isRejecting = true;
   }
   await sleep(REJECTING_MS);
-  isRejecting = false;
-  fleet.note('rejections end', { rejections });
+  state.isRejecting = false;
+  fleet.note('rejections end', { rejections: state.rejections });
   await sleep(AFTER_MS);
   stopQuotes();
   stopChecks();
@@ -129,7 +141,8 @@
     );
     const repeats = countBetween(repeatTimes, from, to + 0.001);
     const allowed = BUDGET_RATIO * requests + BUDGET_SLACK;
-    if (repeats - allowed > worst.excess) worst = { excess: repeats - allowed, repeats, requests, allowed, to };
+    if (repeats - allowed > worst.excess)
+      worst = { excess: repeats - allowed, repeats, requests, allowed, to };
   }
   const windowEndS = ((worst.to - fleet.startedAtMs) / 1_000).toFixed(1);
   fleet.note('worst window of 10 s', { ...worst, to: undefined, windowEndS });
--- a/review/lib-2/client.mjs
+++ b/review/lib-2/client.mjs
@@ -1,4 +1,7 @@
+import { Buffer } from 'node:buffer';
 import { Agent, request as httpRequest } from 'node:http';
+import { performance } from 'node:perf_hooks';
+import { clearTimeout, setTimeout } from 'node:timers';
 
 /** Stand-in of the clients on one machine; keeps its connections open. */
 export class Client {
@@ -18,11 +21,12 @@
     const id = `${this.name}-${String(this.count).padStart(6, '0')}`;
     const record = { id, method, path, machine: this.name, sentAtMs: performance.now() };
     this.sent.push(record);
+    const deadline = { timer: undefined };
     return new Promise((resolve) => {
       const end = (outcome) => {
         if (record.endedAtMs !== undefined) return;
         Object.assign(record, outcome, { endedAtMs: performance.now() });
-        clearTimeout(timer);
+        clearTimeout(deadline.timer);
         resolve(record);
       };
       const call = httpRequest(
@@ -54,7 +58,7 @@
           response.on('aborted', () => end({ error: 'answer ended early' }));
         },
       );
-      const timer = setTimeout(() => {
+      deadline.timer = setTimeout(() => {
         end({ error: 'deadline' });
         call.destroy();
       }, deadlineMs);
--- a/review/lib-2/store.mjs
+++ b/review/lib-2/store.mjs
@@ -1,4 +1,8 @@
+import { Buffer } from 'node:buffer';
 import { createServer } from 'node:http';
+import { performance } from 'node:perf_hooks';
+import { clearInterval, clearTimeout, setImmediate, setInterval, setTimeout } from 'node:timers';
+import { URL } from 'node:url';
 
 /** Longest time that a watch may wait. */
 const MAX_WATCH_MS = 30_000;
@@ -72,12 +76,13 @@
   addEvent(event) {
     this.events.push(event);
     setImmediate(() => {
-      for (const watch of [...this.watches]) watch();
+      for (const check of [...this.watches]) check();
     });
   }
 
   expireLeases() {
-    for (const [lease, { untilMs }] of this.leases) if (performance.now() >= untilMs) this.endLease(lease);
+    for (const [lease, { untilMs }] of this.leases)
+      if (performance.now() >= untilMs) this.endLease(lease);
   }
 
   endLease(lease) {
@@ -90,10 +95,15 @@
     const name = url.pathname.split('/')[2];
     const id = Number(url.pathname.split('/')[3]);
     if (name === 'kv-watch') {
-      this.watch(url.searchParams, request, response);
+      this.watch(url.searchParams, response);
       return;
     }
-    const [status, body] = this.apply(name, id, url.searchParams, text === '' ? {} : JSON.parse(text));
+    const [status, body] = this.apply(
+      name,
+      id,
+      url.searchParams,
+      text === '' ? {} : JSON.parse(text),
+    );
     if (this.onCall(name, text, status) === false) return;
     this.answer(response, status, body);
   }
@@ -150,29 +160,32 @@
     if ([...puts, ...remove.map((key) => ({ key }))].some(({ key }) => /^(op|servers)\//.test(key)))
       return [403, {}];
     if (puts.some(({ lease = 0 }) => lease !== 0 && !this.leases.has(lease))) return [404, {}];
-    for (const { key, value, lease } of puts) this.put(key, Buffer.from(value, 'base64').toString(), lease);
+    for (const { key, value, lease } of puts)
+      this.put(key, Buffer.from(value, 'base64').toString(), lease);
     for (const key of remove) this.remove(key);
     return [200, { revision: this.revision }];
   }
 
-  watch(query, request, response) {
+  watch(query, response) {
     const prefix = query.get('prefix');
     const after = Number(query.get('after'));
     const waitMs = Math.min(MAX_WATCH_MS, Number(query.get('waitMs')));
-    let timer;
+    const state = { timer: undefined, check: undefined };
     const end = () => {
-      clearTimeout(timer);
-      this.watches.delete(check);
+      clearTimeout(state.timer);
+      this.watches.delete(state.check);
     };
-    const check = (isOver = false) => {
-      const events = this.events.filter(({ key, revision }) => revision > after && key.startsWith(prefix));
+    state.check = (isOver = false) => {
+      const events = this.events.filter(
+        ({ key, revision }) => revision > after && key.startsWith(prefix),
+      );
       if (events.length === 0 && isOver !== true) return;
       end();
       this.answer(response, 200, { events, at: this.revision });
     };
-    timer = setTimeout(() => check(true), waitMs);
-    this.watches.add(check);
+    state.timer = setTimeout(() => state.check(true), waitMs);
+    this.watches.add(state.check);
     response.on('close', end);
-    check();
+    state.check();
   }
 }
--- a/review/lib-2/target.mjs
+++ b/review/lib-2/target.mjs
@@ -1,4 +1,7 @@
+import { Buffer } from 'node:buffer';
 import { createServer, request as httpRequest } from 'node:http';
+import { performance } from 'node:perf_hooks';
+import { clearInterval, clearTimeout, setInterval, setTimeout } from 'node:timers';
 
 const HEARTBEAT_MS = 1_500;
 const HEARTBEAT_TIMEOUT_MS = 1_000;
@@ -21,7 +24,18 @@
     response.on('close', () => clearTimeout(timer));
   };
 
-  constructor({ id, service, zone, ip, port, control, born = Date.now(), slots = 194, workMs = 10, log }) {
+  constructor({
+    id,
+    service,
+    zone,
+    ip,
+    port,
+    control,
+    born = Date.now(),
+    slots = 194,
+    workMs = 10,
+    log,
+  }) {
     Object.assign(this, { id, service, zone, ip, port, control, born, slots, workMs, log });
     this.server = createServer({ keepAliveTimeout: KEEP_ALIVE_MS }, (request, response) => {
       const chunks = [];
@@ -129,7 +143,10 @@
           path: `/v1/instances/${this.id}`,
           agent: false,
           timeout: HEARTBEAT_TIMEOUT_MS,
-          headers: { 'Content-Type': 'application/json', 'Content-Length': Buffer.byteLength(text) },
+          headers: {
+            'Content-Type': 'application/json',
+            'Content-Length': Buffer.byteLength(text),
+          },
         },
         (response) => {
           response.resume();
