--- a/review/lib-2/target.mjs
+++ b/review/lib-2/target.mjs
@@ -133,6 +133,11 @@
 
   /** Sends a message about this target to its daemon; resolves with the status. */
   send(method, body) {
+    return this.sendAs(this.id, method, body);
+  }
+
+  /** Sends a message about a target with this id to the same daemon. */
+  sendAs(id, method, body) {
     const text = JSON.stringify(body);
     return new Promise((resolve, reject) => {
       const call = httpRequest(
@@ -140,7 +145,7 @@
           host: this.control.ip,
           port: this.control.port,
           method,
-          path: `/v1/instances/${this.id}`,
+          path: `/v1/instances/${id}`,
           agent: false,
           timeout: HEARTBEAT_TIMEOUT_MS,
           headers: {
