--- a/review/6/case.mjs
+++ b/review/6/case.mjs
@@ -1,11 +1,11 @@
-import { dirname } from 'node:path';
 import { performance } from 'node:perf_hooks';
 import { clearInterval, setInterval } from 'node:timers';
 import { setTimeout as sleep } from 'node:timers/promises';
-import { fileURLToPath } from 'node:url';
+import { fileURLToPath, URL } from 'node:url';
 import { configuration, rule } from '../lib-2/documents.mjs';
 import { runCase } from '../lib-2/fleet.mjs';
 
+const RECORD = fileURLToPath(new URL('record.txt', import.meta.url));
 const ZONES = ['binondo', 'quiapo', 'makati', 'caloocan'];
 const SERVICES = ['archive', 'teller'];
 const DRAIN_MS = 2_000;
@@ -22,7 +22,7 @@
 /** Time until the late heartbeat is delivered again if the daemon is not back yet. */
 const RETRY_MS = 100;
 
-await runCase(dirname(fileURLToPath(import.meta.url)), async (fleet, hasTrouble) => {
+await runCase(RECORD, async (fleet, hasTrouble) => {
   const layout = ZONES.flatMap((zone) => SERVICES.map((service) => ({ zone, service })));
   const rules = [
     rule('r-history', '/history/', 'archive'),
--- a/review/7/case.mjs
+++ b/review/7/case.mjs
@@ -1,11 +1,11 @@
-import { dirname } from 'node:path';
 import { performance } from 'node:perf_hooks';
 import { clearInterval, setInterval } from 'node:timers';
 import { setTimeout as sleep } from 'node:timers/promises';
-import { fileURLToPath } from 'node:url';
+import { fileURLToPath, URL } from 'node:url';
 import { configuration, rule } from '../lib-2/documents.mjs';
 import { runCase } from '../lib-2/fleet.mjs';
 
+const RECORD = fileURLToPath(new URL('record.txt', import.meta.url));
 const SERVICES = ['archive', 'teller', 'pricing'];
 const ZONES = ['binondo', 'quiapo', 'makati', 'caloocan'];
 const BUDGET_RATIO = 0.2;
@@ -50,7 +50,7 @@
   return below(to) - below(from);
 };
 
-await runCase(dirname(fileURLToPath(import.meta.url)), async (fleet, hasTrouble) => {
+await runCase(RECORD, async (fleet, hasTrouble) => {
   const layout = ZONES.flatMap((zone) => SERVICES.map((service) => ({ zone, service })));
   const rulesWith = (tableService) => [
     rule('r-check', '/kyc/', 'teller'),
--- a/review/8/case.mjs
+++ b/review/8/case.mjs
@@ -1,11 +1,11 @@
-import { dirname } from 'node:path';
 import { performance } from 'node:perf_hooks';
 import { clearInterval, setInterval } from 'node:timers';
 import { setTimeout as sleep } from 'node:timers/promises';
-import { fileURLToPath } from 'node:url';
+import { fileURLToPath, URL } from 'node:url';
 import { configuration, rule } from '../lib-2/documents.mjs';
 import { runCase } from '../lib-2/fleet.mjs';
 
+const RECORD = fileURLToPath(new URL('record.txt', import.meta.url));
 const ZONES = ['binondo', 'quiapo', 'makati', 'caloocan'];
 const SERVICES = ['archive', 'teller'];
 const RECOVERY_MS = 15_000;
@@ -18,7 +18,7 @@
 const CHECKED_MS = 6_000;
 const SEND_INTERVAL_MS = 25;
 
-await runCase(dirname(fileURLToPath(import.meta.url)), async (fleet, hasTrouble) => {
+await runCase(RECORD, async (fleet, hasTrouble) => {
   const layout = ZONES.flatMap((zone) => SERVICES.map((service) => ({ zone, service })));
   const rules = [
     rule('r-history', '/history/', 'archive'),
--- a/review/lib-2/fleet.mjs
+++ b/review/lib-2/fleet.mjs
@@ -12,6 +12,8 @@
 
 const READY_TIMEOUT_MS = 30_000;
 const POLL_MS = 50;
+/** Time after which a case is abandoned. */
+const TIME_LIMIT_MS = 115_000;
 
 async function freePorts(ip, count) {
   const servers = Array.from({ length: count }, () => createServer());
@@ -108,14 +110,16 @@
 }
 
 /** Runs a case: 0 if the rule held, 1 if it was broken, 2 if the case could not run. */
-export async function runCase(folder, play) {
-  const fleet = new Fleet(join(folder, 'record.txt'));
+export async function runCase(recordPath, play) {
+  const fleet = new Fleet(recordPath);
   const hasTrouble = process.env.TROUBLE !== '0';
   let code = 2;
-  const limit = setTimeout(() => {
-    fleet.note('time limit');
+  const abandon = (reason) => {
+    fleet.note(`could not run: ${reason}`);
     fleet.stop().finally(() => process.exit(2));
-  }, 115_000);
+  };
+  const limit = setTimeout(() => abandon('time limit'), TIME_LIMIT_MS);
+  for (const signal of ['SIGINT', 'SIGTERM']) process.once(signal, () => abandon(signal));
   try {
     fleet.note('case', { hasTrouble });
     const broken = await play(fleet, hasTrouble);
