--- a/packages/mesh/src/announced-target.ts
+++ b/packages/mesh/src/announced-target.ts
@@ -18,20 +18,32 @@
  */
 const UNKNOWN_START_RETENTION_MS = 60_000;
 
+/** Announcements without which a claim does not refute anything; late ones come one or two at once. */
+const MIN_CLAIM_ANNOUNCEMENTS = 3;
 /**
- * Announcements, and time between the first and the last of them, after which an incarnation that
- * claims an earlier start has replaced a silent one: the time of day was set back in between.
+ * Time between the first and the last announcement of a claim that refutes a conclusion of this
+ * daemon: that the incarnation is not the present one.
  */
-const MIN_CLAIM_ANNOUNCEMENTS = 3;
 const MIN_CLAIM_MS = 2_000;
+/**
+ * The same for the end that the target itself has stated: longer than a target goes on after it, so
+ * that only one that never meant to leave comes back.
+ */
+const MIN_CLAIM_AGAINST_STATEMENT_MS = 60_000;
 
-/** An incarnation that announces itself although the present one claims a later start. */
-interface EarlierClaim {
+/** An incarnation that goes on announcing itself although its announcements are ignored. */
+interface Claim {
   readonly announcement: TargetAnnouncement;
   readonly sinceMs: number;
   readonly count: number;
 }
 
+/** Why an announcement is ignored, and for how long its target must repeat it to be believed. */
+interface Objection {
+  readonly reason: string;
+  readonly minClaimMs: number;
+}
+
 interface EndedIncarnation extends EndedTarget {
   readonly untilMs: number;
 }
@@ -51,8 +63,10 @@
 /**
  * State of the local target, from the target's own announcements. Announcements of one incarnation
  * are ordered by their sequence number, incarnations by their start time; between different
- * targets with unknown or equal start times, the later announcement wins. The sidecar daemon uses
- * it; the daemon of the package `daemon` uses `LocalTarget` of the package `callpath`.
+ * targets with unknown or equal start times, the later announcement wins. What is believed of a
+ * target can be wrong, as one message is enough for it; a target that goes on announcing itself
+ * refutes it. The sidecar daemon uses it; the daemon of the package `daemon` uses `LocalTarget` of
+ * the package `callpath`.
  */
 export class AnnouncedTarget {
   private present: TargetAnnouncement | undefined;
@@ -66,7 +80,9 @@
   /** True while the target is unreachable, until its next announcement or response. */
   private isUnreachable = false;
 
-  private earlierClaim: EarlierClaim | undefined;
+  private claim: Claim | undefined;
+
+  private hasRefutedDeparture = false;
 
   private readonly endedIncarnations: EndedIncarnation[] = [];
 
@@ -98,6 +114,11 @@
     return hasLeft || this.hasStatedLeaving;
   }
 
+  /** True once the present incarnation has gone on announcing itself long after its departure. */
+  get hasReturned(): boolean {
+    return this.hasRefutedDeparture && !this.isLeaving;
+  }
+
   /** Changes whenever an incarnation other than the present one is known to have ended. */
   get otherEndedCount(): number {
     return this.recordedCount;
@@ -133,6 +154,8 @@
   restoreEnded(targets: readonly EndedTarget[], nowMs: number): boolean {
     const wasServing = this.isServing;
     for (const target of targets) {
+      // What the target has told this process refutes what another one presumed.
+      if (target.isPresumed === true && this.isPresent(target)) continue;
       const hasUnknownStart = target.bornUnixMs === undefined;
       this.recordEndedIncarnation(
         target,
@@ -159,21 +182,26 @@
    * slots, or whether the target is serving differs from before.
    */
   applyAnnouncement(announcement: TargetAnnouncement, nowMs: number): AnnouncementResult {
-    const staleReason = this.findStaleReason(announcement, nowMs);
-    if (staleReason !== undefined) return { kind: 'stale', reason: staleReason };
+    const objection = this.findObjection(announcement, nowMs);
+    if (objection !== undefined && !this.isRefuted(objection, announcement, nowMs))
+      return { kind: 'stale', reason: objection.reason };
     const { present } = this;
     const wasServing = this.isServing;
+    if (objection !== undefined) this.forgetEnd(announcement, nowMs);
     const isNewIncarnation = present === undefined || !isSameIncarnation(present, announcement);
     if (isNewIncarnation) {
       if (present !== undefined) {
         const { targetId, bornUnixMs } = present;
-        this.recordEndedIncarnation({ targetId, bornUnixMs }, Number.POSITIVE_INFINITY);
+        const isPresumed = this.isEndExpected ? undefined : true;
+        const replaced: EndedTarget = { targetId, bornUnixMs, isPresumed };
+        this.recordEndedIncarnation(replaced, Number.POSITIVE_INFINITY);
       }
       this.isDeregistered = false;
       this.hasStatedLeaving = false;
+      this.hasRefutedDeparture = false;
     }
     this.isUnreachable = false;
-    this.earlierClaim = undefined;
+    this.claim = undefined;
     this.present = announcement;
     this.announcedAtMs = nowMs;
     const isChange =
@@ -228,36 +256,63 @@
     return this.isServing;
   }
 
-  private findStaleReason(announcement: TargetAnnouncement, nowMs: number): string | undefined {
-    if (this.endedIncarnations.some((ended) => this.endedBefore(ended, announcement, nowMs))) {
-      return 'incarnation has ended';
+  private findObjection(announcement: TargetAnnouncement, nowMs: number): Objection | undefined {
+    const ends = this.endsOf(announcement, nowMs);
+    if (ends.length > 0) {
+      const isPresumed = ends.every((ended) => ended.isPresumed === true);
+      return {
+        reason: 'incarnation has ended',
+        minClaimMs: isPresumed ? MIN_CLAIM_MS : MIN_CLAIM_AGAINST_STATEMENT_MS,
+      };
     }
     const { present } = this;
     if (present === undefined) return undefined;
-    if (startedBefore(announcement, present)) {
-      return this.hasReplacedPresent(announcement, nowMs)
-        ? undefined
-        : 'started before the current incarnation';
-    }
+    if (startedBefore(announcement, present))
+      return { reason: 'started before the current incarnation', minClaimMs: MIN_CLAIM_MS };
     if (!isSameIncarnation(present, announcement)) return undefined;
-    if (announcement.sequence <= present.sequence) return 'sequence number is not greater';
+    if (this.isDeregistered)
+      return { reason: 'incarnation has left', minClaimMs: MIN_CLAIM_AGAINST_STATEMENT_MS };
+    if (announcement.sequence <= present.sequence) {
+      return {
+        reason: 'sequence number is not greater',
+        minClaimMs: present.isDraining ? MIN_CLAIM_AGAINST_STATEMENT_MS : MIN_CLAIM_MS,
+      };
+    }
     return undefined;
   }
 
   /**
-   * Whether an incarnation with an earlier start time has replaced the present one. A few late
-   * announcements do not show that; continued ones do, while the present incarnation is silent.
+   * Whether the target has repeated for long enough what the objection is about. A few late
+   * announcements do not refute it; continued ones do, while the present incarnation is silent.
    */
-  private hasReplacedPresent(announcement: TargetAnnouncement, nowMs: number): boolean {
-    const claim = this.earlierClaim;
+  private isRefuted(
+    { minClaimMs }: Objection,
+    announcement: TargetAnnouncement,
+    nowMs: number,
+  ): boolean {
+    const { claim } = this;
     if (claim === undefined || !isSameIncarnation(claim.announcement, announcement)) {
-      this.earlierClaim = { announcement, sinceMs: nowMs, count: 1 };
+      this.claim = { announcement, sinceMs: nowMs, count: 1 };
       return false;
     }
     if (announcement.sequence <= claim.announcement.sequence) return false;
     const count = claim.count + 1;
-    this.earlierClaim = { announcement, sinceMs: claim.sinceMs, count };
-    return count >= MIN_CLAIM_ANNOUNCEMENTS && nowMs - claim.sinceMs >= MIN_CLAIM_MS;
+    this.claim = { announcement, sinceMs: claim.sinceMs, count };
+    return count >= MIN_CLAIM_ANNOUNCEMENTS && nowMs - claim.sinceMs >= minClaimMs;
+  }
+
+  /** Forgets that the incarnation has ended, as it has refuted that. */
+  private forgetEnd(announcement: TargetAnnouncement, nowMs: number): void {
+    for (const ended of this.endsOf(announcement, nowMs))
+      this.endedIncarnations.splice(this.endedIncarnations.indexOf(ended), 1);
+    if (!this.isPresent(announcement)) return;
+    this.hasRefutedDeparture ||= this.isDeregistered;
+    this.isDeregistered = false;
+  }
+
+  /** The recorded ends after which the announcement cannot have been sent. */
+  private endsOf(announcement: TargetAnnouncement, nowMs: number): EndedIncarnation[] {
+    return this.endedIncarnations.filter((ended) => this.endedBefore(ended, announcement, nowMs));
   }
 
   /** True if the announcement was sent before the incarnation ended, or before it drained. */
@@ -281,15 +336,16 @@
   }
 
   private recordEndedIncarnation(ended: EndedTarget, untilMs: number): void {
-    const { targetId, bornUnixMs, drainingSequence } = ended;
+    const { targetId, bornUnixMs, drainingSequence, isPresumed } = ended;
     const isKnown = this.endedIncarnations.some(
       (known) =>
         known.targetId === targetId &&
         known.bornUnixMs === bornUnixMs &&
-        known.drainingSequence === drainingSequence,
+        known.drainingSequence === drainingSequence &&
+        known.isPresumed === isPresumed,
     );
     if (isKnown) return;
-    this.endedIncarnations.push({ targetId, bornUnixMs, drainingSequence, untilMs });
+    this.endedIncarnations.push({ targetId, bornUnixMs, drainingSequence, isPresumed, untilMs });
     this.recordedCount += 1;
     if (this.endedIncarnations.length > MAX_ENDED_INCARNATIONS) this.endedIncarnations.shift();
   }
--- a/packages/mesh/src/daemon-record.ts
+++ b/packages/mesh/src/daemon-record.ts
@@ -45,6 +45,11 @@
 export interface EndedTarget extends TargetIncarnation {
   /** Sequence number of the announcement that it drains; undefined once it has ended for good. */
   readonly drainingSequence?: number | undefined;
+  /**
+   * True if its end was concluded from the announcement of another incarnation, which may have
+   * been wrong; the target itself has stated nothing of it.
+   */
+  readonly isPresumed?: boolean | undefined;
 }
 
 export interface ServingTarget {
@@ -54,7 +59,7 @@
   readonly bornUnixMs?: number | undefined;
   readonly slots: number;
   readonly isServing: boolean;
-  /** True once the target has stated in an answer that it leaves. */
+  /** True once the target has left or stated that it leaves; false if it has refuted that since. */
   readonly isLeaving?: boolean | undefined;
   /** Time from the writing of the record until the target is warm. */
   readonly coldMs: number;
--- a/packages/mesh/src/target-notice-table.ts
+++ b/packages/mesh/src/target-notice-table.ts
@@ -45,6 +45,14 @@
     this.record(target, { ratePerS: this.ratePerS(target), isLeaving: true });
   }
 
+  /** Takes back a departure, as the target's daemon states that the target has refuted it. */
+  markReturned(target: TargetIncarnation): void {
+    if (!this.isLeaving(target)) return;
+    const ratePerS = this.ratePerS(target);
+    this.notices.delete(target.targetId);
+    this.record(target, { ratePerS, isLeaving: false });
+  }
+
   isLeaving(target: TargetIncarnation): boolean {
     return this.find(target)?.isLeaving === true;
   }
--- a/packages/mesh/tests/announced-target.test.ts
+++ b/packages/mesh/tests/announced-target.test.ts
@@ -229,4 +229,94 @@
         expect(target.applyAnnouncement(stepped(sequence), sequence * 1_500).kind).toBe('stale');
     });
   });
+
+  // Guards against a present target that is never heard again after one wrong message (RECOVER).
+  describe('that is wrongly believed to have ended', () => {
+    const own = (sequence: number) => announcement({ sequence });
+    const foreign = (changes: Partial<TargetAnnouncement>) =>
+      announcement({ targetId: 'i-x', sequence: 1, bornUnixMs: 2_000, ...changes });
+
+    it.each([
+      ['another id and a later start', foreign({})],
+      ['another id and the same start', foreign({ bornUnixMs: 1_000 })],
+      ['another id and a start in the far future', foreign({ bornUnixMs: 2 ** 52 })],
+      ['its own id and a later start', foreign({ targetId: 'i-1' })],
+      ['its own id and a later start, draining', foreign({ targetId: 'i-1', isDraining: true })],
+      ['its own id and start and a great number', announcement({ sequence: 2 ** 50 })],
+    ])('serves again within three announcements after one with %s', (_name, wrong) => {
+      const target = new AnnouncedTarget();
+      target.applyAnnouncement(own(5), 0);
+      target.applyAnnouncement(wrong, 100);
+      for (const [index, nowMs] of [1_500, 3_000, 4_500].entries())
+        target.applyAnnouncement(own(6 + index), nowMs);
+      expect(target.announcement).toEqual(own(8));
+      expect(target.isServing).toBe(true);
+      expect(target.endedTargets(4_500)).not.toContainEqual(
+        expect.objectContaining({ targetId: 'i-1', bornUnixMs: 1_000 }),
+      );
+    });
+
+    it.each([0, 1])('serves again in a new process that has heard it %i times before', (count) => {
+      const earlier = new AnnouncedTarget();
+      earlier.applyAnnouncement(own(5), 0);
+      earlier.applyAnnouncement(foreign({}), 100);
+      const target = new AnnouncedTarget(false);
+      if (count > 0) target.applyAnnouncement(own(6), 0);
+      target.restoreEnded(earlier.endedTargets(100), 0);
+      target.confirm();
+      for (const [index, nowMs] of [1_500, 3_000, 4_500].entries())
+        target.applyAnnouncement(own(7 + index), nowMs);
+      expect(target.isServing).toBe(true);
+      expect(target.announcement?.targetId).toBe('i-1');
+    });
+
+    it('stays replaced while the other target announces itself too', () => {
+      const target = new AnnouncedTarget();
+      target.applyAnnouncement(own(5), 0);
+      for (let turn = 0; turn < 40; turn += 1) {
+        target.applyAnnouncement(foreign({ sequence: 1 + turn }), turn * 1_500 + 100);
+        expect(target.applyAnnouncement(own(6 + turn), turn * 1_500 + 200).kind).toBe('stale');
+      }
+      expect(target.announcement?.targetId).toBe('i-x');
+    });
+
+    it.each([
+      ['left', (target: AnnouncedTarget) => target.deregister('i-1', 1_000)],
+      [
+        'left, and was replaced',
+        (target: AnnouncedTarget) => {
+          target.deregister('i-1', 1_000);
+          target.applyAnnouncement(foreign({}), 0);
+        },
+      ],
+      [
+        'drained',
+        (target: AnnouncedTarget) =>
+          target.applyAnnouncement(announcement({ sequence: 2 ** 50, isDraining: true }), 0),
+      ],
+    ])('serves again after a minute of announcements, and not before, if it %s', (_name, end) => {
+      const target = new AnnouncedTarget();
+      target.applyAnnouncement(own(5), 0);
+      end(target);
+      let nowMs = 1_500;
+      for (let sequence = 6; nowMs < 61_500; sequence += 1, nowMs += 1_500) {
+        expect(target.applyAnnouncement(own(sequence), nowMs).kind).toBe('stale');
+        expect(target.isServing && target.announcement?.targetId === 'i-1').toBe(false);
+      }
+      expect(target.applyAnnouncement(own(100), nowMs).kind).toBe('accepted');
+      expect([target.isServing, target.isLeaving]).toEqual([true, false]);
+      expect(target.endedTargets(nowMs).some(({ targetId }) => targetId === 'i-1')).toBe(false);
+    });
+
+    it('states that it has returned, until it leaves again', () => {
+      const target = new AnnouncedTarget();
+      target.applyAnnouncement(own(5), 0);
+      target.deregister('i-1', 1_000);
+      for (const [index, nowMs] of [1_500, 3_000, 61_500].entries())
+        target.applyAnnouncement(own(6 + index), nowMs);
+      expect([target.hasReturned, target.isLeaving]).toEqual([true, false]);
+      target.deregister('i-1', 1_000);
+      expect([target.hasReturned, target.isLeaving]).toEqual([false, true]);
+    });
+  });
 });
--- a/packages/peering/src/record-codec.ts
+++ b/packages/peering/src/record-codec.ts
@@ -45,6 +45,7 @@
     targetId: fields.matching('targetId', ID_PATTERN),
     bornUnixMs: optionalInteger('bornUnixMs'),
     drainingSequence: optionalInteger('drainingSequence'),
+    isPresumed: fields.has('isPresumed') ? fields.boolean('isPresumed') : undefined,
   };
 }
 
--- a/packages/sidecar/src/own-record.ts
+++ b/packages/sidecar/src/own-record.ts
@@ -50,7 +50,7 @@
         bornUnixMs: announcement.bornUnixMs,
         slots: announcement.slots,
         isServing: this.target.isServing,
-        isLeaving: this.target.isLeaving || undefined,
+        isLeaving: this.target.hasReturned ? false : this.target.isLeaving || undefined,
         coldMs: Math.round(this.target.coldMs(nowMs)),
       },
       endedTargets: endedTargets.length === 0 ? undefined : endedTargets,
--- a/packages/sidecar/src/record-exchange.ts
+++ b/packages/sidecar/src/record-exchange.ts
@@ -75,6 +75,7 @@
     }
     if (!directory.applyRecord(record, source, clock())) return;
     if (record.target?.isLeaving === true) this.parts.targetNotices.markLeaving(record.target);
+    if (record.target?.isLeaving === false) this.parts.targetNotices.markReturned(record.target);
     log.stateChange('daemon record applied', {
       daemonId: record.daemonId,
       source,
