Count nested calls within the windows of the budget, not from the start of the process (BUDGET)

Cause: RouteCallerCounter counted the calls of each route from the start of the process, so that `internalShare` stayed at 0.95 without any nested call, and maxRetryRatio gave callers the part that nested calls would have left.

Why this works: the mean of the last two windows is no greater than the greater of them, which the bound allows.

--- a/packages/mesh/src/target-chooser.ts
+++ b/packages/mesh/src/target-chooser.ts
@@ -185,7 +185,7 @@
         shedCapacity += limit * (view?.level(nowMs) ?? 0);
         capacity += limit;
       }
-      const share = view?.internalShare;
+      const share = view?.internalShare(nowMs);
       if (share !== undefined) internalShare = Math.min(internalShare ?? 1, share);
     }
     const level = capacity === 0 ? 0 : shedCapacity / capacity;
--- a/packages/mesh/src/target-view.ts
+++ b/packages/mesh/src/target-view.ts
@@ -1,5 +1,6 @@
 import type { TargetLoad } from './forwarded-call';
 import { OverdueCalls } from './overdue-calls';
+import { ALLOWANCE_WINDOW_MS } from './retry-allowance-window';
 
 /** Weight of the newest outcome in the moving average of failures. */
 const FAILURE_SAMPLE_WEIGHT = 0.1;
@@ -13,6 +14,8 @@
 const MIN_REFUSAL_TIME_CONSTANT_MS = 1_500;
 /** Share of refused calls below which a target counts as one that turns nothing away. */
 const MIN_REFUSED_SHARE = 0.03;
+/** Time for which a reported internal share holds: as long as calls count for the bound on repeats. */
+const INTERNAL_SHARE_VALIDITY_MS = 2 * ALLOWANCE_WINDOW_MS;
 /** Routes whose times are kept. */
 const MAX_ROUTES = 1_024;
 /** Smallest concurrency limit: a target may limit the rate of its requests to a few a minute. */
@@ -67,9 +70,10 @@
     this.routes.set(route, { serviceMs, atMs: nowMs });
   }
 
-  /** Share of the home's calls that arrive on internal routes; undefined until it is reported. */
-  get internalShare(): number | undefined {
-    return this.load?.internalShare;
+  /** Share of the home's calls that arrive on internal routes; undefined without a recent report. */
+  internalShare(nowMs: number): number | undefined {
+    const isRecent = nowMs - this.loadAtMs < INTERNAL_SHARE_VALIDITY_MS;
+    return isRecent ? this.load?.internalShare : undefined;
   }
 
   get hasReportedLevel(): boolean {
--- a/packages/mesh/tests/target-chooser.test.ts
+++ b/packages/mesh/tests/target-chooser.test.ts
@@ -227,4 +227,13 @@
     }
     expect(choiceCounts(chooser, 0)['lost'] ?? 0).toBeGreaterThan(900);
   });
+
+  // Guards against retries that rest on a share of nested calls from long ago (BUDGET).
+  it('does not count a share of nested calls that no home has reported for two windows', () => {
+    const chooser = chooserOf({ a: 'near', b: 'near' });
+    const load = { ...IDLE, internalShare: 0.9 };
+    chooser.recordEnded('a', 'r', load, 'served', 0);
+    expect(chooser.internalShareOf('s', 19_999)).toBe(0.9);
+    expect(chooser.internalShareOf('s', 20_020)).toBe(0);
+  });
 });
--- a/packages/sidecar/src/home.ts
+++ b/packages/sidecar/src/home.ts
@@ -122,7 +122,7 @@
 
   submit(call: ForwardedCall, body: Buffer, deliver: (reply: CallReply) => void): InboundCall {
     const nowMs = this.parts.clock();
-    this.parts.routeCallers.recordCall(call.route, call.callerService);
+    this.parts.routeCallers.recordCall(call.route, call.callerService, nowMs);
     const refusalReason = this.refusalReasonFor(call, nowMs);
     const opened = this.openRecord(call, deliver, nowMs);
     if (opened.kind === 'replied') return SETTLED_CALL;
@@ -168,7 +168,7 @@
     const load: TargetLoad = {
       ...queue.load(),
       level: this.effectiveShedLevel(nowMs),
-      internalShare: routeCallers.internalShare,
+      internalShare: routeCallers.internalShare(nowMs),
       isInternal: routeCallers.isInternal(route),
       routeMs: capacity.pace.routeMs(route, nowMs),
       refusedShare: refusedShare.share(nowMs),
