Replace the least recently used route where the routes that are remembered are bounded

Change: RecentlyUsedMap, in RunNeeds, ToldNeeds, CallTrees and NestedCallEstimator; a called route that runs no longer call is forgotten.

--- a/packages/mesh/src/call-trees.ts
+++ b/packages/mesh/src/call-trees.ts
@@ -3,6 +3,7 @@
 import { ShortageNews, type ServiceShortage } from './shortage-news';
 import { SHORT_SHARE } from './short-service';
 import { ServiceRefusals } from './service-refusals';
+import { RecentlyUsedMap } from './recently-used-map';
 import { RecentNames } from './recent-names';
 import type { RunCalls } from './run-calls';
 import { RunNeeds } from './run-needs';
@@ -93,9 +94,9 @@
 
   private readonly shortages = new RecentNames(SHORTAGE_REPORT_MS, MAX_SHORTAGES);
 
-  private readonly reported = new Map<string, ReportedNeeds>();
+  private readonly reported = new RecentlyUsedMap<string, ReportedNeeds>(MAX_ROUTES);
 
-  private readonly runs = new Map<string, Runs>();
+  private readonly runs = new RecentlyUsedMap<string, Runs>(MAX_ROUTES);
 
   private readonly news = new ShortageNews();
 
@@ -106,12 +107,7 @@
 
   recordRunStart(route: string, repeatShare: number, nowMs: number): void {
     this.estimator.recordStart(route, nowMs);
-    const runs = this.runs.get(route);
-    if (runs === undefined) {
-      if (this.runs.size < MAX_ROUTES)
-        this.runs.set(route, { count: 1, repeats: repeatShare, atMs: nowMs });
-      return;
-    }
+    const runs = this.runs.use(route, () => ({ count: 0, repeats: 0, atMs: nowMs }));
     const kept = Math.exp(-(nowMs - runs.atMs) / RUNS_MEMORY_MS);
     runs.count = runs.count * kept + 1;
     runs.repeats = runs.repeats * kept + repeatShare;
@@ -262,15 +258,17 @@
 
   /** The needs of the route for a reply of this home, if they are news or due to be repeated. */
   needsForReply(route: string, nowMs: number): readonly CallNeed[] | undefined {
-    let report = this.reported.get(route);
+    let report = this.reported.peek(route);
     if (report === undefined || nowMs - report.computedMs >= NEEDS_VALIDITY_MS) {
       const needs = this.needsOfRuns(route, nowMs);
       if (needs === undefined) return undefined;
-      if (report === undefined) {
-        if (this.reported.size >= MAX_ROUTES) return undefined;
-        report = { needs, computedMs: nowMs, changedMs: nowMs, changedNeeds: needs, replies: 0 };
-        this.reported.set(route, report);
-      }
+      report = this.reported.use(route, () => ({
+        needs,
+        computedMs: nowMs,
+        changedMs: nowMs,
+        changedNeeds: needs,
+        replies: 0,
+      }));
       report.needs = needs;
       report.computedMs = nowMs;
       if (hasChanged(report.changedNeeds, needs)) {
--- a/packages/mesh/src/nested-call-estimator.ts
+++ b/packages/mesh/src/nested-call-estimator.ts
@@ -1,3 +1,5 @@
+import { RecentlyUsedMap } from './recently-used-map';
+
 /** Calls on one route that one run of another route makes. */
 export interface NestedCalls {
   readonly route: string;
@@ -8,7 +10,7 @@
 
 /** Maximum number of routes that are told apart at one target; the least used one is replaced. */
 const MAX_ROUTES = 12;
-/** Maximum number of routes that the target calls. */
+/** Maximum number of routes that the target calls; the least recently called one is replaced. */
 const MAX_CALLED_ROUTES = 16;
 /** Length of an observation; shorter than most runs, so that their mix differs between two. */
 const BIN_MS = 50;
@@ -72,7 +74,7 @@
 
   private readonly slots = new Map<string, number>();
 
-  private readonly called = new Map<string, CalledRoute>();
+  private readonly called = new RecentlyUsedMap<string, CalledRoute>(MAX_CALLED_ROUTES);
 
   private binStartMs: number | undefined;
 
@@ -105,21 +107,15 @@
   /** Records a call that the target makes. */
   recordCall(route: string, service: string, nowMs: number): void {
     this.advance(nowMs);
-    const key = `${route} ${service}`;
-    let called = this.called.get(key);
-    if (called === undefined) {
-      if (this.called.size >= MAX_CALLED_ROUTES) return;
-      called = {
-        route,
-        service,
-        callsInBin: 0,
-        observations: 0,
-        callsSquared: 0,
-        runProducts: new Float64Array(MAX_ROUTES * MAX_ROUTES),
-        callProducts: new Float64Array(MAX_ROUTES),
-      };
-      this.called.set(key, called);
-    }
+    const called = this.called.use(`${route} ${service}`, () => ({
+      route,
+      service,
+      callsInBin: 0,
+      observations: 0,
+      callsSquared: 0,
+      runProducts: new Float64Array(MAX_ROUTES * MAX_ROUTES),
+      callProducts: new Float64Array(MAX_ROUTES),
+    }));
     called.callsInBin += 1;
   }
 
--- a/packages/mesh/src/run-needs.ts
+++ b/packages/mesh/src/run-needs.ts
@@ -1,4 +1,5 @@
 import type { NestedCalls } from './nested-call-estimator';
+import { RecentlyUsedMap } from './recently-used-map';
 import type { RunCalls } from './run-calls';
 
 interface MeanCalls {
@@ -13,6 +14,8 @@
 
 /** Weight of the newest run in the moving averages, once there are as many runs. */
 const MIN_SAMPLE_WEIGHT = 0.02;
+/** A called route with fewer calls is forgotten. */
+const MIN_CALLS = 0.001;
 const MAX_ROUTES = 128;
 const MAX_CALLED_ROUTES = 16;
 
@@ -22,19 +25,15 @@
  * as the others say nothing of what a whole one needs.
  */
 export class RunNeeds {
-  private readonly routes = new Map<string, RouteRuns>();
+  private readonly routes = new RecentlyUsedMap<string, RouteRuns>(MAX_ROUTES);
 
   recordRun(route: string, calls: RunCalls): void {
-    let known = this.routes.get(route);
-    if (known === undefined) {
-      if (this.routes.size >= MAX_ROUTES) return;
-      known = { runs: 0, means: new Map() };
-      this.routes.set(route, known);
-    }
+    const known = this.routes.use(route, () => ({ runs: 0, means: new Map() }));
     known.runs += 1;
     const weight = Math.max(MIN_SAMPLE_WEIGHT, 1 / known.runs);
     for (const [calledRoute, mean] of known.means) {
       mean.calls += ((calls.get(calledRoute)?.calls ?? 0) - mean.calls) * weight;
+      if (mean.calls < MIN_CALLS) known.means.delete(calledRoute);
     }
     for (const [calledRoute, { service, calls: count }] of calls.entries()) {
       if (!known.means.has(calledRoute) && known.means.size < MAX_CALLED_ROUTES)
@@ -44,7 +43,7 @@
 
   /** Undefined until a run of the route was recorded. */
   callsOf(route: string): readonly NestedCalls[] | undefined {
-    const known = this.routes.get(route);
+    const known = this.routes.peek(route);
     return known && [...known.means].map(([name, mean]) => ({ route: name, ...mean }));
   }
 
--- a/packages/mesh/src/told-needs.ts
+++ b/packages/mesh/src/told-needs.ts
@@ -1,4 +1,5 @@
 import type { CallNeed } from './forwarded-call';
+import { RecentlyUsedMap } from './recently-used-map';
 import { ToldShortages, type Shortage, type ToldShortage } from './told-shortages';
 
 /** Weight of the newest report: the homes of a service differ in what they have observed. */
@@ -21,18 +22,13 @@
 /** What the runs of each route need of other services, as the homes of the route report it. */
 export class ToldNeeds {
   /** Mean calls of a run, by route and service. */
-  private readonly routes = new Map<string, Map<string, number>>();
+  private readonly routes = new RecentlyUsedMap<string, Map<string, number>>(MAX_ROUTES);
 
   private readonly shortages = new ToldShortages();
 
   record(route: string, needs: readonly CallNeed[], nowMs: number): void {
-    let known = this.routes.get(route);
-    const weight = known === undefined ? FIRST_WEIGHT : CALLS_WEIGHT;
-    if (known === undefined) {
-      if (this.routes.size >= MAX_ROUTES) return;
-      known = new Map();
-      this.routes.set(route, known);
-    }
+    const weight = this.routes.peek(route) === undefined ? FIRST_WEIGHT : CALLS_WEIGHT;
+    const known = this.routes.use(route, () => new Map());
     for (const { service, calls, refusedShare = 0, retryPace = 1 } of needs) {
       this.shortages.record(service, { refusedShare, retryPace }, nowMs);
       const before = known.get(service) ?? 0;
@@ -58,7 +54,7 @@
 
   /** Empty if nothing is known of the route. */
   needsOf(route: string, nowMs: number): readonly ToldNeed[] {
-    return [...(this.routes.get(route) ?? [])].map(([service, calls]) => ({
+    return [...(this.routes.peek(route) ?? [])].map(([service, calls]) => ({
       service,
       calls,
       ...this.shortages.of(service, nowMs),
