Acknowledge a departure once the store has it, and keep it there beyond the daemon's stop (DRAIN)

Cause: with a peer connected, the acknowledgement rested on the peers alone, and the store followed within 1.2 s; a stop of the daemon, or 18 s without it, removed the knowledge from the store.

Change: the record is written at once when a target leaves or drains, and the acknowledgement waits for it, 600 ms at most; then connected peers suffice, as the store is away, and without them the answer is 503. Ends that the target stated are also written, in the same transaction, under a key with a lease of its own, which a stop does not end.

Why this works: the store outlives all processes, and a process reads both keys before its target serves.

Calls to the store for a departure: one write before; the same write and one grant of a lease now. For the start of a process: one read before, two now.

--- a/packages/peering/src/record-codec.ts
+++ b/packages/peering/src/record-codec.ts
@@ -78,6 +78,19 @@
   }
 }
 
+/** Reads the departures of a daemon's targets, as the store has them; none if they are unreadable. */
+export function decodeDepartures(text: string): readonly EndedTarget[] {
+  if (text.length > MAX_TEXT_LENGTH) return [];
+  try {
+    return new FieldReader({ endedTargets: JSON.parse(text) as unknown }, 'departures')
+      .list('endedTargets', MAX_ENDED_TARGETS)
+      .map(readEndedTarget);
+  } catch (error) {
+    if (error instanceof UnreadableField || error instanceof SyntaxError) return [];
+    throw error;
+  }
+}
+
 /** Reads the record that the store has of a daemon. */
 export function decodeStoredRecord(text: string, daemonId: string): RecordReading {
   if (text.length > MAX_TEXT_LENGTH)
--- a/packages/sidecar/src/announcement-handler.ts
+++ b/packages/sidecar/src/announcement-handler.ts
@@ -21,8 +21,8 @@
   readonly onReplaced: (wasEndExpected: boolean) => void;
   /** Called when a message cannot be read. */
   readonly onRejected: () => void;
-  /** Resolves once another process knows the target's state, or cannot be told soon. */
-  readonly whenSpread: () => Promise<void>;
+  /** Resolves once another process knows the target's state; with false if none can be told soon. */
+  readonly whenSpread: () => Promise<boolean>;
   readonly log: EventLog;
   readonly clock: () => number;
 }
@@ -35,17 +35,27 @@
   return { status, text: JSON.stringify({ error }) };
 }
 
+const NOT_RECORDED = errorResponse(503, 'departure: not recorded yet');
+
 /** Handles announcements and deregistrations of the local target. */
 export class AnnouncementHandler {
   constructor(private readonly parts: AnnouncementHandlerParts) {}
 
   /** Acknowledges the end of a target once another process knows it, so that a restart keeps it. */
   handle(request: ControlRequest): ControlResponse | Promise<ControlResponse> {
-    const { target, whenSpread } = this.parts;
+    const { target } = this.parts;
     const { otherEndedCount } = target;
     const response = this.apply(request);
     const tellsEnd = target.isEndExpected || target.otherEndedCount !== otherEndedCount;
-    return tellsEnd ? whenSpread().then(() => response) : response;
+    return tellsEnd ? this.respondOnceSpread(response) : response;
+  }
+
+  private async respondOnceSpread(response: ControlResponse): Promise<ControlResponse> {
+    const { target, whenSpread, log } = this.parts;
+    if (await whenSpread()) return response;
+    const { targetId } = target.announcement ?? {};
+    log.decision('departure not acknowledged, as no other process knows it', { targetId });
+    return NOT_RECORDED;
   }
 
   private apply({ method, path, text }: ControlRequest): ControlResponse {
--- a/packages/sidecar/src/own-record.ts
+++ b/packages/sidecar/src/own-record.ts
@@ -1,5 +1,9 @@
 import type { AnnouncedTarget } from '@daisyferry/mesh/announced-target';
-import { MAX_RECORD_NUMBER, type DaemonRecord } from '@daisyferry/mesh/daemon-record';
+import {
+  MAX_RECORD_NUMBER,
+  type DaemonRecord,
+  type EndedTarget,
+} from '@daisyferry/mesh/daemon-record';
 import { SocketAddress } from '@daisyferry/mesh/socket-address';
 import type { DaemonEnvironment } from './daemon-environment';
 import { Emitter } from './emitter';
@@ -72,6 +76,11 @@
     this.changes.emit(this.record());
   }
 
+  /** Takes over which targets have ended while an earlier process of this daemon ran. */
+  restoreEnded(endedTargets: readonly EndedTarget[]): void {
+    if (this.target.restoreEnded(endedTargets, this.clock())) this.targetEnds.emit(undefined);
+  }
+
   publishLeaving(): void {
     this.isLeaving = true;
     this.publish();
@@ -84,8 +93,7 @@
   supersede(record: DaemonRecord): void {
     const { incarnation } = record;
     if (incarnation === this.incarnation) return;
-    if (this.target.restoreEnded(record.endedTargets ?? [], this.clock()))
-      this.targetEnds.emit(undefined);
+    this.restoreEnded(record.endedTargets ?? []);
     if (incarnation <= this.incarnation || incarnation >= MAX_RECORD_NUMBER) return;
     this.incarnation = incarnation + 1;
     this.publish();
--- a/packages/sidecar/src/record-spread.ts
+++ b/packages/sidecar/src/record-spread.ts
@@ -1,4 +1,4 @@
-import { setImmediate as nextIteration, setTimeout as delay } from 'node:timers/promises';
+import { setTimeout as delay } from 'node:timers/promises';
 
 export interface RecordSpreadParts {
   readonly isPeerConnected: () => boolean;
@@ -11,27 +11,26 @@
 
 /** Longest wait for the store; a target takes an acknowledgement within a second. */
 const MAX_WAIT_MS = 600;
-const CHECK_INTERVAL_MS = 20;
-/** Iterations of the event loop after which frames are written: one batches them, one writes. */
-const FLUSH_ITERATIONS = 2;
+const CHECK_INTERVAL_MS = 10;
 
 /**
- * Waits until another process knows this daemon's record, so that what it acknowledges outlives it:
- * connected peers, whose frames the system delivers even if this process is killed, or the store.
- * Without either, as for a daemon alone while the store is away, the wait ends all the same: the
- * target would leave without an acknowledgement otherwise.
+ * Waits until what this daemon is about to acknowledge outlives it: in the store, which holds it
+ * even if all daemons end at once. While the store is away, connected peers have to do, which were
+ * sent the record when it changed.
  */
 export class RecordSpread {
   constructor(private readonly parts: RecordSpreadParts) {}
 
-  async wait(): Promise<void> {
+  /** Resolves with false if no other process knows the record. */
+  async wait(): Promise<boolean> {
     const { isPeerConnected, isStored, writeNow, clock } = this.parts;
-    if (isPeerConnected()) {
-      for (let count = 0; count < FLUSH_ITERATIONS; count += 1) await nextIteration();
-      return;
-    }
+    if (isStored()) return true;
+    writeNow();
     const untilMs = clock() + MAX_WAIT_MS;
-    if (!isStored()) writeNow();
-    while (!isStored() && clock() < untilMs) await delay(CHECK_INTERVAL_MS);
+    while (clock() < untilMs) {
+      await delay(CHECK_INTERVAL_MS);
+      if (isStored()) return true;
+    }
+    return isPeerConnected();
   }
 }
--- a/packages/sidecar/src/registration.ts
+++ b/packages/sidecar/src/registration.ts
@@ -1,11 +1,21 @@
-import type { DaemonRecord } from '@daisyferry/mesh/daemon-record';
+import type { DaemonRecord, EndedTarget } from '@daisyferry/mesh/daemon-record';
 import type { RandomSource } from '@daisyferry/model/scheduler';
-import type { KeyValueStore } from '@daisyferry/store/key-value-store';
+import type { KeyValueStore, WriteOperation } from '@daisyferry/store/key-value-store';
 import type { EventLog } from './event-log';
 
 /** Prefix of the keys of the daemons' records. */
 export const DAEMON_PREFIX = 'daisyferry/daemons/';
 
+/**
+ * Prefix of the keys under which the departures of a daemon's targets are kept apart from its record,
+ * which ends with its lease or with a stop of the daemon.
+ */
+export const DEPARTURES_PREFIX = 'daisyferry/departures/';
+/** Time to live of departures: longer than a target goes on after it has left. */
+const DEPARTURES_LEASE_MS = 600_000;
+/** Age from which the lease of departures is not used for a further one. */
+const MAX_DEPARTURES_LEASE_AGE_MS = 300_000;
+
 /** Time to live of a record that its daemon no longer renews; longer if the store requires it. */
 export const LEASE_MS = 18_000;
 const MS_PER_SECOND = 1_000;
@@ -36,16 +46,30 @@
  */
 const MAX_EARLIER_RECORD_WAIT_MS = 2_500;
 
+/** What the store has of the earlier process; nothing if it has not told for some seconds. */
+export interface EarlierState {
+  readonly recordText: string | undefined;
+  readonly departuresText: string | undefined;
+}
+
+interface DeparturesLease {
+  readonly leaseId: string;
+  readonly grantedAtMs: number;
+}
+
+/** The departures that a target has stated, for the store; undefined without any. */
+function departuresTextOf({ endedTargets = [] }: DaemonRecord): string | undefined {
+  const stated = endedTargets.filter(({ isPresumed }: EndedTarget) => isPresumed !== true);
+  return stated.length === 0 ? undefined : JSON.stringify(stated);
+}
+
 export interface RegistrationParts {
   readonly store: KeyValueStore;
   /** Shortest lease that the store grants. */
   readonly minLeaseMs: number;
   readonly ownRecord: () => DaemonRecord;
-  /**
-   * Called with the record of the earlier process, if the store has one, or when it has not told for
-   * some seconds; it may be called again.
-   */
-  readonly onEarlierRecord: (text: string | undefined) => void;
+  /** Called with what the store has of the earlier process; it may be called again. */
+  readonly onEarlier: (earlier: EarlierState) => void;
   /** Called when a call had no response, as connections to the store may be unresponsive. */
   readonly onUnresponsiveStore: () => void;
   readonly log: EventLog;
@@ -59,6 +83,13 @@
 
   private storedRevision = -1;
 
+  private departuresLease: DeparturesLease | undefined;
+
+  private storedDeparturesText: string | undefined;
+
+  /** True from `writeNow` until the present record is stored. */
+  private isUrgent = false;
+
   /** True once the record of the earlier process was read, which the first write replaces. */
   private hasReadEarlier = false;
 
@@ -100,6 +131,7 @@
 
   /** Writes the record without further delay. */
   writeNow(): void {
+    this.isUrgent = true;
     if (this.hasReadEarlier) this.schedule(0);
   }
 
@@ -120,6 +152,7 @@
     if (!this.hasReadEarlier) return;
     this.storedRevision = -1;
     this.leaseId = undefined;
+    this.forgetStoredDepartures();
     this.lastWriteAtMs = Number.NEGATIVE_INFINITY;
     this.schedule(this.parts.random() * WRITE_JITTER_MS);
   }
@@ -139,7 +172,14 @@
     }
   }
 
+  /** Has the departures written again, under a new lease. */
+  private forgetStoredDepartures(): void {
+    this.storedDeparturesText = undefined;
+    this.departuresLease = undefined;
+  }
+
   private writeDelayMs(): number {
+    if (this.isUrgent) return 0;
     const { ownRecord, clock, random } = this.parts;
     const nowMs = clock();
     const isFirst = this.lastWriteAtMs === Number.NEGATIVE_INFINITY;
@@ -173,6 +213,7 @@
     } finally {
       this.isRunning = false;
       this.updateReachability(isRegistered);
+      if (this.isStored) this.isUrgent = false;
       if (!isRegistered) this.schedule(this.retryDelayMs());
       else this.schedule(this.isStored ? this.renewalDelayMs() : this.writeDelayMs());
     }
@@ -194,24 +235,34 @@
       }
       if (renewed.value.remainingSeconds > 0) return true;
       this.leaseId = undefined;
+      // The lease of the departures may have expired with it, as after a time without the store.
+      this.forgetStoredDepartures();
       log.stateChange('lease expired');
     }
     return (await this.ensureLease()) && this.writeRecord();
   }
 
   private async readEarlier(): Promise<boolean> {
-    const { store, ownRecord, onEarlierRecord, clock, log } = this.parts;
-    const key = `${DAEMON_PREFIX}${ownRecord().daemonId}`;
-    const read = await store.range({ key }, CALL_TIMEOUT_MS);
-    if (!read.ok) {
+    const { store, ownRecord, onEarlier, clock, log } = this.parts;
+    const { daemonId } = ownRecord();
+    const [record, departures] = await Promise.all(
+      [DAEMON_PREFIX, DEPARTURES_PREFIX].map((prefix) =>
+        store.range({ key: `${prefix}${daemonId}` }, CALL_TIMEOUT_MS),
+      ),
+    );
+    if (record?.ok !== true || departures?.ok !== true) {
       const isOverdue = clock() - this.startedAtMs >= MAX_EARLIER_RECORD_WAIT_MS;
-      if (isOverdue) onEarlierRecord(undefined);
+      if (isOverdue) onEarlier({ recordText: undefined, departuresText: undefined });
       return false;
     }
     this.hasReadEarlier = true;
-    const text = read.value.values[0]?.value;
-    log.stateChange('record of the earlier process read', { isPresent: text !== undefined });
-    onEarlierRecord(text);
+    const recordText = record.value.values[0]?.value;
+    const departuresText = departures.value.values[0]?.value;
+    log.stateChange('record of the earlier process read', {
+      isPresent: recordText !== undefined,
+      hasDepartures: departuresText !== undefined,
+    });
+    onEarlier({ recordText, departuresText });
     return true;
   }
 
@@ -224,19 +275,46 @@
     return true;
   }
 
+  private async ensureDeparturesLease(): Promise<string | undefined> {
+    const { store, minLeaseMs, clock } = this.parts;
+    const nowMs = clock();
+    const present = this.departuresLease;
+    if (present !== undefined && nowMs - present.grantedAtMs < MAX_DEPARTURES_LEASE_AGE_MS)
+      return present.leaseId;
+    const leaseMs = Math.max(DEPARTURES_LEASE_MS, minLeaseMs);
+    const granted = await store.grantLease(leaseMs / MS_PER_SECOND, CALL_TIMEOUT_MS);
+    if (!granted.ok) return undefined;
+    const { leaseId } = granted.value;
+    this.departuresLease = { leaseId, grantedAtMs: nowMs };
+    return leaseId;
+  }
+
   private async writeRecord(): Promise<boolean> {
     const { leaseId } = this;
     if (leaseId === undefined) return false;
     const record = this.parts.ownRecord();
     const key = `${DAEMON_PREFIX}${record.daemonId}`;
-    const put = { kind: 'put', key, value: JSON.stringify(record), leaseId } as const;
-    const written = await this.parts.store.transact([], [put], CALL_TIMEOUT_MS);
+    const writes: WriteOperation[] = [{ kind: 'put', key, value: JSON.stringify(record), leaseId }];
+    const departuresText = departuresTextOf(record);
+    if (departuresText !== undefined && departuresText !== this.storedDeparturesText) {
+      const departuresLeaseId = await this.ensureDeparturesLease();
+      if (departuresLeaseId === undefined) return false;
+      writes.push({
+        kind: 'put',
+        key: `${DEPARTURES_PREFIX}${record.daemonId}`,
+        value: departuresText,
+        leaseId: departuresLeaseId,
+      });
+    }
+    const written = await this.parts.store.transact([], writes, CALL_TIMEOUT_MS);
     if (!written.ok || !written.value.succeeded) {
-      // The lease may have expired; granting a new one costs only one call.
+      // A lease may have expired; granting new ones costs only a call each.
       this.leaseId = undefined;
+      this.forgetStoredDepartures();
       return false;
     }
     this.storedRevision = record.revision;
+    this.storedDeparturesText = departuresText;
     this.lastWriteAtMs = this.parts.clock();
     this.parts.log.stateChange('record stored', { revision: record.revision });
     return true;
--- a/packages/sidecar/src/wire-sidecar.ts
+++ b/packages/sidecar/src/wire-sidecar.ts
@@ -36,6 +36,7 @@
 import { TargetChooser } from '@daisyferry/mesh/target-chooser';
 import { decodeRecord, decodeShortage, encodeShortage } from '@daisyferry/peering/control-codec';
 import { FrameKind } from '@daisyferry/peering/frame';
+import { decodeDepartures } from '@daisyferry/peering/record-codec';
 import type { KeyValueStore } from '@daisyferry/store/key-value-store';
 import { AnnouncementHandler, type AnnouncementDecoder } from './announcement-handler';
 import type { ListenerLimits } from './caller-connection';
@@ -284,9 +285,10 @@
     store,
     minLeaseMs: environment.store.minLeaseMs,
     ownRecord: () => ownRecord.record(),
-    onEarlierRecord: (text) => {
-      const earlier = text === undefined ? undefined : decodeRecord(text);
+    onEarlier: ({ recordText, departuresText }) => {
+      const earlier = recordText === undefined ? undefined : decodeRecord(recordText);
       if (earlier !== undefined) ownRecord.supersede(earlier);
+      if (departuresText !== undefined) ownRecord.restoreEnded(decodeDepartures(departuresText));
       confirmTarget();
     },
     onUnresponsiveStore: platform.resetStoreConnections,
