Test that no answer with a status that is none reaches a caller (MIXED)

The operators' report: an upstream sent an answer whose status was 000, and the client got it as an answer. All of these tests pass without a change of the code.

--- a/packages/http1/tests/response-reader.test.ts
+++ b/packages/http1/tests/response-reader.test.ts
@@ -57,6 +57,31 @@
     },
   );
 
+  // Guards against an answer whose status is none being passed on (MIXED).
+  it.each([
+    'HTTP/1.1 000 ',
+    'HTTP/1.1 000 OK',
+    'HTTP/1.0 000 OK',
+    'HTTP/1.1 000',
+    'HTTP/1.1 001 OK',
+    'HTTP/1.1 099 OK',
+    'HTTP/1.1 20 OK',
+    'HTTP/1.1 0200 OK',
+    'HTTP/1.1 2e2 OK',
+    'HTTP/1.1 +20 OK',
+    'HTTP/1.1 -20 OK',
+    'HTTP/1.1  200 OK',
+    ' HTTP/1.1 200 OK',
+    'HTTP/1.1 200OK',
+    'HTTP/2.0 200 OK',
+    'HTTP/0.9 200 OK',
+    'http/1.1 200 OK',
+    'ICY 200 OK',
+  ])('rejects the status line %j', (line) => {
+    const reader = readerOf(`${line}\r\nContent-Length: 2\r\n\r\nok`);
+    expect(reader.next(false)).toMatchObject({ kind: 'invalid', detail: 'status line' });
+  });
+
   it('reads no body of a response to a HEAD request', () => {
     const reader = readerOf('HTTP/1.1 200 OK\r\nContent-Length: 500\r\n\r\n');
     expect(reader.next(true)).toMatchObject({ kind: 'response', response: { status: 200 } });
