--- a/packages/http1/src/response-reader.ts
+++ b/packages/http1/src/response-reader.ts
@@ -47,6 +47,13 @@
     return this.input.length + (this.body?.heldBytes ?? 0);
   }
 
+  /** Frees the memory of what was received, as the connection has ended. */
+  discard(): void {
+    this.input.consume((bytes) => bytes.length);
+    this.head = undefined;
+    this.body = undefined;
+  }
+
   /** Called when the server closed the connection without an error. */
   endOfInput(): void {
     this.body?.endOfInput();
--- a/packages/mesh/src/buffer-budget.ts
+++ b/packages/mesh/src/buffer-budget.ts
@@ -2,6 +2,11 @@
 const REQUEST_SHARE = 0.6;
 /** Share of the budget that one body may use. */
 const MAX_BODY_SHARE = 0.5;
+/**
+ * Bytes of bodies, held and left to the garbage collection, from which it has to run: the runtime
+ * starts it by itself only after some ten megabytes more, which a small process does not have.
+ */
+const MAX_UNCOLLECTED_SHARE = 1.25;
 
 /** What a held body is: a request may be refused, a response is the outcome of work that ran. */
 export const HeldBody = { request: 'request', response: 'response' } as const;
@@ -20,13 +25,21 @@
 }
 
 /**
- * Bounds the bytes of large bodies that a daemon holds at the same time. Load that it answers: many
- * uploads at once, callers and targets that read slowly, and responses without an end.
+ * Bounds the bytes of large bodies that a daemon holds at the same time, requests and responses
+ * together. Load that it answers: many uploads at once, callers and targets that read slowly, and
+ * responses without an end.
  */
 export class BufferBudget {
   private used = 0;
 
-  constructor(readonly capacityBytes: number) {}
+  /** Bytes of bodies that were copied or released since the last garbage collection asked for. */
+  private uncollected = 0;
+
+  /** `collect` runs a garbage collection; it takes some milliseconds. */
+  constructor(
+    readonly capacityBytes: number,
+    private readonly collect: () => void = () => undefined,
+  ) {}
 
   get usedBytes(): number {
     return this.used;
@@ -48,13 +61,23 @@
         if (isReleased || (growth > 0 && isTooLarge)) return false;
         heldBytes = bytes;
         this.used += growth;
+        // The bytes are copied from where they were received.
+        this.countUncollected(Math.max(0, growth));
         return true;
       },
       release: () => {
         isReleased = true;
         this.used -= heldBytes;
+        this.countUncollected(heldBytes);
         heldBytes = 0;
       },
     };
   }
+
+  private countUncollected(bytes: number): void {
+    this.uncollected += bytes;
+    if (this.used + this.uncollected <= this.capacityBytes * MAX_UNCOLLECTED_SHARE) return;
+    this.uncollected = 0;
+    this.collect();
+  }
 }
--- a/packages/mesh/tests/buffer-budget.test.ts
+++ b/packages/mesh/tests/buffer-budget.test.ts
@@ -38,4 +38,23 @@
       }),
     );
   });
+
+  // Guards against a small process that ends at its memory limit for bodies already dropped (LOST).
+  it('has the memory of dropped bodies collected before they exceed it with the held ones', () => {
+    let collections = 0;
+    const budget = new BufferBudget(100, () => {
+      collections += 1;
+    });
+    const held = budget.reserve(HeldBody.response);
+    held.resize(50);
+    for (let count = 0; count < 4; count += 1) {
+      const dropped = budget.reserve(HeldBody.response);
+      dropped.resize(10);
+      dropped.release();
+    }
+    // 50 are held; 50 were copied and 20 dropped with each further 10.
+    expect(collections).toBe(1);
+    held.release();
+    expect(collections).toBe(1);
+  });
 });
--- a/packages/sidecar/src/target-connection.ts
+++ b/packages/sidecar/src/target-connection.ts
@@ -143,6 +143,7 @@
   destroy(): void {
     this.isRetired = true;
     clearTimeout(this.connectTimer);
+    this.reader.discard();
     this.releaseReservation();
     this.socket.destroy();
   }
--- a/packages/sidecar/src/wire-sidecar.ts
+++ b/packages/sidecar/src/wire-sidecar.ts
@@ -127,7 +127,9 @@
   const target = new AnnouncedTarget(false);
   const bounds = new CurrentBounds(environment.bounds);
   const fleetSize = new RecentMaximum(FLEET_SIZE_WINDOW_MS);
-  const bufferBudget = new BufferBudget(environment.memoryLimitBytes * BUFFER_SHARE_OF_MEMORY);
+  const bufferBudget = new BufferBudget(environment.memoryLimitBytes * BUFFER_SHARE_OF_MEMORY, () =>
+    globalThis.gc?.(),
+  );
   const responseFieldNames: ResponseFieldNames = {
     requestId: headerNames.requestId.toLowerCase(),
     notRun: headerNames.notRun.toLowerCase(),
