Refuse calls during a stop that the longest of their route would not outlast (LOST)

Cause: a stopping home accepted calls as long as 1.5 times the mean time of the route fitted in. On a route with short and long calls, the long ones were broken off.

Change: a call that may run once only is accepted if the longest call of its route within the last half minute would still be answered; one whose deadline comes before the end always is. Calls that may be run again are accepted as before.

Why this works: what is refused has not run and goes to another home; what is accepted is finished.

--- a/packages/mesh/src/stop-plan.ts
+++ b/packages/mesh/src/stop-plan.ts
@@ -24,6 +24,18 @@
   readonly deadlineMs: number;
 }
 
+/** A call that a home may accept. */
+export interface StopCall {
+  /** Expected time until its answer. */
+  readonly expectedMs: number;
+  /** Expected wait and the time that a call like it has taken at most lately. */
+  readonly longestMs: number;
+  /** Time until its deadline. */
+  readonly remainingMs: number;
+  /** True if another home may run it once more, after it was broken off here. */
+  readonly isIdempotent: boolean;
+}
+
 interface StopTimes {
   readonly peerNoticeMs: number;
   readonly finishMs: number;
@@ -87,6 +99,10 @@
   /** By how much the last phases begin earlier, as the event loop is late. */
   private earlyMs = 0;
 
+  get hasBegun(): boolean {
+    return this.times !== undefined;
+  }
+
   /** The first call counts: neither a further signal nor other settings change a stop. */
   begin(graceMs: number, nowMs: number): void {
     this.times ??= timesOf(nowMs, graceMs);
@@ -138,14 +154,19 @@
     return readMs < times.finishMs || deadlineMs <= times.breakMs - times.maxEarlyMs;
   }
 
-  /** Whether the home may accept a call that is expected to take `expectedMs`. */
-  mayAcceptCall(expectedMs: number, nowMs: number): boolean {
+  /**
+   * Whether the home may accept a call, as it has its answer before work is broken off. Load that it
+   * answers: a route on which a few calls take many times the mean, which run once at most and have no
+   * other chance if they are broken off.
+   */
+  mayAcceptCall(call: StopCall, nowMs: number): boolean {
     const { times } = this;
     if (times === undefined) return true;
-    const breakMs = times.breakMs - times.maxEarlyMs;
-    return (
-      nowMs < times.refuseMs - this.earlyMs && nowMs + expectedMs * CALL_TIME_FACTOR <= breakMs
-    );
+    if (nowMs >= times.refuseMs - this.earlyMs) return false;
+    const leftMs = times.breakMs - times.maxEarlyMs - nowMs;
+    if (call.remainingMs <= leftMs) return true;
+    if (!call.isIdempotent && call.longestMs > leftMs) return false;
+    return call.expectedMs * CALL_TIME_FACTOR <= leftMs;
   }
 
   /** Time after which a caller that was refused for the stop finds a daemon again. */
--- a/packages/mesh/src/target-pace.ts
+++ b/packages/mesh/src/target-pace.ts
@@ -1,4 +1,5 @@
 import { PacedCall } from './paced-call';
+import { RecentMaximum } from './recent-maximum';
 import { WorkRatio } from './work-ratio';
 
 /** Time constant of the usual time of a route. */
@@ -6,9 +7,12 @@
 /** Number of calls by which a recent ratio counts half. */
 const PRIOR_CALLS = 4;
 const MAX_ROUTES = 1_024;
+/** Time for which the longest call of a route is remembered at least. */
+const LONGEST_WINDOW_MS = 30_000;
 
 interface RoutePace {
   usualMs: number;
+  readonly longest: RecentMaximum;
   ended: number;
   endedAtMs: number;
   readonly ratio: WorkRatio;
@@ -64,6 +68,14 @@
     return usualMs * ratio.value(PRIOR_CALLS * usualMs, this.slowdown(nowMs), nowMs);
   }
 
+  /** Time that a call of the route has taken at most lately, those in progress included. */
+  longestMs(route: string, nowMs: number): number {
+    let longestMs = this.routes.get(route)?.longest.value(nowMs) ?? 0;
+    for (const call of this.inProgress)
+      if (call.route === route) longestMs = Math.max(longestMs, nowMs - call.startedAtMs);
+    return longestMs;
+  }
+
   /** Mean usual time of the recent calls of all routes. */
   get callMs(): number {
     return this.recent.ended === 0 ? 0 : this.recent.workMs / this.recent.ended;
@@ -97,9 +109,12 @@
     if (pace === undefined) {
       if (this.routes.size >= MAX_ROUTES) this.routes.clear();
       const ratio = new WorkRatio();
-      this.routes.set(route, { usualMs: tookMs, ended: 1, endedAtMs: nowMs, ratio });
+      const longest = new RecentMaximum(LONGEST_WINDOW_MS);
+      longest.record(tookMs, nowMs);
+      this.routes.set(route, { usualMs: tookMs, longest, ended: 1, endedAtMs: nowMs, ratio });
       return;
     }
+    pace.longest.record(tookMs, nowMs);
     pace.ended += 1;
     const weight = 1 - Math.exp((pace.endedAtMs - nowMs) / USUAL_TIME_CONSTANT_MS);
     pace.usualMs += (tookMs - pace.usualMs) * Math.max(1 / pace.ended, weight);
--- a/packages/mesh/tests/stop-plan.test.ts
+++ b/packages/mesh/tests/stop-plan.test.ts
@@ -1,8 +1,13 @@
-import { StopPhase, StopPlan, type StopPhaseName } from '@daisyferry/mesh/stop-plan';
+import { StopPhase, StopPlan, type StopCall, type StopPhaseName } from '@daisyferry/mesh/stop-plan';
 import { describe, expect, it } from 'vitest';
 
 const STEP_MS = 10;
 
+/** A call on a route all of whose calls take the same time, of a caller who waits for long. */
+function callOf(expectedMs: number): StopCall {
+  return { expectedMs, longestMs: expectedMs, remainingMs: 1e9, isIdempotent: false };
+}
+
 /** Plays a stop that begins at 0; returns when each phase began. */
 function play(
   graceMs: number,
@@ -74,7 +79,7 @@
   it('accepts everything until it begins', () => {
     const plan = new StopPlan();
     expect(plan.mayPassOn({ readMs: 0, deadlineMs: 1e9 }, 0)).toBe(true);
-    expect(plan.mayAcceptCall(1e9, 0)).toBe(true);
+    expect(plan.mayAcceptCall(callOf(1e9), 0)).toBe(true);
   });
 
   it('passes on what callers send during the notice, which lasts for two readiness probes', () => {
@@ -104,13 +109,37 @@
     const { breaking, refusing } = play(GRACE_MS, () => true);
     for (let nowMs = 0; nowMs < GRACE_MS; nowMs += 50) {
       for (const expectedMs of [10, 500, 2_000, 4_000]) {
-        const isAccepted = plan.mayAcceptCall(expectedMs, nowMs);
+        const isAccepted = plan.mayAcceptCall(callOf(expectedMs), nowMs);
         if (isAccepted) expect(nowMs + expectedMs).toBeLessThan(breaking);
         if (nowMs + expectedMs * 2 < refusing) expect(isAccepted).toBe(true);
       }
     }
   });
 
+  // Guards against a stopping home that breaks off the long calls of a route of mostly short ones (LOST).
+  it('accepts no call that may run once only, of which the longest would be broken off', () => {
+    const plan = begun();
+    const { breaking } = play(GRACE_MS, () => true);
+    const call = { expectedMs: 760, longestMs: 3_600, remainingMs: 5_000, isIdempotent: false };
+    for (let nowMs = 0; nowMs < GRACE_MS; nowMs += 50) {
+      const isAccepted = plan.mayAcceptCall(call, nowMs);
+      if (isAccepted) expect(nowMs + call.longestMs).toBeLessThan(breaking);
+      if (nowMs + call.longestMs < breaking - 500) expect(isAccepted).toBe(true);
+      // Another home can run it once more.
+      const isReadAccepted = plan.mayAcceptCall({ ...call, isIdempotent: true }, nowMs);
+      expect(isReadAccepted).toBe(plan.mayAcceptCall(callOf(call.expectedMs), nowMs));
+    }
+  });
+
+  it('accepts a call whose deadline comes before work is broken off, however long it may take', () => {
+    const plan = begun();
+    const call = { expectedMs: 9_000, longestMs: 9_000, remainingMs: 800, isIdempotent: false };
+    expect([plan.mayAcceptCall(call, 3_000), plan.mayAcceptCall(call, 4_900)]).toEqual([
+      true,
+      false,
+    ]);
+  });
+
   it('tells refused callers to come back after its end', () => {
     const { breaking } = play(GRACE_MS, () => true);
     expect(begun().retryAfterMs(3_000)).toBeGreaterThan(breaking - 3_000);
--- a/packages/sidecar/src/home.ts
+++ b/packages/sidecar/src/home.ts
@@ -7,6 +7,7 @@
   TargetLoad,
 } from '@daisyferry/mesh/forwarded-call';
 import { CallRefusalReason } from '@daisyferry/mesh/forwarded-call';
+import type { StopCall } from '@daisyferry/mesh/stop-plan';
 import type { GateDecision } from '@daisyferry/mesh/suspect-gate';
 import type { ExecutionRecord } from '@daisyferry/mesh/execution-record';
 import type { TargetIncarnation, TargetNotice } from '@daisyferry/mesh/target-notice';
@@ -296,15 +297,18 @@
       return CallRefusalReason.notHere;
     }
     const mayAccept =
-      target.isServing && stopPlan.mayAcceptCall(this.expectedMs(call, nowMs), nowMs);
+      target.isServing &&
+      (!stopPlan.hasBegun || stopPlan.mayAcceptCall(this.stopCallOf(call, nowMs), nowMs));
     return mayAccept ? undefined : CallRefusalReason.leaving;
   }
 
-  /** Expected time until the answer to a call that arrives now. */
-  private expectedMs({ route }: ForwardedCall, nowMs: number): number {
+  /** What decides whether a call that arrives now is accepted during a stop. */
+  private stopCallOf({ route, remainingMs, isIdempotent }: ForwardedCall, nowMs: number): StopCall {
     const { queue, capacity } = this.parts;
+    const waitMs = queue.expectedWaitMs(nowMs);
     const serviceMs = capacity.pace.routeMs(route, nowMs) ?? queue.load().serviceMs;
-    return queue.expectedWaitMs(nowMs) + serviceMs;
+    const longestMs = waitMs + capacity.pace.longestMs(route, nowMs);
+    return { expectedMs: waitMs + serviceMs, longestMs, remainingMs, isIdempotent };
   }
 
   private openRecord(
