Keep a response until its caller's deadline, as slow progress cannot be seen (LOST)

Cause: ten seconds without progress closed the connection, and progress is only seen in what the system has not taken; it takes nothing while it empties its own buffer, of up to 4 MB.

Change: a response is kept until its caller's deadline, 300 s at most, unless the bodies held take more than half of their memory; ten seconds without progress count after that, as before.

Why this works: the caller waits until then, so that the connection is of use; the budget bounds what it costs. Deployments whose deadlines are below ten seconds are served as before.

--- a/packages/mesh/src/buffer-budget.ts
+++ b/packages/mesh/src/buffer-budget.ts
@@ -1,5 +1,7 @@
 /** Share of the budget that requests may use; the rest is kept for responses, which have run. */
 const REQUEST_SHARE = 0.6;
+/** Share of the budget from which its memory is scarce. */
+const SCARCE_SHARE = 0.5;
 /** Share of the budget that one body may use. */
 const MAX_BODY_SHARE = 0.5;
 /**
@@ -45,6 +47,11 @@
     return this.used;
   }
 
+  /** True while bodies that hardly move should give way to others. */
+  get isScarce(): boolean {
+    return this.used > this.capacityBytes * SCARCE_SHARE;
+  }
+
   get maxBodyBytes(): number {
     return this.capacityBytes * MAX_BODY_SHARE;
   }
--- a/packages/sidecar/src/caller-connection.ts
+++ b/packages/sidecar/src/caller-connection.ts
@@ -73,8 +73,14 @@
  * unread bytes would reset it, and the caller might lose the response.
  */
 const ENDED_READ_MS = 2_000;
-/** Time without progress after which a response that the caller does not read closes the connection. */
+/**
+ * Time without progress after which a response that the caller does not read closes the connection,
+ * unless the caller still waits for it: megabytes that the system holds hide the progress of a
+ * caller that reads slowly.
+ */
 const UNREAD_RESPONSE_TIMEOUT_MS = 10_000;
+/** Longest time for which a response is kept for a caller that waits for long. */
+const MAX_AWAITED_MS = 300_000;
 /** Bytes that are buffered while no further request is read. */
 const MAX_PIPELINED_BYTES = 65_536;
 /** Requests of one connection that are read before others get their turn. */
@@ -112,6 +118,9 @@
   /** The request whose response was written last. */
   private lastWritten: PipelinedRequest | undefined;
 
+  /** Time until which the callers of the written responses wait for them. */
+  private awaitedUntilMs = Number.NEGATIVE_INFINITY;
+
   /** Why this side closed the connection; undefined if the caller did. */
   private closeReason: CutReasonName | undefined;
 
@@ -194,7 +203,8 @@
     this.recordProgress(nowMs);
     const idleMs = nowMs - this.lastActivityAtMs;
     if (this.hasUnsentBytes) {
-      if (idleMs > UNREAD_RESPONSE_TIMEOUT_MS) this.close(CutReason.unread);
+      if (idleMs > UNREAD_RESPONSE_TIMEOUT_MS && !this.isResponseAwaited(nowMs))
+        this.close(CutReason.unread);
       return;
     }
     if (this.hasEnded) {
@@ -212,6 +222,11 @@
     }
   }
 
+  /** True while the caller may still read what is not sent, and the memory for it is not needed. */
+  private isResponseAwaited(nowMs: number): boolean {
+    return nowMs < this.awaitedUntilMs && !this.listener.parts.bufferBudget.isScarce;
+  }
+
   /** Closes the connection if handling what it has sent fails. */
   private attempt(handle: () => void): void {
     try {
@@ -270,6 +285,11 @@
     const { entry, response, closesConnection } = next;
     const isHead = entry.input.request?.head.method === 'HEAD';
     this.lastActivityAtMs = nowMs;
+    const deadlineMs = entry.call?.callerDeadlineMs ?? nowMs;
+    this.awaitedUntilMs = Math.max(
+      this.awaitedUntilMs,
+      Math.min(deadlineMs, nowMs + MAX_AWAITED_MS),
+    );
     if (entry.responseReservation !== undefined)
       this.unreadReservations.push(entry.responseReservation);
     writeBuffers(this.socket, encodeResponse(response, isHead, closesConnection));
--- a/packages/sidecar/src/entry.ts
+++ b/packages/sidecar/src/entry.ts
@@ -72,6 +72,8 @@
 
 /** A caller's request in progress. */
 export interface CancellableRequest {
+  /** Time until which the caller waits for its response. */
+  readonly callerDeadlineMs: number;
   /** Called when the caller has disconnected. */
   cancel(): void;
 }
@@ -209,6 +211,7 @@
     callerRequest.start(nowMs);
     if (this.activeRequests.size > 0) this.scheduleSweep();
     return {
+      callerDeadlineMs: readMs + callerTimeoutMs,
       cancel: () => {
         if (this.activeRequests.delete(callerRequest)) callerRequest.cancel(clock());
       },
--- a/packages/sidecar/tests/caller-connection.test.ts
+++ b/packages/sidecar/tests/caller-connection.test.ts
@@ -1,5 +1,5 @@
 import type { RequestMessage } from '@daisyferry/http1/message';
-import { BufferBudget } from '@daisyferry/mesh/buffer-budget';
+import { BufferBudget, HeldBody } from '@daisyferry/mesh/buffer-budget';
 import { CallerConnection } from '@daisyferry/sidecar/caller-connection';
 import type { Respond } from '@daisyferry/sidecar/entry';
 import { createConnection, createServer, type AddressInfo, type Socket } from 'node:net';
@@ -26,12 +26,18 @@
 
   const sockets: Socket[] = [];
 
+  /** How long the callers wait; undefined if requests are answered without being passed on. */
+  let callerDeadlineMs: number | undefined;
+  let bufferBudget: BufferBudget;
+
   const server = createServer((socket) => {
     sockets.push(socket);
     const parts = {
       handle: (request: RequestMessage, respond: Respond) => {
         requests.push({ request, respond });
-        return undefined;
+        return callerDeadlineMs === undefined
+          ? undefined
+          : { callerDeadlineMs, cancel: () => undefined };
       },
       mayRunAhead: () => true,
       limits: () => ({
@@ -40,7 +46,7 @@
         headerTimeoutMs: 1_000,
         idleTimeoutMs: 60_000,
       }),
-      bufferBudget: new BufferBudget(64_000_000),
+      bufferBudget,
       onProblem: () => undefined,
       failures: {
         report: (_origin: string, error: unknown) => {
@@ -68,6 +74,8 @@
   }
 
   beforeEach(async () => {
+    callerDeadlineMs = undefined;
+    bufferBudget = new BufferBudget(64_000_000);
     requests.length = 0;
     surplusStatuses.length = 0;
     received = '';
@@ -171,6 +179,35 @@
       expect(end).toBe('');
     });
 
+    // Guards against a slow but steady reader whose progress the system's buffers hide (LOST).
+    it('keeps it until the deadline of a caller that seems to read nothing', async () => {
+      callerDeadlineMs = 100_000;
+      await answerUnread(false);
+      await sleep(100);
+      for (let nowMs = 0; nowMs < callerDeadlineMs; nowMs += 500) connection?.checkTimeouts(nowMs);
+      caller.resume();
+      await vi.waitFor(() => expect(receivedBytes).toBeGreaterThan(body.length), 5_000);
+      expect(end).toBe('');
+    });
+
+    it.each([
+      { event: 'its caller waits no longer', deadlineMs: 20_000, heldBytes: 0, untilMs: 20_000 },
+      { event: 'the memory is needed', deadlineMs: 100_000, heldBytes: 1, untilMs: 10_001 },
+      { event: 'the deadline is very late', deadlineMs: 1e12, heldBytes: 0, untilMs: 300_000 },
+    ])('is reset once $event', async ({ deadlineMs, heldBytes, untilMs }) => {
+      callerDeadlineMs = deadlineMs;
+      await answerUnread(false);
+      await sleep(100);
+      connection?.checkTimeouts(0);
+      // The response itself takes half of the budget.
+      bufferBudget.reserve(HeldBody.response).resize(heldBytes);
+      connection?.checkTimeouts(untilMs - 1);
+      await sleep(50);
+      expect(sockets.at(-1)?.destroyed).toBe(false);
+      connection?.checkTimeouts(untilMs);
+      expect(sockets.at(-1)?.destroyed).toBe(true);
+    });
+
     it('keeps it when idle connections are closed', async () => {
       await answerUnread(false);
       connection?.closeIfIdle();
--- a/packages/sidecar/tests/pipelined-requests.test.ts
+++ b/packages/sidecar/tests/pipelined-requests.test.ts
@@ -83,6 +83,7 @@
         const entry = { path: request.head.target, readMs, respond, isCancelled: false };
         passedOn.push(entry);
         return {
+          callerDeadlineMs: readMs,
           cancel: () => {
             entry.isCancelled = true;
           },
