Refuse unreadable messages of a leaving target as such, also before its departure is recorded

Only an acknowledgement waits for the record and becomes 503 without it; a 400 or 404 was replaced as well, since the departure is acknowledged once the store has it. announcement-input.test.ts failed before the change.

--- a/packages/sidecar/src/announcement-handler.ts
+++ b/packages/sidecar/src/announcement-handler.ts
@@ -47,12 +47,12 @@
     const { otherEndedCount } = target;
     const response = this.apply(request);
     const tellsEnd = target.isEndExpected || target.otherEndedCount !== otherEndedCount;
-    return tellsEnd ? this.respondOnceSpread(response) : response;
+    return tellsEnd && response === OK ? this.acknowledgeOnceSpread() : response;
   }
 
-  private async respondOnceSpread(response: ControlResponse): Promise<ControlResponse> {
+  private async acknowledgeOnceSpread(): Promise<ControlResponse> {
     const { target, whenSpread, log } = this.parts;
-    if (await whenSpread()) return response;
+    if (await whenSpread()) return OK;
     const { targetId } = target.announcement ?? {};
     log.decision('departure not acknowledged, as no other process knows it', { targetId });
     return NOT_RECORDED;
