Keep what a target states of its end, whatever is believed of it (DRAIN)

Change: a statement that a target drains is recorded in any order; the oldest presumed end is forgotten first.

--- a/packages/mesh/src/announced-target.ts
+++ b/packages/mesh/src/announced-target.ts
@@ -183,8 +183,10 @@
    */
   applyAnnouncement(announcement: TargetAnnouncement, nowMs: number): AnnouncementResult {
     const objection = this.findObjection(announcement, nowMs);
-    if (objection !== undefined && !this.isRefuted(objection, announcement, nowMs))
+    if (objection !== undefined && !this.isRefuted(objection, announcement, nowMs)) {
+      if (announcement.isDraining) this.recordDraining(announcement);
       return { kind: 'stale', reason: objection.reason };
+    }
     const { present } = this;
     const wasServing = this.isServing;
     if (objection !== undefined) this.forgetEnd(announcement, nowMs);
@@ -202,7 +204,9 @@
     }
     this.isUnreachable = false;
     this.claim = undefined;
-    this.present = announcement;
+    // A late statement that the target drains has a lower number than the one before it.
+    const minSequence = isNewIncarnation || objection !== undefined ? 0 : present.sequence;
+    this.present = { ...announcement, sequence: Math.max(minSequence, announcement.sequence) };
     this.announcedAtMs = nowMs;
     const isChange =
       isNewIncarnation ||
@@ -273,6 +277,7 @@
     if (this.isDeregistered)
       return { reason: 'incarnation has left', minClaimMs: MIN_CLAIM_AGAINST_STATEMENT_MS };
     if (announcement.sequence <= present.sequence) {
+      if (announcement.isDraining && !present.isDraining) return undefined;
       return {
         reason: 'sequence number is not greater',
         minClaimMs: present.isDraining ? MIN_CLAIM_AGAINST_STATEMENT_MS : MIN_CLAIM_MS,
@@ -301,6 +306,15 @@
     return count >= MIN_CLAIM_ANNOUNCEMENTS && nowMs - claim.sinceMs >= minClaimMs;
   }
 
+  /** A target that drains does not serve again, so that this counts however late it arrives. */
+  private recordDraining({ targetId, bornUnixMs, sequence }: TargetAnnouncement): void {
+    if (this.isPresent({ targetId, bornUnixMs })) return;
+    this.recordEndedIncarnation(
+      { targetId, bornUnixMs, drainingSequence: sequence },
+      Number.POSITIVE_INFINITY,
+    );
+  }
+
   /** Forgets that the incarnation has ended, as it has refuted that. */
   private forgetEnd(announcement: TargetAnnouncement, nowMs: number): void {
     for (const ended of this.endsOf(announcement, nowMs))
@@ -347,6 +361,9 @@
     if (isKnown) return;
     this.endedIncarnations.push({ targetId, bornUnixMs, drainingSequence, isPresumed, untilMs });
     this.recordedCount += 1;
-    if (this.endedIncarnations.length > MAX_ENDED_INCARNATIONS) this.endedIncarnations.shift();
+    if (this.endedIncarnations.length <= MAX_ENDED_INCARNATIONS) return;
+    // What a target has stated is kept for longer than what was concluded.
+    const index = this.endedIncarnations.findIndex((known) => known.isPresumed === true);
+    this.endedIncarnations.splice(Math.max(0, index), 1);
   }
 }
--- a/packages/mesh/src/stop-plan.ts
+++ b/packages/mesh/src/stop-plan.ts
@@ -99,6 +99,7 @@
   /** By how much the last phases begin earlier, as the event loop is late. */
   private earlyMs = 0;
 
+  /** True from the request to stop on. */
   get hasBegun(): boolean {
     return this.times !== undefined;
   }
--- a/packages/mesh/tests/announced-target.test.ts
+++ b/packages/mesh/tests/announced-target.test.ts
@@ -308,6 +308,50 @@
       expect(target.endedTargets(nowMs).some(({ targetId }) => targetId === 'i-1')).toBe(false);
     });
 
+    // Guards against an acknowledged end that is not kept, as something else was believed (DRAIN).
+    it('has ended for good once it drains while another target is believed to be there', () => {
+      const target = new AnnouncedTarget();
+      target.applyAnnouncement(own(5), 0);
+      target.applyAnnouncement(foreign({}), 100);
+      const { otherEndedCount } = target;
+      expect(
+        target.applyAnnouncement(announcement({ sequence: 6, isDraining: true }), 200),
+      ).toEqual({
+        kind: 'stale',
+        reason: 'incarnation has ended',
+      });
+      expect(target.otherEndedCount).toBeGreaterThan(otherEndedCount);
+      for (const sequence of [3, 4, 5, 6])
+        expect(target.applyAnnouncement(own(sequence), sequence * 1_500).kind).toBe('stale');
+      expect(target.endedTargets(9_000)).toContainEqual({
+        targetId: 'i-1',
+        bornUnixMs: 1_000,
+        drainingSequence: 6,
+        isPresumed: undefined,
+      });
+    });
+
+    it('drains although a greater number was announced for it', () => {
+      const target = new AnnouncedTarget();
+      target.applyAnnouncement(announcement({ sequence: 2 ** 50 }), 0);
+      expect(
+        target.applyAnnouncement(announcement({ sequence: 6, isDraining: true }), 100),
+      ).toMatchObject({ kind: 'accepted', isChange: true });
+      expect([target.isServing, target.isEndExpected]).toEqual([false, true]);
+      expect(target.applyAnnouncement(own(7), 1_500).kind).toBe('stale');
+    });
+
+    it('is not forgotten for ends that were presumed, however many there are', () => {
+      const target = new AnnouncedTarget();
+      target.applyAnnouncement(own(5), 0);
+      target.deregister('i-1', 1_000);
+      for (let number = 0; number < 200; number += 1)
+        target.applyAnnouncement(foreign({ targetId: `x-${number}` }), 1);
+      const ended = target.endedTargets(2);
+      expect(ended.some(({ targetId }) => targetId === 'i-1')).toBe(true);
+      expect(ended.length).toBeLessThanOrEqual(64);
+    });
+
     it('states that it has returned, until it leaves again', () => {
       const target = new AnnouncedTarget();
       target.applyAnnouncement(own(5), 0);
--- a/packages/sidecar/src/announcement-handler.ts
+++ b/packages/sidecar/src/announcement-handler.ts
@@ -87,9 +87,11 @@
       return errorResponse(400, 'service: not known');
     }
     const wasEndExpected = target.isEndExpected;
+    const { otherEndedCount } = target;
     const result = target.applyAnnouncement(announcement, clock());
     if (result.kind === 'stale') {
       log.decision('stale announcement ignored', { targetId, reason: result.reason });
+      if (target.otherEndedCount !== otherEndedCount) onChange(target.isServing);
       return OK;
     }
     if (result.isChange) {
