Bound the wait for the log at the end of a process

Cause: the last lines were written synchronously, which is tried without end while the output takes nothing.

--- a/packages/sidecar/src/sidecar-lifecycle.ts
+++ b/packages/sidecar/src/sidecar-lifecycle.ts
@@ -127,8 +127,20 @@
   }
 
   /** Logs why the process ends, before it does. */
-  recordProcessEnd(cause: string, fields: Readonly<Record<string, unknown>> = {}): void {
-    this.parts.log.processEnd(cause, { state: this.state, ...fields });
+  async recordProcessEnd(
+    cause: string,
+    fields: Readonly<Record<string, unknown>> = {},
+  ): Promise<void> {
+    const { log } = this.parts;
+    log.processEnd(cause, { state: this.state, ...fields });
+    await log.drain();
+  }
+
+  /** Logs an error that ends the process as soon as this returns. */
+  recordFatalError(fields: Readonly<Record<string, unknown>>): void {
+    const { log } = this.parts;
+    log.processEnd('uncaught error', { state: this.state, ...fields });
+    log.flushSync();
   }
 
   /** Applies the bounds of a settings file that was read again; the rest needs a restart. */
@@ -196,7 +208,7 @@
     clearInterval(this.flushTimer);
     this.logStop('stopped');
     this.setState(LifecycleState.stopped);
-    this.parts.log.flushSync();
+    this.parts.log.flush();
   }
 
   /**
