--- a/packages/sidecar/tests/record-exchange.test.ts
+++ b/packages/sidecar/tests/record-exchange.test.ts
@@ -33,6 +33,8 @@
 
   readonly directory = new FleetDirectory();
 
+  readonly targetNotices = new TargetNoticeTable();
+
   private readonly peers: readonly ConnectedPeer[] = ['a', 'b'].map((daemonId) => ({
     daemonId,
     sender: { sendControl: (kind) => this.sent.push({ to: daemonId, kind }) },
@@ -40,7 +42,7 @@
 
   readonly records = new RecordExchange({
     directory: this.directory,
-    targetNotices: new TargetNoticeTable(),
+    targetNotices: this.targetNotices,
     ownRecord: {
       daemonId: 'own',
       record: () => record('own'),
@@ -144,4 +146,23 @@
     exchange.records.reportSnapshot();
     expect(exchange.sent).toEqual([{ to: 'b', kind: FrameKind.snapshot }]);
   });
+
+  // Guards against a target that entries never use again after one wrong message (RECOVER).
+  it('takes a departure back once the daemon of the target states that it was refuted', () => {
+    const exchange = new Exchange();
+    const target = { targetId: 'i', service: 's', bornUnixMs: 1, slots: 4, coldMs: 0 };
+    const incarnation = { targetId: 'i', bornUnixMs: 1 };
+    exchange.targetNotices.record(incarnation, { ratePerS: 5, isLeaving: false });
+    const left = { ...target, isServing: false, isLeaving: true };
+    exchange.receive(FrameKind.record, record('far', { target: left }));
+    expect(exchange.targetNotices.isLeaving(incarnation)).toBe(true);
+    // A restarted daemon that knows nothing of the departure does not take it back.
+    const forgotten = { ...target, isServing: true };
+    exchange.receive(FrameKind.record, record('far', { revision: 2, target: forgotten }));
+    expect(exchange.targetNotices.isLeaving(incarnation)).toBe(true);
+    const returned = { ...forgotten, isLeaving: false };
+    exchange.receive(FrameKind.record, record('far', { revision: 3, target: returned }));
+    expect(exchange.targetNotices.isLeaving(incarnation)).toBe(false);
+    expect(exchange.targetNotices.ratePerS(incarnation)).toBe(5);
+  });
 });
