Keep the last size of the fleet after a long pause, as before

Since, RecentMaximum forgot its value after two windows without a record, so that a fleet that had shrunk counted at once where nobody had asked for a minute, and the retries beyond the share were divided among fewer daemons.

--- a/packages/mesh/src/recent-maximum.ts
+++ b/packages/mesh/src/recent-maximum.ts
@@ -10,22 +10,19 @@
 
   /** Records a value and returns the maximum. */
   record(value: number, nowMs: number): number {
-    this.advance(nowMs);
+    if (nowMs - this.windowStartMs >= this.windowMs) {
+      this.previous = this.present;
+      this.present = 0;
+      this.windowStartMs = nowMs;
+    }
     this.present = Math.max(this.present, value);
     return Math.max(this.present, this.previous);
   }
 
-  /** The maximum, 0 without a value. */
+  /** The maximum, 0 if nothing was recorded within the time. */
   value(nowMs: number): number {
-    this.advance(nowMs);
-    return Math.max(this.present, this.previous);
-  }
-
-  private advance(nowMs: number): void {
     const passedMs = nowMs - this.windowStartMs;
-    if (passedMs < this.windowMs) return;
-    this.previous = passedMs < 2 * this.windowMs ? this.present : 0;
-    this.present = 0;
-    this.windowStartMs = nowMs;
+    if (passedMs < this.windowMs) return Math.max(this.present, this.previous);
+    return passedMs < 2 * this.windowMs ? this.present : 0;
   }
 }
