Refuse a call that a stopping home is not expected to answer, also if its deadline is near

Since, a call whose deadline came before the end of the stop was accepted even if its wait for a slot was expected to be longer; it would have been refused at its deadline, where another home could have answered it. The deadline now only counts in place of the longest call of the route, and the expected time decides as before.

--- a/packages/mesh/src/stop-plan.ts
+++ b/packages/mesh/src/stop-plan.ts
@@ -165,8 +165,8 @@
     if (times === undefined) return true;
     if (nowMs >= times.refuseMs - this.earlyMs) return false;
     const leftMs = times.breakMs - times.maxEarlyMs - nowMs;
-    if (call.remainingMs <= leftMs) return true;
-    if (!call.isIdempotent && call.longestMs > leftMs) return false;
+    const latestMs = Math.min(call.longestMs, call.remainingMs);
+    if (!call.isIdempotent && latestMs > leftMs) return false;
     return call.expectedMs * CALL_TIME_FACTOR <= leftMs;
   }
 
--- a/packages/mesh/tests/stop-plan.test.ts
+++ b/packages/mesh/tests/stop-plan.test.ts
@@ -131,13 +131,13 @@
     }
   });
 
-  it('accepts a call whose deadline comes before work is broken off, however long it may take', () => {
+  it('accepts a call whose deadline comes before work is broken off, however long some take', () => {
     const plan = begun();
-    const call = { expectedMs: 9_000, longestMs: 9_000, remainingMs: 800, isIdempotent: false };
-    expect([plan.mayAcceptCall(call, 3_000), plan.mayAcceptCall(call, 4_900)]).toEqual([
-      true,
-      false,
-    ]);
+    const call = { expectedMs: 300, longestMs: 9_000, remainingMs: 800, isIdempotent: false };
+    const isAccepted = [3_000, 4_500].map((nowMs) => plan.mayAcceptCall(call, nowMs));
+    expect(isAccepted).toEqual([true, false]);
+    // Another home may answer it in time.
+    expect(plan.mayAcceptCall({ ...call, expectedMs: 9_000 }, 3_000)).toBe(false);
   });
 
   it('tells refused callers to come back after its end', () => {
