--- a/review/lib-3/fleet.mjs
+++ b/review/lib-3/fleet.mjs
@@ -6,6 +6,7 @@
 
 const PORT_NAMES = ['app', 'inbound', 'outbound', 'ready', 'control', 'internal'];
 const READY_MS = 15_000;
+const ZONES = ['white-mountains', 'green-ridge'];
 export const HOST = 'hulo84.example';
 export const READ_PATH = '/leny950/';
 export const WRITE_PATH = '/puka111/';
@@ -40,7 +41,12 @@
 }
 
 /** A small deployment: the store, and machines with a daemon, an upstream and a client each. */
-export async function startFleet({ record, temporary, ends }, size, upstreamOptions = {}) {
+export async function startFleet(
+  { record, temporary, ends },
+  size,
+  upstreamOptions = {},
+  zones = ZONES,
+) {
   const network = loopbackNetwork();
   const store = new Store(record);
   await store.listen(`${network}.250`);
@@ -50,7 +56,7 @@
   for (let index = 1; index <= size; index += 1) {
     const ip = `${network}.${index}`;
     const ports = await freePorts(ip, PORT_NAMES);
-    const zone = index % 2 === 1 ? 'white-mountains' : 'green-ridge';
+    const zone = zones[(index - 1) % zones.length];
     const name = `sidecar-${zone}-${index}`;
     const storeAddress = store.address;
     const options = { name, ip, ports, zone, service: SERVICE, storeAddress };
