--- a/review/lib-3/caller.mjs
+++ b/review/lib-3/caller.mjs
@@ -25,9 +25,9 @@
     this.requests.push(entry);
     record.add('send', { id, method, path, at: daemon.name });
     return new Promise((resolve) => {
-      const done = (status, body) => {
+      const done = (status, body, headers = {}) => {
         if (entry.endMs !== undefined) return;
-        Object.assign(entry, { status, body, endMs: record.nowMs() });
+        Object.assign(entry, { status, body, headers, endMs: record.nowMs() });
         record.add('answer', { id, status });
         resolve(entry);
       };
@@ -43,7 +43,9 @@
         (response) => {
           const chunks = [];
           response.on('data', (chunk) => chunks.push(chunk));
-          response.on('end', () => done(response.statusCode, Buffer.concat(chunks)));
+          response.on('end', () =>
+            done(response.statusCode, Buffer.concat(chunks), response.headers),
+          );
           response.on('error', () => done(0));
         },
       );
--- a/review/lib-3/upstream.mjs
+++ b/review/lib-3/upstream.mjs
@@ -19,6 +19,9 @@
 
   running = 0;
 
+  /** Status with which it answers this share of the requests that it has run; undefined for none. */
+  failure = undefined;
+
   /** Requests that it has begun to run: id, method, time. */
   runs = [];
 
@@ -107,12 +110,17 @@
         return;
       }
       this.running += 1;
-      this.runs.push({ id, method: request.method, atMs: this.record.nowMs() });
-      this.record.add('run', { upstream: this.id, id, method: request.method });
+      this.runs.push({ id, method: request.method, path: request.url, atMs: this.record.nowMs() });
+      this.record.add('run', { upstream: this.id, id, method: request.method, path: request.url });
       setTimeout(() => {
         this.running -= 1;
         const body = answerBody(id, this.answerBytes);
         const headers = { 'X-Request-Id': id, 'X-Server-Signature': `signed.${this.id}` };
+        if (this.failure !== undefined && Math.random() < this.failure.share) {
+          this.record.add('run-failed', { upstream: this.id, id, status: this.failure.status });
+          response.writeHead(this.failure.status, { ...headers, 'Content-Length': 0 }).end();
+          return;
+        }
         if (request.url.includes(UNFRAMED)) this.#answerUnframed(response, headers, body);
         else response.writeHead(200, { ...headers, 'Content-Length': body.length }).end(body);
       }, this.workMs);
