Acknowledge a departure only once the store has it

A late heartbeat of the time before made the target serve: 232 requests ran there 6.5 to 14 s after the acknowledgement.

Cause: without the store, the acknowledgement went out as soon as a peer was connected. All processes may end at once, and nothing else keeps the departure. Evidence: the record of the case shows 200 for the DELETE 0.6 s after it, and the first log of the new process that the record in the store is from before it.

Now DELETE and draining wait for the store for 0.8 s and are answered 503 otherwise, so that nothing is bound; peers are told all the same. The target asks again, and the departure is stored once the store is back.

--- a/packages/sidecar/src/announcement-handler.ts
+++ b/packages/sidecar/src/announcement-handler.ts
@@ -21,8 +21,10 @@
   readonly onReplaced: (wasEndExpected: boolean) => void;
   /** Called when a message cannot be read. */
   readonly onRejected: () => void;
-  /** Resolves once another process knows the target's state; with false if none can be told soon. */
-  readonly whenSpread: () => Promise<boolean>;
+  /** Resolves once the store has the target's state; with false if it does not take it soon. */
+  readonly whenStored: () => Promise<boolean>;
+  /** Resolves once the store or another process has it; with false if neither can be told soon. */
+  readonly whenKnown: () => Promise<boolean>;
   readonly log: EventLog;
   readonly clock: () => number;
 }
@@ -37,34 +39,51 @@
 
 const NOT_RECORDED = errorResponse(503, 'departure: not recorded yet');
 
+type Applied =
+  | {
+      readonly kind: 'applied';
+      /** True if the target states that it drains or has left. */
+      readonly statesEnd: boolean;
+    }
+  | { readonly kind: 'refused'; readonly response: ControlResponse };
+
+function refused(status: number, error: string): Applied {
+  return { kind: 'refused', response: errorResponse(status, error) };
+}
+
 /** Handles announcements and deregistrations of the local target. */
 export class AnnouncementHandler {
   constructor(private readonly parts: AnnouncementHandlerParts) {}
 
-  /** Acknowledges the end of a target once another process knows it, so that a restart keeps it. */
+  /**
+   * Acknowledges a departure once the store has it: connected peers and this daemon may all end
+   * while the store is away. An end that the message does not state is only kept if possible.
+   */
   handle(request: ControlRequest): ControlResponse | Promise<ControlResponse> {
-    const { target } = this.parts;
+    const { target, whenStored, whenKnown } = this.parts;
     const { otherEndedCount } = target;
-    const response = this.apply(request);
-    const tellsEnd = target.isEndExpected || target.otherEndedCount !== otherEndedCount;
-    return tellsEnd && response === OK ? this.acknowledgeOnceSpread() : response;
+    const applied = this.apply(request);
+    if (applied.kind === 'refused') return applied.response;
+    if (applied.statesEnd) return this.acknowledgeOnce(whenStored());
+    const impliesEnd = target.isEndExpected || target.otherEndedCount !== otherEndedCount;
+    return impliesEnd ? this.acknowledgeOnce(whenKnown()) : OK;
   }
 
-  private async acknowledgeOnceSpread(): Promise<ControlResponse> {
-    const { target, whenSpread, log } = this.parts;
-    if (await whenSpread()) return OK;
+  private async acknowledgeOnce(recorded: Promise<boolean>): Promise<ControlResponse> {
+    if (await recorded) return OK;
+    const { target, log } = this.parts;
     const { targetId } = target.announcement ?? {};
-    log.decision('departure not acknowledged, as no other process knows it', { targetId });
+    log.decision('end of a target not acknowledged, as it is not recorded', { targetId });
     return NOT_RECORDED;
   }
 
-  private apply({ method, path, text }: ControlRequest): ControlResponse {
+  private apply({ method, path, text }: ControlRequest): Applied {
     try {
       const targetId = this.parts.decoder.targetIdOfPath(path);
-      if (targetId === undefined) return errorResponse(404, 'path: not known here');
+      if (targetId === undefined) return refused(404, 'path: not known here');
       if (method === 'PUT') return this.announce(targetId, text);
       if (method === 'DELETE') return this.deregister(targetId, text);
-      return errorResponse(405, 'method: PUT or DELETE expected');
+      return refused(405, 'method: PUT or DELETE expected');
     } catch (error) {
       if (!this.parts.decoder.isDecodeError(error)) throw error;
       this.parts.onRejected();
@@ -72,11 +91,11 @@
         path: path.slice(0, MAX_LOGGED_PATH_LENGTH),
         error: String(error),
       });
-      return errorResponse(400, String(error));
+      return refused(400, String(error));
     }
   }
 
-  private announce(targetId: string, text: string): ControlResponse {
+  private announce(targetId: string, text: string): Applied {
     const { target, decoder, isKnownService, onChange, onReplaced, log, clock } = this.parts;
     const announcement = decoder.decodeAnnouncement(targetId, text);
     if (!isKnownService(announcement.service)) {
@@ -84,15 +103,16 @@
         targetId,
         service: announcement.service,
       });
-      return errorResponse(400, 'service: not known');
+      return refused(400, 'service: not known');
     }
+    const applied: Applied = { kind: 'applied', statesEnd: announcement.isDraining };
     const wasEndExpected = target.isEndExpected;
     const { otherEndedCount } = target;
     const result = target.applyAnnouncement(announcement, clock());
     if (result.kind === 'stale') {
       log.decision('stale announcement ignored', { targetId, reason: result.reason });
       if (target.otherEndedCount !== otherEndedCount) onChange(target.isServing);
-      return OK;
+      return applied;
     }
     if (result.isChange) {
       const { service, sequence, bornUnixMs, slots, coldMs } = announcement;
@@ -102,10 +122,10 @@
       if (result.isNewIncarnation) onReplaced(wasEndExpected);
       onChange(isServing);
     }
-    return OK;
+    return applied;
   }
 
-  private deregister(targetId: string, text: string): ControlResponse {
+  private deregister(targetId: string, text: string): Applied {
     const { target, decoder, onChange, log } = this.parts;
     const { isEndExpected, otherEndedCount } = target;
     const isChange = target.deregister(targetId, decoder.decodeDeregistrationBornUnixMs(text));
@@ -113,6 +133,6 @@
     const isNews =
       target.isEndExpected !== isEndExpected || target.otherEndedCount !== otherEndedCount;
     if (isChange || isNews) onChange(target.isServing);
-    return OK;
+    return { kind: 'applied', statesEnd: true };
   }
 }
--- a/packages/sidecar/src/record-spread.ts
+++ b/packages/sidecar/src/record-spread.ts
@@ -10,20 +10,19 @@
 }
 
 /** Longest wait for the store; a target takes an acknowledgement within a second. */
-const MAX_WAIT_MS = 600;
+const MAX_WAIT_MS = 800;
 const CHECK_INTERVAL_MS = 10;
 
-/**
- * Waits until what this daemon is about to acknowledge outlives it: in the store, which holds it
- * even if all daemons end at once. While the store is away, connected peers have to do, which were
- * sent the record when it changed.
- */
+/** Waits until this daemon's record is known outside of its process. */
 export class RecordSpread {
   constructor(private readonly parts: RecordSpreadParts) {}
 
-  /** Resolves with false if no other process knows the record. */
-  async wait(): Promise<boolean> {
-    const { isPeerConnected, isStored, writeNow, clock } = this.parts;
+  /**
+   * Resolves once the store has the record, which it holds even if all daemons end at once; with
+   * false if the store does not take it in time.
+   */
+  async whenStored(): Promise<boolean> {
+    const { isStored, writeNow, clock } = this.parts;
     if (isStored()) return true;
     writeNow();
     const untilMs = clock() + MAX_WAIT_MS;
@@ -31,6 +30,14 @@
       await delay(CHECK_INTERVAL_MS);
       if (isStored()) return true;
     }
-    return isPeerConnected();
+    return false;
+  }
+
+  /**
+   * Resolves like `whenStored`. Where the store does not take the record in time, connected peers
+   * suffice, which were sent it when it changed.
+   */
+  async whenKnown(): Promise<boolean> {
+    return (await this.whenStored()) || this.parts.isPeerConnected();
   }
 }
--- a/packages/sidecar/src/wire-sidecar.ts
+++ b/packages/sidecar/src/wire-sidecar.ts
@@ -429,7 +429,8 @@
     onReplaced: (wasEndExpected) => home.forgetTarget(wasEndExpected),
     onRejected: () => metrics.countRejectedInput('announcement'),
     onChange: publishTarget,
-    whenSpread: () => recordSpread.wait(),
+    whenStored: () => recordSpread.whenStored(),
+    whenKnown: () => recordSpread.whenKnown(),
     log,
     clock,
   });
