Record each departure that is acknowledged, also one that ends no serving

DELETE with another start time than that of the present incarnation was acknowledged and not recorded at all.

--- a/packages/mesh/src/announced-target.ts
+++ b/packages/mesh/src/announced-target.ts
@@ -244,17 +244,13 @@
 
   /**
    * Handles a target's deregistration. Returns true if it ended the serving of the current target.
-   * Another target id is recorded as ended; another known start time of the current id is ignored.
+   * Another incarnation is recorded as ended.
    */
   deregister(targetId: string, bornUnixMs: number | undefined): boolean {
-    const { present } = this;
-    if (present === undefined || present.targetId !== targetId) {
+    if (!this.isPresent({ targetId, bornUnixMs })) {
       this.recordEndedIncarnation({ targetId, bornUnixMs }, Number.POSITIVE_INFINITY);
       return false;
     }
-    if (bornUnixMs !== undefined && present.bornUnixMs !== undefined) {
-      if (bornUnixMs !== present.bornUnixMs) return false;
-    }
     const wasServing = this.isServing;
     this.isDeregistered = true;
     return wasServing;
--- a/packages/mesh/tests/announced-target.test.ts
+++ b/packages/mesh/tests/announced-target.test.ts
@@ -174,6 +174,19 @@
       ]);
     });
 
+    it.each([900, 1_500])(
+      'ignores late announcements of the start at %i that has left under the id of the present one',
+      (bornUnixMs) => {
+        const earlier = new AnnouncedTarget();
+        earlier.applyAnnouncement(announcement(), 0);
+        earlier.deregister('i-1', bornUnixMs);
+        const target = restarted(earlier);
+        expect(target.applyAnnouncement(announcement({ bornUnixMs }), 1).kind).toBe('stale');
+        target.applyAnnouncement(announcement(), 2);
+        expect(target.isServing).toBe(true);
+      },
+    );
+
     it.each([
       ['has left', (target: AnnouncedTarget) => target.deregister('i-1', undefined)],
       ['states that it leaves', (target: AnnouncedTarget) => target.markLeaving()],
--- a/packages/sidecar/src/announcement-handler.ts
+++ b/packages/sidecar/src/announcement-handler.ts
@@ -114,7 +114,8 @@
       if (target.otherEndedCount !== otherEndedCount) onChange(target.isServing);
       return applied;
     }
-    if (result.isChange) {
+    // A target that does not serve, as it does not respond, may state its departure, too.
+    if (result.isChange || target.isEndExpected !== wasEndExpected) {
       const { service, sequence, bornUnixMs, slots, coldMs } = announcement;
       const { isServing } = target;
       const fields = { targetId, service, sequence, bornUnixMs, slots, coldMs, isServing };
