Read an ended connection on until its callers have their responses

The system holds up to megabytes for a slow reader. Once the socket is closed, the reader's next request is answered by a reset, and with it all that is still on the way is lost.

Now this side ends, and what arrives is read and dropped until the caller ends its side, or its deadline has passed; without a known deadline, for the operator's idle timeout. The same holds after a refusal (400, 408, 413, 431), for idle connections that a stop ends, and for those that are idle for too long. Which connection gives way where there are too many is as before.

--- a/packages/sidecar/src/caller-connection.ts
+++ b/packages/sidecar/src/caller-connection.ts
@@ -2,6 +2,7 @@
 import type { RequestMessage } from '@daisyferry/http1/message';
 import type { ResponseParts } from '@daisyferry/http1/message-writer';
 import { encodeResponse } from '@daisyferry/http1/message-writer';
+import { AwaitedResponses } from '@daisyferry/mesh/awaited-responses';
 import type { ConnectionUse } from '@daisyferry/mesh/connection-choice';
 import type { MemoryHolder } from '@daisyferry/mesh/memory-reclaim';
 import type { Socket } from 'node:net';
@@ -30,19 +31,14 @@
 
 /** Response to a request that was answered, where there is no memory for the answer. */
 const NO_MEMORY_RESPONSE = daemonResponse(DaemonResponseReason.outcomeUnknown, 0);
-/**
- * Time for which bytes are read and dropped after the last response: closing the connection with
- * unread bytes would reset it, and the caller might lose the response.
- */
-const ENDED_READ_MS = 2_000;
+/** Shortest time for which a connection is read after its end, as some responses are late. */
+const MIN_ENDED_READ_MS = 2_000;
 /**
  * Time without progress after which a response that the caller does not read closes the connection,
  * unless the caller still waits for it: megabytes that the system holds hide the progress of a
  * caller that reads slowly.
  */
 const UNREAD_RESPONSE_TIMEOUT_MS = 10_000;
-/** Longest time for which a response is kept for a caller that waits for long. */
-const MAX_AWAITED_MS = 300_000;
 /** Bytes that are buffered while no further request is read. */
 const MAX_PIPELINED_BYTES = 65_536;
 /** Requests of one connection that are read before others get their turn. */
@@ -79,8 +75,7 @@
   /** The request whose response was written last. */
   private lastWritten: PipelinedRequest | undefined;
 
-  /** Time until which the callers of the written responses wait for them. */
-  private awaitedUntilMs = Number.NEGATIVE_INFINITY;
+  private readonly awaited = new AwaitedResponses();
 
   /** Why this side closed the connection; undefined if the caller did. */
   private closeReason: CutReasonName | undefined;
@@ -111,10 +106,10 @@
     );
   }
 
-  /** Closes the connection if it is idle between two requests and has sent all responses. */
-  closeIfIdle(): void {
+  /** Ends the connection if it is idle between two requests and has sent all responses. */
+  endIfIdle(): void {
     if (!this.pipeline.isEmpty || this.hasEnded || this.hasUnsentBytes) return;
-    if (!this.reader.hasPartialRequest) this.close();
+    if (!this.reader.hasPartialRequest) this.end();
   }
 
   /**
@@ -136,6 +131,14 @@
     return this.hasPartialRequest || !this.pipeline.isEmpty;
   }
 
+  /** True while the connection has ended here, and its caller may still wait for a response. */
+  isReadAfterEnd(nowMs: number): boolean {
+    const { idleTimeoutMs } = this.listener.parts.limits();
+    return (
+      this.hasEnded && !this.socket.destroyed && this.awaited.mayBeAwaited(nowMs, idleTimeoutMs)
+    );
+  }
+
   /** What the connection is used for, for the choice of those that give way to others. */
   get use(): ConnectionUse {
     const { hasUnsentBytes } = this;
@@ -213,7 +216,7 @@
       return;
     }
     if (this.hasEnded) {
-      if (idleMs > ENDED_READ_MS) this.close();
+      if (idleMs > MIN_ENDED_READ_MS && !this.isReadAfterEnd(nowMs)) this.close();
       return;
     }
     const { idleTimeoutMs, headerTimeoutMs } = this.listener.parts.limits();
@@ -223,13 +226,13 @@
         this.advance();
       }
     } else if (this.pipeline.isEmpty && idleMs > idleTimeoutMs) {
-      this.close();
+      this.end();
     }
   }
 
   /** True while the caller may still read what is not sent, and the memory for it is not needed. */
   private isResponseAwaited(nowMs: number): boolean {
-    return nowMs < this.awaitedUntilMs && !this.listener.parts.bufferBudget.isScarce;
+    return this.awaited.hasDeadlineAhead(nowMs) && !this.listener.parts.bufferBudget.isScarce;
   }
 
   /** Closes the connection if handling what it has sent fails. */
@@ -306,11 +309,7 @@
     const { entry, response, closesConnection } = next;
     const isHead = entry.input.request?.head.method === 'HEAD';
     this.lastActivityAtMs = nowMs;
-    const deadlineMs = entry.call?.callerDeadlineMs ?? nowMs;
-    this.awaitedUntilMs = Math.max(
-      this.awaitedUntilMs,
-      Math.min(deadlineMs, nowMs + MAX_AWAITED_MS),
-    );
+    this.awaited.record(entry.call?.callerDeadlineMs, nowMs);
     writeBuffers(this.socket, encodeResponse(response, isHead, closesConnection));
     this.lastWritten = entry;
     this.hasServed = true;
@@ -411,7 +410,11 @@
       setImmediate(() => this.attempt(() => this.advance()));
   }
 
-  /** Ends the connection once all that was written is sent. */
+  /**
+   * Ends this side of the connection once all that was written is sent. Until the caller ends its side,
+   * or waits no longer, what arrives is read and dropped: closing the socket before would reset the
+   * connection with the caller's next bytes, and responses that it has not read would be lost.
+   */
   private end(): void {
     this.hasEnded = true;
     this.dropArrived();
--- a/packages/sidecar/src/caller-listener.ts
+++ b/packages/sidecar/src/caller-listener.ts
@@ -65,9 +65,9 @@
     return this.connections;
   }
 
-  /** Closes the connections that are idle between two requests. */
-  closeIdle(): void {
-    for (const connection of this.connections) connection.closeIfIdle();
+  /** Ends the connections that are idle between two requests. */
+  endIdle(): void {
+    for (const connection of this.connections) connection.endIfIdle();
   }
 
   /** Refuses the requests that have partly arrived. */
--- a/packages/sidecar/src/sidecar-lifecycle.ts
+++ b/packages/sidecar/src/sidecar-lifecycle.ts
@@ -267,11 +267,11 @@
     }
   }
 
-  /** Closes the connections of callers that are idle, and refuses late what arrives slowly. */
+  /** Ends the connections of callers that are idle, and refuses late what arrives slowly. */
   private endConnections(phase: StopPhaseName): void {
     const { callers } = this.parts;
     this.attempt(phase, () => {
-      if (phase === StopPhase.finishing) callers.closeIdle();
+      if (phase === StopPhase.finishing) callers.endIdle();
       if (phase === StopPhase.refusing || phase === StopPhase.breaking) callers.refuseArriving();
     });
   }
--- a/packages/sidecar/tests/caller-connection.test.ts
+++ b/packages/sidecar/tests/caller-connection.test.ts
@@ -8,6 +8,11 @@
 
 const OK = { status: 200, reason: 'OK', fields: [], body: Buffer.from('done') };
 
+const IDLE_TIMEOUT_MS = 60_000;
+const CLOSE = 'Connection: close\r\n';
+/** Beyond the limit for heads. */
+const LONG_FIELD = `X: ${'x'.repeat(2_000)}\r\n`;
+
 function encodeGet(path: string, fields = ''): string {
   return `GET ${path} HTTP/1.1\r\nHost: h\r\n${fields}\r\n`;
 }
@@ -44,7 +49,7 @@
         maxHeaderBytes: 1_024,
         maxBodyBytes: 1_024,
         headerTimeoutMs: 1_000,
-        idleTimeoutMs: 60_000,
+        idleTimeoutMs: IDLE_TIMEOUT_MS,
       }),
       bufferBudget,
       onProblem: () => undefined,
@@ -103,7 +108,7 @@
   });
 
   it('does not pass on a request that follows a response that closes the connection', async () => {
-    caller.write(encodeGet('/first', 'Connection: close\r\n') + encodeGet('/pipelined'));
+    caller.write(encodeGet('/first', CLOSE) + encodeGet('/pipelined'));
     await answer(0);
     caller.write(encodeGet('/late'));
     await vi.waitFor(() => expect(end).toBe('complete'));
@@ -218,13 +223,88 @@
 
     it('keeps it when idle connections are closed', async () => {
       await answerUnread(false);
-      connection?.closeIfIdle();
+      connection?.endIfIdle();
       caller.resume();
       await vi.waitFor(() => expect(receivedBytes).toBeGreaterThan(body.length), 5_000);
       expect(end).toBe('');
     });
   });
 
+  // Guards against responses that a slow reader loses, as its next request meets a closed socket (LOST).
+  describe('whose last response the system has taken and the caller has not read', () => {
+    const DEADLINE_MS = 20_000;
+    const body = Buffer.alloc(1_000_000);
+
+    const ENDINGS = [
+      { end: 'after a response that closes the connection', bytes: encodeGet('/', CLOSE) },
+      {
+        end: 'after a response without a length',
+        bytes: encodeGet('/') + encodeGet('/unframed'),
+        last: { ...OK, endsWithConnection: true },
+      },
+      { end: 'after a malformed request', bytes: `${encodeGet('/')}no request\r\n\r\n` },
+      { end: 'after a head that is too long', bytes: encodeGet('/') + encodeGet('/', LONG_FIELD) },
+      {
+        end: 'idle, as the daemon stops',
+        bytes: encodeGet('/'),
+        act: () => connection?.endIfIdle(),
+      },
+      {
+        end: 'idle for too long',
+        bytes: encodeGet('/'),
+        act: () => connection?.checkTimeouts(IDLE_TIMEOUT_MS + 1),
+      },
+    ];
+
+    async function endUnread({ bytes, last, act }: (typeof ENDINGS)[number]) {
+      callerDeadlineMs = act === undefined ? DEADLINE_MS : IDLE_TIMEOUT_MS + DEADLINE_MS;
+      caller.pause();
+      caller.write(bytes);
+      await answer(0, { ...OK, body });
+      if (last !== undefined) await answer(1, last);
+      await vi.waitFor(() => expect(connection?.hasUnsentBytes).toBe(false));
+      act?.();
+      // The system's end of what was written.
+      await sleep(20);
+    }
+
+    it.each(ENDINGS)('delivers it to a caller that sends on, $end', async (ending) => {
+      await endUnread(ending);
+      const passedOn = paths();
+      for (let nowMs = 0; nowMs < DEADLINE_MS; nowMs += 500) connection?.checkTimeouts(nowMs);
+      caller.write(encodeGet('/further'));
+      await sleep(50);
+      caller.write(encodeGet('/further'));
+      await sleep(50);
+      caller.resume();
+      await vi.waitFor(() => expect(end).not.toBe(''), 5_000);
+      expect([end, receivedBytes > body.length]).toEqual(['complete', true]);
+      expect(paths()).toEqual(passedOn);
+      await vi.waitFor(() => expect(sockets.at(-1)?.destroyed).toBe(true));
+    });
+
+    it('is closed for good once the caller waits no longer', async () => {
+      await endUnread(ENDINGS[0] as (typeof ENDINGS)[number]);
+      connection?.checkTimeouts(DEADLINE_MS - 1);
+      expect(connection?.isReadAfterEnd(DEADLINE_MS - 1)).toBe(true);
+      expect(sockets.at(-1)?.destroyed).toBe(false);
+      connection?.checkTimeouts(DEADLINE_MS);
+      expect(sockets.at(-1)?.destroyed).toBe(true);
+      expect(connection?.isReadAfterEnd(DEADLINE_MS - 1)).toBe(false);
+    });
+
+    it('is closed for good after the idle timeout if no deadline is known', async () => {
+      caller.pause();
+      caller.write('no request\r\n\r\n');
+      await vi.waitFor(() => expect(connection?.isReadAfterEnd(0)).toBe(true));
+      await sleep(50);
+      connection?.checkTimeouts(IDLE_TIMEOUT_MS - 1);
+      expect(sockets.at(-1)?.destroyed).toBe(false);
+      connection?.checkTimeouts(IDLE_TIMEOUT_MS);
+      expect(sockets.at(-1)?.destroyed).toBe(true);
+    });
+  });
+
   it('refuses the request that is arriving when it gives way, behind the response ahead', async () => {
     const head = 'POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 900\r\n\r\n';
     caller.write(`${encodeGet('/first')}${head}${'x'.repeat(500)}`);
--- a/packages/sidecar/tests/pipelined-requests.test.ts
+++ b/packages/sidecar/tests/pipelined-requests.test.ts
@@ -270,7 +270,7 @@
   it('keep their connection beyond the idle time', async () => {
     await send(get('/a') + get('/b'), ['/a', '/b']);
     connection.checkTimeouts(70_000);
-    connection.closeIfIdle();
+    connection.endIfIdle();
     nowMs = 70_000;
     answer('/b');
     answer('/a');
--- a/packages/sidecar/tests/sidecar-lifecycle.test.ts
+++ b/packages/sidecar/tests/sidecar-lifecycle.test.ts
@@ -73,7 +73,7 @@
         get acceptedCount() {
           return acceptedCount();
         },
-        closeIdle: () => undefined,
+        endIdle: () => undefined,
         refuseArriving: () => undefined,
         stopListening: () => {
           this.recordStep('listening stopped');
