Wait at a stop for callers that have not read their responses

Cause: a stop ended once all responses were taken by the system, and the exit of the process closed all sockets; the next request of a slow reader then met a reset.

Now connections that have ended here while their callers may still wait count as work of the stop, until the grace ends. The lines of a stop log their number, connectionsReadAfterEnd.

--- a/packages/sidecar/src/caller-listener.ts
+++ b/packages/sidecar/src/caller-listener.ts
@@ -50,6 +50,11 @@
     return [...this.connections].filter(({ hasUnanswered }) => hasUnanswered).length;
   }
 
+  /** Connections that have ended here, and whose callers may still wait for a response. */
+  readAfterEndCount(nowMs: number): number {
+    return [...this.connections].filter((each) => each.isReadAfterEnd(nowMs)).length;
+  }
+
   listen({ ip, port }: SocketAddress): Promise<void> {
     return listen(this.server, { host: ip, port, backlog: 1_024 }, (error) =>
       this.parts.failures.report('accept', error, { input: 'callers' }),
--- a/packages/sidecar/src/sidecar-lifecycle.ts
+++ b/packages/sidecar/src/sidecar-lifecycle.ts
@@ -217,14 +217,18 @@
     }
   }
 
-  /** True while something that was accepted has no answer that is sent whole. */
+  /**
+   * True while something that was accepted has no answer that is sent whole, or one that its caller
+   * may not have read: the end of the process closes all sockets.
+   */
   private get hasWork(): boolean {
-    const { entry, home, callers, peerConnections } = this.parts;
+    const { entry, home, callers, peerConnections, clock } = this.parts;
     return (
       entry.activeCount > 0 ||
       home.activeCount > 0 ||
       callers.unansweredCount > 0 ||
       callers.hasUnsentBytes ||
+      callers.readAfterEndCount(clock()) > 0 ||
       peerConnections.hasUnsentReplies
     );
   }
@@ -302,6 +306,7 @@
       waitingHome: home.waitingCount,
       unansweredConnections: callers.unansweredCount,
       hasUnsentResponses: callers.hasUnsentBytes,
+      connectionsReadAfterEnd: callers.readAfterEndCount(clock()),
       hasUnsentReplies: peerConnections.hasUnsentReplies,
     });
   }
--- a/packages/sidecar/tests/sidecar-lifecycle.test.ts
+++ b/packages/sidecar/tests/sidecar-lifecycle.test.ts
@@ -18,6 +18,8 @@
 
   hasUnsentReplies = false;
 
+  hasUnreadResponses = false;
+
   arrivingRequests = 0;
 
   isStoreSilent = false;
@@ -45,6 +47,7 @@
     const recordUnready = record('unready');
     const activeHomeCalls = () => this.activeHomeCalls;
     const hasUnsentBytes = () => this.hasUnsentBytes;
+    const hasUnreadResponses = () => this.hasUnreadResponses;
     const arrivingRequests = () => this.arrivingRequests;
     const hasUnsentReplies = () => this.hasUnsentReplies;
     const acceptedCount = () => {
@@ -84,6 +87,7 @@
         get hasUnsentBytes() {
           return hasUnsentBytes();
         },
+        readAfterEndCount: () => (hasUnreadResponses() ? 1 : 0),
         get unansweredCount() {
           return arrivingRequests();
         },
@@ -151,9 +155,10 @@
   });
 
   it.each([
-    { receiver: 'callers', part: 'hasUnsentBytes' as const },
-    { receiver: 'peers', part: 'hasUnsentReplies' as const },
-  ])('waits until its last responses to $receiver are sent', async ({ part }) => {
+    { receiver: 'callers', state: 'sent', part: 'hasUnsentBytes' as const },
+    { receiver: 'callers', state: 'read', part: 'hasUnreadResponses' as const },
+    { receiver: 'peers', state: 'sent', part: 'hasUnsentReplies' as const },
+  ])('waits until its last responses to $receiver are $state', async ({ part }) => {
     const recorder = new StopRecorder();
     recorder[part] = true;
     const stopped = new SidecarLifecycle(recorder.parts()).stop();
