End connections between daemons without resetting replies on the way

A peer's next frame (a ping, a cancellation, its record) then met a closed socket, and replies on the way were lost with the reset.

Frames that arrive after the end are dropped, as they were.

The test 'delivers the replies on the way to a peer that still sends when the home ends' failed with PeerServer.close in place of end.

--- a/packages/peering/src/frame-writer.ts
+++ b/packages/peering/src/frame-writer.ts
@@ -30,6 +30,8 @@
 
   private arePartsScheduled = false;
 
+  private hasEnded = false;
+
   /** `unsent` counts the frames that the system has not taken, beside bodies that are sent in parts. */
   constructor(
     private readonly socket: Socket,
@@ -58,7 +60,16 @@
     return isWaiting && !socket.destroyed;
   }
 
+  /** Sends the frames that were written and ends this side of the connection; later ones are dropped. */
+  end(): void {
+    this.flush();
+    this.bodies.removeAll();
+    this.hasEnded = true;
+    this.socket.end();
+  }
+
   write(frame: Buffer): void {
+    if (this.hasEnded) return;
     this.frames.push(frame);
     this.frameBytes += frame.length;
     if (this.isFlushScheduled) return;
@@ -71,7 +82,7 @@
    * length must have been written. `onReleased` is called once no part of the body is left here.
    */
   writeBody(stream: number, body: Buffer, onReleased: () => void = () => undefined): void {
-    if (this.socket.destroyed) {
+    if (this.socket.destroyed || this.hasEnded) {
       onReleased();
       return;
     }
--- a/packages/peering/src/inbound-peer.ts
+++ b/packages/peering/src/inbound-peer.ts
@@ -70,6 +70,9 @@
 
   private hasHello = false;
 
+  /** True once this side has ended; what arrives afterwards is dropped. */
+  private hasEnded = false;
+
   /** Undefined until the hello of a peer that answers pings. */
   private liveness: LivenessProbe | undefined;
 
@@ -110,6 +113,15 @@
     return { isBusy: hasHello, isHolding: false, hasServed: false, sinceMs: openedAtMs };
   }
 
+  /**
+   * Ends this side once all replies are sent, and reads on until the peer ends its side: its next frame
+   * would reset a closed connection, and replies on the way would be lost.
+   */
+  end(): void {
+    this.hasEnded = true;
+    this.writer.end();
+  }
+
   close(): void {
     this.socket.destroy();
   }
@@ -141,8 +153,8 @@
   }
 
   private handleFrame(frame: Frame): void {
-    // A frame that follows the one for which the connection was closed.
-    if (this.socket.destroyed) return;
+    // A frame that follows the one for which the connection was closed, or its end.
+    if (this.socket.destroyed || this.hasEnded) return;
     switch (frame.kind) {
       case FrameKind.call:
         this.handleCall(frame);
--- a/packages/peering/src/peer-server.ts
+++ b/packages/peering/src/peer-server.ts
@@ -54,6 +54,15 @@
     return listen(this.server, { host: ip, port }, (error) => this.events.onAcceptFailed(error));
   }
 
+  /** Ends all connections once their replies are sent; resolves when their peers have ended them. */
+  end(): Promise<void> {
+    return new Promise((resolve) => {
+      this.server.close(() => resolve());
+      for (const peer of this.peers) peer.end();
+    });
+  }
+
+  /** Closes all connections, also those that `end` has not ended yet. */
   close(): void {
     this.server.close();
     for (const socket of this.sockets) socket.destroy();
--- a/packages/peering/tests/peer-link.test.ts
+++ b/packages/peering/tests/peer-link.test.ts
@@ -601,6 +601,39 @@
       await vi.waitFor(() => expect(reply).toEqual(home.reply));
     });
 
+    // Guards against replies that a peer loses, as it still sends to a daemon that ends (LOST).
+    it('delivers the replies on the way to a peer that still sends when the home ends', async () => {
+      home.reply = {
+        ...REPLY,
+        outcome: { ...REPLY.outcome, body: Buffer.alloc(60_000) } as CallReply['outcome'],
+      };
+      const entry = createConnection(address);
+      entry.pause();
+      const count = 20;
+      for (let stream = 1; stream <= count; stream += 1) {
+        const call = { ...CALL, requestId: `r-${stream}`, attemptKey: `entry/${stream}` };
+        entry.write(encodeFrame(FrameKind.call, stream, encodeCall(call), BODY));
+        await vi.waitFor(() => expect(home.runs).toHaveLength(stream));
+        home.finish();
+      }
+      await vi.waitFor(() => expect(home.server.hasUnsentBytes).toBe(false));
+      const ended = home.server.end();
+      for (let frames = 0; frames < 2; frames += 1) {
+        await new Promise((resolve) => {
+          setTimeout(resolve, 50);
+        });
+        entry.write(encodeFrame(FrameKind.ping, 0, ''));
+      }
+      const reader = new FrameReader();
+      const streams: number[] = [];
+      for await (const chunk of entry)
+        reader.push(chunk as Buffer, ({ kind, stream }) => {
+          if (kind === FrameKind.reply) streams.push(stream);
+        });
+      expect(streams).toHaveLength(count);
+      await ended;
+    });
+
     it('sends a small call between the parts of a large body', async () => {
       await connect();
       link.call({ ...CALL, requestId: 'large' }, largeBody, () => undefined);
--- a/packages/sidecar/src/peer-connections.ts
+++ b/packages/sidecar/src/peer-connections.ts
@@ -171,10 +171,17 @@
     this.timer = setInterval(() => this.checkConnections(this.parts.clock()), CHECK_INTERVAL_MS);
   }
 
-  stop(): void {
+  /** Ends all connections; resolves once the peers have read the replies to their calls. */
+  stop(): Promise<void> {
     clearInterval(this.timer);
-    this.server.close();
+    const ended = this.server.end();
     for (const link of this.links.values()) link.close();
+    return ended;
+  }
+
+  /** Closes the connections that peers have not ended since `stop`. */
+  close(): void {
+    this.server.close();
   }
 
   /** Number of links that are up. */
--- a/packages/sidecar/src/sidecar-lifecycle.ts
+++ b/packages/sidecar/src/sidecar-lifecycle.ts
@@ -82,6 +82,9 @@
 
   private stopped: Promise<void> | undefined;
 
+  /** Resolves once all peers have ended their connections. */
+  private peersEnded: Promise<void> = Promise.resolve();
+
   constructor(private readonly parts: SidecarLifecycleParts) {
     this.stateSinceMs = parts.clock();
   }
@@ -159,7 +162,8 @@
   }
 
   private async runStop(): Promise<void> {
-    const { stopPlan, bounds, readyState, callers, registration, clock } = this.parts;
+    const { stopPlan, bounds, readyState, callers, peerConnections, registration, clock } =
+      this.parts;
     stopPlan.begin(bounds.get().graceMs, clock());
     readyState.beginStop();
     this.setState(LifecycleState.stopping);
@@ -187,10 +191,11 @@
     // Requests that waited behind those calls on their connections are refused.
     await this.receivePending(false);
     callers.closeConnections();
-    const removed = registration.stop();
-    const removalTimeoutMs = stopPlan.removalTimeoutMs(clock());
-    if (removalTimeoutMs > 0) await Promise.race([removed, delay(removalTimeoutMs)]);
-    else removed.catch(() => undefined);
+    const ended = Promise.all([registration.stop(), this.peersEnded]);
+    const endTimeoutMs = stopPlan.removalTimeoutMs(clock());
+    if (endTimeoutMs > 0) await Promise.race([ended, delay(endTimeoutMs)]);
+    else ended.catch(() => undefined);
+    peerConnections.close();
     this.parts.announcements.close();
     this.parts.readiness.close();
     clearInterval(this.flushTimer);
@@ -287,7 +292,7 @@
     callers.close();
     storeSync.stop();
     freshnessKeeper.stop();
-    peerConnections.stop();
+    this.peersEnded = peerConnections.stop();
   }
 
   private setState(state: LifecycleStateName): void {
--- a/packages/sidecar/tests/sidecar-lifecycle.test.ts
+++ b/packages/sidecar/tests/sidecar-lifecycle.test.ts
@@ -24,6 +24,9 @@
 
   isStoreSilent = false;
 
+  /** Peers that do not end their connections. */
+  arePeersSilent = false;
+
   /** Connections that wait to be accepted; the event loop accepts one in a turn. */
   waitingConnections = 0;
 
@@ -49,6 +52,7 @@
     const hasUnsentBytes = () => this.hasUnsentBytes;
     const hasUnreadResponses = () => this.hasUnreadResponses;
     const arrivingRequests = () => this.arrivingRequests;
+    const arePeersSilent = () => this.arePeersSilent;
     const hasUnsentReplies = () => this.hasUnsentReplies;
     const acceptedCount = () => {
       if (this.waitingConnections > 0) {
@@ -106,7 +110,11 @@
       },
       log: { stateChange: () => undefined, flushSync: () => undefined },
       peerConnections: {
-        stop: record('peers closed'),
+        stop: () => {
+          this.recordStep('peers closed');
+          return arePeersSilent() ? Promise.race([]) : Promise.resolve();
+        },
+        close: record('silent peers closed'),
         get hasUnsentReplies() {
           return hasUnsentReplies();
         },
@@ -146,6 +154,7 @@
       'peers closed',
       // Calls that end with their peers are answered before.
       'caller connections closed',
+      'silent peers closed',
     ]);
     expect(recorder.atMs('leaving published')).toBeGreaterThanOrEqual(2_000);
     // Calls that are in flight when other daemons learn of the stop still reach the target.
@@ -219,6 +228,17 @@
     expect(recorder.steps.filter(({ step }) => step === 'home closed')).toHaveLength(1);
   });
 
+  it.each([true, false])('closes connections whose peers do not end them: %s', async (isSilent) => {
+    const recorder = new StopRecorder();
+    recorder.arePeersSilent = isSilent;
+    const stopped = new SidecarLifecycle(recorder.parts()).stop();
+    await vi.advanceTimersByTimeAsync(GRACE_MS);
+    await stopped;
+    const waitedMs = recorder.atMs('silent peers closed') - recorder.atMs('peers closed');
+    if (isSilent) expect(waitedMs).toBeGreaterThan(200);
+    expect(waitedMs).toBeLessThan(isSilent ? 400 : 20);
+  });
+
   it('accepts nothing while it waits for a store that is silent', async () => {
     const recorder = new StopRecorder();
     recorder.isStoreSilent = true;
