--- a/packages/peering/tests/peer-link.test.ts
+++ b/packages/peering/tests/peer-link.test.ts
@@ -610,12 +610,13 @@
       const entry = createConnection(address);
       entry.pause();
       const count = 20;
-      for (let stream = 1; stream <= count; stream += 1) {
+      async function callAndFinish(stream: number): Promise<void> {
         const call = { ...CALL, requestId: `r-${stream}`, attemptKey: `entry/${stream}` };
         entry.write(encodeFrame(FrameKind.call, stream, encodeCall(call), BODY));
         await vi.waitFor(() => expect(home.runs).toHaveLength(stream));
         home.finish();
       }
+      for (let stream = 1; stream <= count; stream += 1) await callAndFinish(stream);
       await vi.waitFor(() => expect(home.server.hasUnsentBytes).toBe(false));
       const ended = home.server.end();
       for (let frames = 0; frames < 2; frames += 1) {
