Pass no status on that promises that a request which ran has not run

Cause: whether a request has run was read from X-Not-Executed alone, and the status of the answer was passed on to callers, to whom 408, 421, 429 and 503 say something else.

A target that answers a run with 408 or 429 counts as failing, as with 503; requests that may be repeated are tried elsewhere, and get the target's answer unchanged otherwise.

--- a/packages/mesh/src/outcome-for-chooser.ts
+++ b/packages/mesh/src/outcome-for-chooser.ts
@@ -1,6 +1,5 @@
 import { CallRefusalReason, type ForwardedCallOutcome } from './forwarded-call';
-
-const STATUS_SERVER_ERROR = 500;
+import { isFailedRun } from './run-status';
 
 /** How the outcome of a call counts in the choice of targets. */
 export type OutcomeForChooser =
@@ -14,7 +13,7 @@
 export function outcomeForChooser(outcome: ForwardedCallOutcome): OutcomeForChooser {
   switch (outcome.kind) {
     case 'answered':
-      return outcome.status >= STATUS_SERVER_ERROR ? 'failed' : 'served';
+      return isFailedRun(outcome.status) ? 'failed' : 'served';
     case 'refused':
       if (outcome.reason === CallRefusalReason.shedByTarget) return 'turnedAway';
       return outcome.reachedTarget ? 'failed' : 'refused';
--- a/packages/sidecar/src/caller-request.ts
+++ b/packages/sidecar/src/caller-request.ts
@@ -8,6 +8,7 @@
 import { shedMargin } from '@daisyferry/mesh/shed-margin';
 import type { NestedOrigin } from '@daisyferry/mesh/nested-origin';
 import type { Route } from '@daisyferry/mesh/routing-configuration';
+import { isFailedRun, promisesNotRun } from '@daisyferry/mesh/run-status';
 import type { CancellableCall } from '@daisyferry/peering/peer-link';
 import type { Respond, SidecarEntryParts } from './entry';
 import {
@@ -53,7 +54,6 @@
 const BROKEN_HOME_AVOIDANCE_MS = 300;
 /** Retry-after of a request of a route whose requests fail: time for its cause to change. */
 const FAILING_ROUTE_RETRY_AFTER_MS = 1_000;
-const STATUS_SERVER_ERROR = 500;
 
 function roundToHundredths(value: number): number {
   return Math.round(value * 100) / 100;
@@ -366,7 +366,15 @@
     outcome: Extract<ForwardedCallOutcome, { kind: 'answered' }>,
     nowMs: number,
   ): void {
-    const isFinal = outcome.status < STATUS_SERVER_ERROR || !this.input.route.isIdempotent;
+    const { isIdempotent } = this.input.route;
+    if (!isIdempotent && promisesNotRun(outcome.status)) {
+      // Its caller would take this status for the promise that it may send the request again.
+      this.mayHaveRun = true;
+      const detail = `status ${outcome.status} of a target that has run the request`;
+      this.respondFromDaemon(DaemonResponseReason.outcomeUnknown, 0, nowMs, detail);
+      return;
+    }
+    const isFinal = !isFailedRun(outcome.status) || !isIdempotent;
     // A large response is not kept in addition to that of another target.
     if (isFinal || outcome.body.length >= LARGE_BYTES) {
       this.respondWithOutcome(outcome, nowMs);
@@ -475,7 +483,7 @@
   ): void {
     this.isDone = true;
     const { input, parts } = this;
-    const outcome = status < STATUS_SERVER_ERROR ? 'served' : 'failedByTarget';
+    const outcome = isFailedRun(status) ? 'failedByTarget' : 'served';
     this.tree.recordEnd(outcome !== 'served', nowMs);
     this.tree.recordResponse(outcome === 'served', nowMs);
     parts.metrics.recordRequest(input.route.name, outcome, nowMs - input.arrivedMs);
--- a/packages/sidecar/src/target-call.ts
+++ b/packages/sidecar/src/target-call.ts
@@ -19,6 +19,7 @@
 import type { CallTrees } from '@daisyferry/mesh/call-trees';
 import type { NestedOrigin } from '@daisyferry/mesh/nested-origin';
 import { RunCalls } from '@daisyferry/mesh/run-calls';
+import { isFailedRun } from '@daisyferry/mesh/run-status';
 import type { RouteCallerCounter } from '@daisyferry/mesh/route-caller-counter';
 import type { DownstreamShedLevels } from '@daisyferry/mesh/downstream-shed-levels';
 import type { LevelBroadcastThrottle } from '@daisyferry/mesh/level-broadcast-throttle';
@@ -102,7 +103,6 @@
   markTargetReachable(): void;
 }
 
-const STATUS_SERVER_ERROR = 500;
 /** Time after a call's deadline for which the target's response is still awaited. */
 const DEADLINE_GRACE_MS = 100;
 /** Less than the distance between two priorities of requests of callers. */
@@ -358,7 +358,7 @@
           this.home.applyNotice(result.response.fields, this.sentTo);
         }
         if (isFromTarget(outcome)) this.home.recordTurn(outcome.kind === 'refused', nowMs);
-        const isFailure = outcome.kind !== 'answered' || outcome.status >= STATUS_SERVER_ERROR;
+        const isFailure = outcome.kind !== 'answered' || isFailedRun(outcome.status);
         this.endPaced(!isFailure, nowMs);
         queue.recordFinished(serviceMs, isFailure, nowMs);
         unresponsiveDetector.recordResponse(nowMs);
@@ -413,7 +413,7 @@
         route: this.call.route,
         durationMs: nowMs - this.startedAtMs,
         calls: this.nestedCalls,
-        isAnswered: outcome.kind === 'answered' && outcome.status < STATUS_SERVER_ERROR,
+        isAnswered: outcome.kind === 'answered' && !isFailedRun(outcome.status),
       };
       callTrees.recordRunEnd(run, nowMs);
     }
--- a/packages/sidecar/tests/caller-request.test.ts
+++ b/packages/sidecar/tests/caller-request.test.ts
@@ -166,6 +166,20 @@
     },
   );
 
+  // Guards against a promise that a request has not run which has, so that it is sent again (REFUSED).
+  it.each([408, 421, 429, 503])(
+    'is answered 502 if it runs once at most and a target that ran it answers %i',
+    (status) => {
+      const failed = { ...SERVED, status };
+      const once = forwardRequest({ ...ROUTE, isIdempotent: false }, DAEMONS, repeat(100, failed));
+      expect([once.sentTo.length, once.status]).toEqual([1, 502]);
+      // A request that may be repeated has a second chance, and gets the target's answer otherwise.
+      const safe = forwardRequest(ROUTE, DAEMONS, repeat(100, failed));
+      expect([safe.sentTo.length, safe.status]).toEqual([2, status]);
+      expect(forwardRequest(ROUTE, DAEMONS, [failed, SERVED]).status).toBe(200);
+    },
+  );
+
   it('is sent to further homes only while no target has received it', () => {
     const outcomes = [FULL, FULL, ...repeat(100, SHED_BY_TARGET)];
     const { sentTo, status } = forwardRequest(ROUTE, DAEMONS, outcomes);
