Replace a response without a length that the system may not take whole

Cause: such a response was written as soon as nothing was left in the process, as the system takes up to 64 KiB at once. It does not where its buffer is full of responses that the caller has not read; the rest is lost with the process, and the system ends the connection in order. Evidence: the record of the case has 1,504 of 36,000 bytes and the end 'fin'.

Only its connection's end may mark such a response: a length or a last chunk would say more than the target did. So the daemon keeps an upper bound of what the caller may not have read, and answers 502 where the response does not fit into 64 KiB with it. Callers that send no request ahead are served as before.

'replaces one without a length behind it' (two cases) failed before.

--- a/packages/sidecar/src/caller-connection.ts
+++ b/packages/sidecar/src/caller-connection.ts
@@ -5,6 +5,7 @@
 import { AwaitedResponses } from '@daisyferry/mesh/awaited-responses';
 import type { ConnectionUse } from '@daisyferry/mesh/connection-choice';
 import type { MemoryHolder } from '@daisyferry/mesh/memory-reclaim';
+import { PossiblyUnread } from '@daisyferry/mesh/possibly-unread';
 import type { Socket } from 'node:net';
 import type { CallerConnectionHost } from './caller-listener-parts';
 import { CallerMemory } from './caller-memory';
@@ -77,6 +78,8 @@
 
   private readonly awaited = new AwaitedResponses();
 
+  private readonly unread = new PossiblyUnread();
+
   /** Why this side closed the connection; undefined if the caller did. */
   private closeReason: CutReasonName | undefined;
 
@@ -297,11 +300,16 @@
 
   /** Writes the response whose turn it is. Returns false if it is not there. */
   private writeNext(): boolean {
-    if (this.hasUnsentBytes && this.pipeline.isNextUnframed) {
-      this.advanceOnceSent();
-      return false;
-    }
     const nowMs = this.listener.parts.clock();
+    const unframed = this.pipeline.nextUnframed;
+    if (unframed !== undefined) {
+      if (!this.unread.takesWhole(unframed.body.length)) {
+        this.pipeline.replaceNext(nowMs);
+      } else if (this.hasUnsentBytes) {
+        this.advanceOnceSent();
+        return false;
+      }
+    }
     // What has arrived behind it is answered, too, before the connection closes.
     const isClosing = this.listener.isClosing && !this.reader.hasPartialRequest;
     const next = this.pipeline.nextToWrite(isClosing, nowMs);
@@ -311,6 +319,7 @@
     this.lastActivityAtMs = nowMs;
     this.awaited.record(entry.call?.callerDeadlineMs, nowMs);
     writeBuffers(this.socket, encodeResponse(response, isHead, closesConnection));
+    this.unread.recordResponse(response.body.length, this.reader.hasPartialRequest);
     this.lastWritten = entry;
     this.hasServed = true;
     this.memory.addUnread(entry.responseReservation);
@@ -321,7 +330,8 @@
 
   /**
    * Goes on once everything is sent: a response without a length is written when the system takes
-   * it at once, as a part of it would look complete if the process were killed.
+   * it at once, as a part of it would look complete if the process were killed. Where the system may
+   * not take it whole, as the caller may not have read much of what was sent before, it is replaced.
    */
   private advanceOnceSent(): void {
     if (this.isAwaitingSent) return;
@@ -375,6 +385,7 @@
       return;
     }
     const readMs = this.listener.parts.clock();
+    this.unread.recordRequest(!this.pipeline.isEmpty);
     this.pipeline.add({ request, readMs, heldBytes, reservation });
   }
 
--- a/packages/sidecar/src/request-pipeline.ts
+++ b/packages/sidecar/src/request-pipeline.ts
@@ -139,10 +139,21 @@
     if (endsConnection && !isReplaced) this.dropFrom(behind);
   }
 
-  /** True if the response whose turn it is has no length, so that the connection ends with it. */
-  get isNextUnframed(): boolean {
+  /** The response whose turn it is, if it has no length, so that the connection ends with it. */
+  get nextUnframed(): ResponseParts | undefined {
     const response = this.entries[0]?.response;
-    return response !== undefined && isUnframed(response);
+    return response !== undefined && isUnframed(response) ? response : undefined;
+  }
+
+  /** Has the request whose turn it is count as one whose outcome is unknown. */
+  replaceNext(nowMs: number): void {
+    const [entry] = this.entries;
+    if (entry === undefined) return;
+    this.counts.replacedUnframed += 1;
+    this.countHeld(-entry.responseBytes);
+    entry.responseReservation?.release();
+    entry.hold(UNKNOWN_OUTCOME, undefined, nowMs);
+    this.countHeld(entry.responseBytes);
   }
 
   /**
