Bound what is read after the end of a connection, and count heads among what may be unread

A caller that sends without an end after its connection has ended here would be read and dropped until its deadline, 300 s at most, where it was for two seconds before. After 1 MB the connection is not read any further: it stays open for the responses that are on the way, and the caller's own buffers fill. The test 'does not read a caller on that sends without an end, and delivers it' shows both.

The upper bound of what a caller may not have read counts whole messages; many small answers are mostly heads.

--- a/packages/sidecar/src/caller-connection.ts
+++ b/packages/sidecar/src/caller-connection.ts
@@ -40,6 +40,8 @@
  * caller that reads slowly.
  */
 const UNREAD_RESPONSE_TIMEOUT_MS = 10_000;
+/** Bytes that are read and dropped after the end; a caller that sends more is not read any further. */
+const MAX_DROPPED_BYTES = 1_048_576;
 /** Bytes that are buffered while no further request is read. */
 const MAX_PIPELINED_BYTES = 65_536;
 /** Requests of one connection that are read before others get their turn. */
@@ -83,6 +85,9 @@
   /** Why this side closed the connection; undefined if the caller did. */
   private closeReason: CutReasonName | undefined;
 
+  /** Bytes that have arrived after the end. */
+  private droppedBytes = 0;
+
   /** Bytes that the system had not taken at the last check. */
   private queuedBytes = 0;
 
@@ -257,11 +262,20 @@
   }
 
   private receive(chunk: Buffer): void {
-    if (this.hasEnded) return;
+    if (this.hasEnded) {
+      this.drop(chunk);
+      return;
+    }
     this.reader.push(chunk);
     this.advance();
   }
 
+  /** Drops what arrives after the end. A connection that is not read stays open for its responses. */
+  private drop(chunk: Buffer): void {
+    this.droppedBytes += chunk.length;
+    if (this.droppedBytes > MAX_DROPPED_BYTES) this.socket.pause();
+  }
+
   /** Reads, starts and writes what may be. */
   private advance(): void {
     if (this.isAdvancing) return;
@@ -293,8 +307,9 @@
   }
 
   private controlFlow(): void {
+    if (this.hasEnded) return;
     const isFull = this.reader.bufferedBytes > MAX_PIPELINED_BYTES && !this.pipeline.mayRead;
-    if (isFull && !this.hasEnded) this.socket.pause();
+    if (isFull) this.socket.pause();
     else if (this.socket.isPaused()) this.socket.resume();
   }
 
@@ -318,8 +333,10 @@
     const isHead = entry.input.request?.head.method === 'HEAD';
     this.lastActivityAtMs = nowMs;
     this.awaited.record(entry.call?.callerDeadlineMs, nowMs);
-    writeBuffers(this.socket, encodeResponse(response, isHead, closesConnection));
-    this.unread.recordResponse(response.body.length, this.reader.hasPartialRequest);
+    const buffers = encodeResponse(response, isHead, closesConnection);
+    writeBuffers(this.socket, buffers);
+    const bytes = buffers.reduce((sum, { length }) => sum + length, 0);
+    this.unread.recordResponse(bytes, this.reader.hasPartialRequest);
     this.lastWritten = entry;
     this.hasServed = true;
     this.memory.addUnread(entry.responseReservation);
--- a/packages/sidecar/tests/caller-connection.test.ts
+++ b/packages/sidecar/tests/caller-connection.test.ts
@@ -317,6 +317,19 @@
       await vi.waitFor(() => expect(sockets.at(-1)?.destroyed).toBe(true));
     });
 
+    it('does not read a caller on that sends without an end, and delivers it', async () => {
+      await endUnread(ENDINGS[0] as (typeof ENDINGS)[number]);
+      const flood = Buffer.alloc(100_000);
+      const sending = setInterval(() => caller.write(flood), 1);
+      await vi.waitFor(() => expect(sockets.at(-1)?.isPaused()).toBe(true), 5_000);
+      clearInterval(sending);
+      const { bytesRead } = sockets.at(-1) as Socket;
+      expect(bytesRead).toBeLessThan(1_500_000);
+      caller.resume();
+      await vi.waitFor(() => expect(receivedBytes).toBeGreaterThan(body.length), 5_000);
+      expect(end).toBe('complete');
+    });
+
     it('is closed for good once the caller waits no longer', async () => {
       await endUnread(ENDINGS[0] as (typeof ENDINGS)[number]);
       connection?.checkTimeouts(DEADLINE_MS - 1);
