Repeat the id of the request in the daemon's own responses

Now the daemon's own responses repeat the id, as targets do; a target's response is passed on as it came, and a request without an id gets none.

--- a/packages/http1/src/message-writer.ts
+++ b/packages/http1/src/message-writer.ts
@@ -78,6 +78,8 @@
   readonly body: Buffer;
   /** True for a body that was delimited by the orderly end of its sender's connection. */
   readonly endsWithConnection?: boolean;
+  /** True for a response that this process gives in place of a target. */
+  readonly isOwn?: boolean;
 }
 
 /**
--- a/packages/sidecar/src/caller-connection.ts
+++ b/packages/sidecar/src/caller-connection.ts
@@ -1,5 +1,5 @@
 import { RequestReader } from '@daisyferry/http1/request-reader';
-import type { RequestMessage } from '@daisyferry/http1/message';
+import { fieldValue, type RequestMessage } from '@daisyferry/http1/message';
 import type { ResponseParts } from '@daisyferry/http1/message-writer';
 import { encodeResponse } from '@daisyferry/http1/message-writer';
 import { AwaitedResponses } from '@daisyferry/mesh/awaited-responses';
@@ -329,8 +329,10 @@
     const isClosing = this.listener.isClosing && !this.reader.hasPartialRequest;
     const next = this.pipeline.nextToWrite(isClosing, nowMs);
     if (next === undefined) return false;
-    const { entry, response, closesConnection } = next;
-    const isHead = entry.input.request?.head.method === 'HEAD';
+    const { entry, closesConnection } = next;
+    const { request } = entry.input;
+    const isHead = request?.head.method === 'HEAD';
+    const response = this.withRequestId(next.response, request);
     this.lastActivityAtMs = nowMs;
     this.awaited.record(entry.call?.callerDeadlineMs, nowMs);
     const buffers = encodeResponse(response, isHead, closesConnection);
@@ -345,6 +347,20 @@
     return true;
   }
 
+  /** Adds the id of its request to a response of the daemon's own, as targets do to theirs. */
+  private withRequestId(
+    response: ResponseParts,
+    request: RequestMessage | undefined,
+  ): ResponseParts {
+    const { requestIdField } = this.listener.parts;
+    if (response.isOwn !== true || request === undefined || requestIdField === undefined)
+      return response;
+    const id = fieldValue(request.head.fields, requestIdField.toLowerCase());
+    return id === undefined
+      ? response
+      : { ...response, fields: [...response.fields, requestIdField, id] };
+  }
+
   /**
    * Goes on once everything is sent: a response without a length is written when the system takes
    * it at once, as a part of it would look complete if the process were killed. Where the system may
--- a/packages/sidecar/src/caller-listener-parts.ts
+++ b/packages/sidecar/src/caller-listener-parts.ts
@@ -25,6 +25,8 @@
   readonly mayRunAhead?: (request: RequestMessage) => boolean;
   readonly pipelineCounts?: PipelineCounts;
   readonly limits: () => ListenerLimits;
+  /** Name of the field with the id of a request, which responses of the daemon's own repeat. */
+  readonly requestIdField?: string;
   /** Connections that are kept open at the same time; undefined for any number. */
   readonly maxConnections?: number;
   /** Bounds the requests that are held, and the responses not yet read. */
--- a/packages/sidecar/src/daemon-response.ts
+++ b/packages/sidecar/src/daemon-response.ts
@@ -66,5 +66,5 @@
     fields.push('Retry-After', (delayMs / MS_PER_SECOND).toFixed(3));
   }
   if (status === STATUS_UNAUTHORIZED) fields.push('WWW-Authenticate', 'Bearer');
-  return { status, reason: phrase, fields, body: Buffer.from(`${reason}\n`) };
+  return { status, reason: phrase, fields, body: Buffer.from(`${reason}\n`), isOwn: true };
 }
--- a/packages/sidecar/src/wire-sidecar.ts
+++ b/packages/sidecar/src/wire-sidecar.ts
@@ -407,6 +407,7 @@
     pipelineCounts,
     limits: () => configuration.routes?.configuration.limits ?? DEFAULT_LIMITS,
     bufferBudget,
+    requestIdField: headerNames.requestId,
     maxConnections: limits.callers,
     onResponseWithoutMemory: (bytes) =>
       log.decision('no memory for a response', { bytes, heldBytes: bufferBudget.usedBytes }),
--- a/packages/sidecar/tests/caller-connection.test.ts
+++ b/packages/sidecar/tests/caller-connection.test.ts
@@ -1,6 +1,7 @@
 import type { RequestMessage } from '@daisyferry/http1/message';
 import { BufferBudget, HeldBody } from '@daisyferry/mesh/buffer-budget';
 import { CallerConnection } from '@daisyferry/sidecar/caller-connection';
+import { daemonResponse, DaemonResponseReason } from '@daisyferry/sidecar/daemon-response';
 import type { Respond } from '@daisyferry/sidecar/entry';
 import { createConnection, createServer, type AddressInfo, type Socket } from 'node:net';
 import { setTimeout as sleep } from 'node:timers/promises';
@@ -52,6 +53,7 @@
         idleTimeoutMs: IDLE_TIMEOUT_MS,
       }),
       bufferBudget,
+      requestIdField: 'X-Id',
       onProblem: () => undefined,
       failures: {
         report: (_origin: string, error: unknown) => {
@@ -378,6 +380,22 @@
     await vi.waitFor(() => expect(received).toMatch(/^HTTP\/1.1 502/));
   });
 
+  it('repeats the id of a request in responses of its own alone', async () => {
+    caller.write(
+      encodeGet('/own', 'x-id: 7\r\n') + encodeGet('/no-id') + encodeGet('/', 'X-Id: 8\r\n'),
+    );
+    await answer(0, daemonResponse(DaemonResponseReason.noRoom, 0));
+    await answer(1, daemonResponse(DaemonResponseReason.noRoom, 0));
+    await answer(2);
+    await vi.waitFor(() => expect(received).toContain('done'));
+    expect(received.match(/HTTP\/1.1 \d+|X-Id: \d/g)).toEqual([
+      'HTTP/1.1 503',
+      'X-Id: 7',
+      'HTTP/1.1 503',
+      'HTTP/1.1 200',
+    ]);
+  });
+
   it('sends one response for each request, in the order of the requests', async () => {
     caller.write(encodeGet('/first') + encodeGet('/second'));
     await answer(0);
