--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -14,9 +14,8 @@
   node scripts/known-red.mjs results/vitest.json
 vitest run --config vitest.apart.config.ts --reporter=default --reporter=json \
   --outputFile.json=results/vitest-apart.json || node scripts/known-red.mjs results/vitest-apart.json
-# A short soak test of the platform's daemons; the network is random as runs may be concurrent. Without callers
-# that send ahead: KNOWN-RED.txt has the violation that they may find at a stop.
+# A short soak test of the platform's daemons; the network is random as runs may be concurrent.
 node scripts/build-platform.mjs --play
-node target/daisyferry-soak.mjs --seed 1 --seconds 20 --machines 4 --rate 40 --min-served 0 --no-ahead \
+node target/daisyferry-soak.mjs --seed 1 --seconds 20 --machines 4 --rate 40 --min-served 0 \
   --network $((20 + RANDOM % 200))
 node scripts/verdict.mjs
